--- a/src/interface.rs
+++ b/crates/interface/src/lib.rs
@@ -1,4 +1,5 @@
-//! What goes in and what comes out: settings, events, actions, ids and times. No logic.
+//! What goes in and out of the decision module: settings, events, actions, ids and times. No logic, no I/O.
+#![forbid(unsafe_code)]
 
 use std::sync::Arc;
 
@@ -10,7 +11,7 @@
 pub type Name = Arc<str>;
 
 /// What a second run of a request does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Effect {
     Safe,
     Keyed,
@@ -18,7 +19,7 @@
 }
 
 /// Which servers drop the repeats of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Group {
     All,
     Zone,
@@ -196,7 +197,7 @@
 }
 
 /// How an attempt ended. `Full`, `NoRoute` and `Stale` prove that it never ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Ending {
     Pass,
     Fault,
--- /dev/null
+++ b/crates/lifecycle/src/connection.rs
@@ -0,0 +1,262 @@
+//! The life of a client's connection: HTTP/1.1, one request in hand at a time, answers in order
+//! (RFC 9112, 9.3).
+//!
+//! | state | bytes of the next head | the head | the body | the answer | all of it written | `Close` |
+//! | --- | --- | --- | --- | --- | --- | --- |
+//! | `Idle` | `Head` | `Body` | - | - | - | `Shut` |
+//! | `Head` | stays | `Body` | - | - | - | `Shut` |
+//! | `Body` | stays | - | `InHand` | `Answering` | - | drain: `Finish`; room: `Shut` |
+//! | `InHand` | stays | - | - | `Answering` | - | `Finish` |
+//! | `Answering` | stays | `Body` | - | - | `Idle` | `Finish` |
+//! | `Closed` | - | - | - | - | - | stays |
+//!
+//! A head may come while the answer before it is still being written: bytes keep their order.
+
+use granite_interface::Time;
+use std::fmt;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum State {
+    /// Nothing of a next request has come.
+    Idle,
+    /// A part of a head has.
+    Head,
+    /// A whole head has; its body has not, or it is being looked at.
+    Body,
+    /// A whole and sound request waits for its answer.
+    InHand,
+    /// The answer is being written.
+    Answering,
+    Closed,
+}
+
+/// Why a connection is to close.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Close {
+    /// The gateway ends: what has been taken is answered first.
+    Drain,
+    /// Its place is wanted for another.
+    Room,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// Some bytes came.
+    Bytes,
+    /// A request's head is whole.
+    Head,
+    /// The request is whole and sound: it is now in hand.
+    Taken,
+    /// The answer is known, to the request in hand or to one that was found unsound.
+    Reply,
+    /// The last byte of the answer is written.
+    Flushed,
+    Close(Close),
+    /// The socket has ended, from whichever side.
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Order {
+    /// Nothing is to be done.
+    None,
+    /// End the connection now: nobody is owed an answer on it.
+    Shut,
+    /// End it once the answer that is owed has been written.
+    Finish,
+    /// Write the answer, and say whether the connection closes behind it.
+    Answer { close: bool },
+}
+
+/// An input without a meaning in the present state. Nothing has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wrong {
+    pub state: State,
+    pub input: Input,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} has no meaning on a connection that is {:?}", self.input, self.state)
+    }
+}
+
+impl std::error::Error for Wrong {}
+
+/// So long, in nanoseconds, a new client is left to say something before it may make room for others.
+pub const SETTLE: Time = 100_000_000;
+/// A client that has not read its answer for so long may make room too: longer than any request may wait.
+pub const STUCK: Time = 4_000_000_000;
+
+/// A client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Connection {
+    state: State,
+    /// When it last began or ended to have a request in hand.
+    since: Time,
+    /// Whether it has sent a whole and sound request.
+    asked: bool,
+    closing: bool,
+}
+
+impl Connection {
+    pub fn new(now: Time) -> Self {
+        Connection { state: State::Idle, since: now, asked: false, closing: false }
+    }
+
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether it has sent a whole and sound request.
+    pub fn asked(&self) -> bool {
+        self.asked
+    }
+
+    /// Takes what happened at `now`.
+    ///
+    /// # Errors
+    /// [`Wrong`], if that can't be in the present state.
+    pub fn handle(&mut self, now: Time, input: Input) -> Result<Order, Wrong> {
+        use State::*;
+        let order = match (self.state, input) {
+            (_, Input::Gone) => {
+                self.state = Closed;
+                Order::None
+            }
+            (Closed, Input::Close(_)) => Order::None,
+            (Idle, Input::Bytes) => {
+                self.state = Head;
+                Order::None
+            }
+            (Head | Body | InHand | Answering, Input::Bytes) => Order::None,
+            (Idle | Head | Answering, Input::Head) => {
+                self.state = Body;
+                Order::None
+            }
+            (Body, Input::Taken) => {
+                (self.state, self.asked, self.since) = (InHand, true, now);
+                if planted!(TakenNotInHand) {
+                    self.state = Body;
+                }
+                Order::None
+            }
+            (Body | InHand, Input::Reply) => {
+                (self.state, self.since) = (Answering, now);
+                Order::Answer { close: self.closing && !planted!(CloseNotSaid) }
+            }
+            (Answering, Input::Flushed) => {
+                (self.state, self.since) = (Idle, now);
+                if self.closing && !planted!(FinishedStaysOpen) {
+                    self.state = Closed;
+                    Order::Shut
+                } else {
+                    Order::None
+                }
+            }
+            (Idle | Head, Input::Close(_)) => self.shut(),
+            (Body, Input::Close(Close::Room)) => self.shut(),
+            (Answering, Input::Close(_)) if planted!(DrainCutsAnswer) => self.shut(),
+            (InHand, Input::Close(_)) if planted!(DrainCutsRequest) => self.shut(),
+            (Body | InHand | Answering, Input::Close(_)) => {
+                self.closing = true;
+                Order::Finish
+            }
+            (state, input) => return Err(Wrong { state, input }),
+        };
+        Ok(order)
+    }
+
+    fn shut(&mut self) -> Order {
+        if planted!(HalfHeadKept) && self.state == State::Head {
+            self.closing = true;
+            return Order::Finish;
+        }
+        self.state = State::Closed;
+        Order::Shut
+    }
+
+    /// How well it can be spared, the least first, and how long it must be left alone yet; none if not at all.
+    fn spare(&self, now: Time) -> Option<((bool, bool, Time), Time)> {
+        let quiet = now.saturating_sub(self.since);
+        let stuck = self.state == State::Answering;
+        let wait = match self.state {
+            State::Idle | State::Head | State::Body if self.asked => 0,
+            State::Idle | State::Head | State::Body => SETTLE.saturating_sub(quiet),
+            State::InHand if planted!(BusySpared) => 0,
+            State::Answering if quiet >= STUCK => 0,
+            State::InHand | State::Answering | State::Closed => return None,
+        };
+        Some(((stuck, self.asked, self.since), wait))
+    }
+}
+
+/// Who can best be spared: who never sent a sound request goes before who idles between requests, and that
+/// one before who does not read its answer; among equals, who has been so for longest. With it, how long it
+/// must be left alone yet. None if every client is owed an answer.
+pub fn spare<'a, K>(clients: impl Iterator<Item = (K, &'a Connection)>, now: Time) -> Option<(K, Time)> {
+    let all = clients.filter_map(|(key, c)| Some((key, c.spare(now)?)));
+    all.min_by_key(|(_, (rank, _))| *rank).map(|(key, (_, wait))| (key, wait))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A connection on which all this has happened, a second apart.
+    fn after(inputs: &[Input]) -> Connection {
+        let mut c = Connection::new(0);
+        for (n, input) in inputs.iter().enumerate() {
+            c.handle(n as Time * 1_000_000_000, *input).expect("in order");
+        }
+        c
+    }
+
+    /// RFC 9112, 9.6: after the last answer, not in the middle of it.
+    #[test]
+    fn a_drain_ends_what_owes_nothing_and_lets_the_rest_finish() {
+        use Input::*;
+        let at_rest: [&[Input]; 3] = [&[], &[Bytes], &[Bytes, Head, Taken, Reply, Flushed]];
+        for inputs in at_rest {
+            assert_eq!(after(inputs).handle(9, Input::Close(super::Close::Drain)), Ok(Order::Shut));
+        }
+        let owed: [&[Input]; 3] = [&[Bytes, Head], &[Bytes, Head, Taken], &[Bytes, Head, Taken, Reply]];
+        for inputs in owed {
+            let mut c = after(inputs);
+            assert_eq!(c.handle(9, Input::Close(super::Close::Drain)), Ok(Order::Finish));
+            if c.state() != State::Answering {
+                assert_eq!(c.handle(9, Reply), Ok(Order::Answer { close: true }));
+            }
+            assert_eq!(c.handle(9, Flushed), Ok(Order::Shut));
+        }
+    }
+
+    #[test]
+    fn room_is_made_by_who_never_asked_then_by_who_idles_then_by_who_does_not_read() {
+        use Input::*;
+        let never = after(&[]);
+        let idle = after(&[Bytes, Head, Taken, Reply, Flushed]);
+        let stuck = after(&[Bytes, Head, Taken, Reply]);
+        let busy = after(&[Bytes, Head, Taken]);
+        let now = 20_000_000_000;
+        let pick = |all: &[&Connection]| spare(all.iter().map(|c| c.state()).zip(all.iter().copied()), now);
+        assert_eq!(pick(&[&busy]), None);
+        assert_eq!(pick(&[&busy, &stuck]), Some((State::Answering, 0)));
+        assert_eq!(pick(&[&busy, &stuck, &idle]).map(|p| p.1), Some(0));
+        let two = [&idle, &never];
+        let picked =
+            spare(two.iter().map(|c| (c.asked(), **c)).collect::<Vec<_>>().iter().map(|(k, c)| (*k, c)), now);
+        assert_eq!(picked, Some((false, 0)), "though it came later than the other began to idle");
+        let young = spare([((), &never)].into_iter(), SETTLE / 4);
+        assert_eq!(young, Some(((), SETTLE * 3 / 4)));
+    }
+
+    #[test]
+    fn what_cannot_be_is_an_error_and_changes_nothing() {
+        for input in [Input::Taken, Input::Reply, Input::Flushed] {
+            let mut c = Connection::new(0);
+            assert_eq!(c.handle(1, input), Err(Wrong { state: State::Idle, input }));
+            assert_eq!(c, Connection::new(0));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/request.rs
@@ -0,0 +1,617 @@
+//! The life of a request, from its last byte until it is answered and no attempt is out.
+//!
+//! | phase | the client | an attempt | left by |
+//! | --- | --- | --- | --- |
+//! | `Held` | waits | none out | `Send` (to `Out`), an answer, its leave (both: over) |
+//! | `Out` | waits | out, at a [`Step`] | its end (to `Held`, or over), an answer (`Answered`), a leave (`Left`) |
+//! | `Answered` | has its answer | still to end | its end (over) |
+//! | `Left` | is gone | still to end | its end (over) |
+
+use crate::fleet::{Fleet, Listed};
+use granite_interface::{Effect, Ending, Group, Name, RequestId, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Figures that hold for every request, in nanoseconds where they are times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Limits {
+    /// The most attempts for one request, 1 or more.
+    pub attempts: u32,
+    /// How long past its deadline the module may still have the last word on a request.
+    pub grace: Time,
+    /// So long before the servers forget a key its last repeat is written: the way there takes time.
+    pub key_margin: Time,
+}
+
+/// A request that came in whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Arrival {
+    pub id: RequestId,
+    /// What a second run of it does.
+    pub effect: Effect,
+    /// Which servers drop the repeats of a keyed request, and for how long from the first on.
+    pub group: Group,
+    pub key_ttl: Time,
+    /// By then it is answered, or `grace` later at the latest.
+    pub deadline: Time,
+}
+
+/// How far an attempt has come. Each step is told once, in this order; steps may be left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Step {
+    /// No byte of it may go out yet.
+    Connecting,
+    /// It has the leave to write; its last byte is not out.
+    Writing,
+    /// Its last byte may be out: from here on it may have run.
+    Written,
+    /// A part of the answer is in.
+    Answering,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Attempt {
+    /// From 0.
+    pub number: u32,
+    pub server: Name,
+    pub step: Step,
+    /// Whether it has been told to stop.
+    pub aborted: bool,
+    /// Where it was sent, and who stood there then.
+    place: SocketAddr,
+    zone: u32,
+    cell: u32,
+    /// When it got the leave to write; till then when it began.
+    since: Time,
+}
+
+impl Attempt {
+    fn may_have_run(&self) -> bool {
+        self.step >= Step::Written
+    }
+
+    fn ran(&self) -> Ran {
+        Ran { since: self.since, zone: self.zone, cell: self.cell }
+    }
+}
+
+/// The earliest attempt that may have run: no sooner than `since`, on a server of this zone and cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ran {
+    pub since: Time,
+    pub zone: u32,
+    pub cell: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Phase {
+    Held,
+    Out(Attempt),
+    Answered(Attempt),
+    Left(Attempt),
+}
+
+/// A request's life so far.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Life {
+    pub phase: Phase,
+    /// Attempts made.
+    pub attempts: u32,
+    pub ran: Option<Ran>,
+    /// Whether the latest attempt ended for want of an answer in time.
+    late: bool,
+    arrival: Arrival,
+}
+
+/// What an attempt brought back, as far as the request's life turns on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reply {
+    None,
+    /// A whole answer that serves the request.
+    Good,
+    /// A server found fault with the request itself: no other would take it.
+    Turned,
+}
+
+/// What happened. `id` and `attempt` say to whom.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// From a front: a request came whole.
+    Received(Arrival),
+    /// From a front: nobody waits for the answer any more.
+    Left {
+        id: RequestId,
+    },
+    /// From the decision module, which may say anything at any time.
+    Send {
+        id: RequestId,
+        server: Name,
+        not_past: Time,
+    },
+    Refuse {
+        id: RequestId,
+        advice: Time,
+    },
+    Fail {
+        id: RequestId,
+    },
+    Cancel {
+        id: RequestId,
+        attempt: u32,
+    },
+    /// From an attempt: its connection is up. The answer is `Write` or `Withhold`.
+    Connected {
+        id: RequestId,
+        attempt: u32,
+    },
+    /// From an attempt: how far it has come since.
+    Progress {
+        id: RequestId,
+        attempt: u32,
+        step: Step,
+    },
+    /// From an attempt: its end, told once.
+    Ended {
+        id: RequestId,
+        attempt: u32,
+        ending: Ending,
+        reply: Reply,
+    },
+    /// From the server list.
+    Fleet {
+        whole: bool,
+        servers: Vec<Listed>,
+    },
+    /// Time has passed: what is overdue is answered.
+    Tick,
+    /// The decision module is lost, with all that it knew.
+    Panicked,
+}
+
+/// The final answer, but for its bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Final {
+    /// With the whole answer that the attempt just ended has brought.
+    Served,
+    /// With the status that it has brought.
+    Turned,
+    /// Trying again is harmless, after so long. `tried`: whether any attempt was made.
+    Refused { tried: bool, advice: Time },
+    /// An attempt may have run, or the module says no more than this.
+    Failed { late: bool },
+}
+
+/// What the decision module is to hear.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Told {
+    ClientGone { id: RequestId },
+    Ended { id: RequestId, attempt: u32, server: Name, ending: Ending, last: bool },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Order {
+    /// Begin an attempt; its connection's being up is to be told before a byte is written.
+    Start {
+        id: RequestId,
+        attempt: u32,
+        server: Name,
+        place: SocketAddr,
+        not_past: Time,
+    },
+    /// The attempt may write.
+    Write {
+        id: RequestId,
+        attempt: u32,
+    },
+    /// The attempt must not write. It ends as one that never ran.
+    Withhold {
+        id: RequestId,
+        attempt: u32,
+    },
+    /// Stop the attempt: nothing of it goes out any more, nothing that it brings is awaited.
+    Abort {
+        id: RequestId,
+        attempt: u32,
+    },
+    Answer {
+        id: RequestId,
+        answer: Final,
+    },
+    Tell(Told),
+}
+
+/// An input without a meaning in the present state. Nothing has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    /// The life of a request with this id is not over.
+    Held(RequestId),
+    /// No attempt with this number is out.
+    NotOut { id: RequestId, attempt: u32 },
+    /// The attempt is past this, or has not come so far.
+    OutOfOrder { id: RequestId, attempt: u32, at: Step },
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Wrong::Held(id) => write!(f, "request {id:016x}: its id is still held"),
+            Wrong::NotOut { id, attempt } => write!(f, "request {id:016x}: attempt {attempt} is not out"),
+            Wrong::OutOfOrder { id, attempt, at } => {
+                write!(f, "request {id:016x}: attempt {attempt} is at {at:?}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Wrong {}
+
+/// All requests in hand, and the server list as far as their attempts need it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Lives {
+    limits: Limits,
+    live: BTreeMap<RequestId, Life>,
+    /// When those that wait are overdue.
+    due: BTreeSet<(Time, RequestId)>,
+    fleet: Fleet,
+}
+
+type Done = Result<(), Wrong>;
+
+impl Lives {
+    pub fn new(limits: Limits) -> Self {
+        Lives { limits, live: BTreeMap::new(), due: BTreeSet::new(), fleet: Fleet::default() }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty() && self.due.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// When `Tick` is next wanted.
+    pub fn next_due(&self) -> Option<Time> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    pub fn get(&self, id: RequestId) -> Option<&Life> {
+        self.live.get(&id)
+    }
+
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Takes what happened by `now` and appends what to do about it, in order.
+    ///
+    /// # Errors
+    /// [`Wrong`], if a front or an attempt tells what can't be; nothing has changed then. The module's words
+    /// are never an error: what is not to be done is not done, and it hears so.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Order>) -> Done {
+        match input {
+            Input::Received(arrival) => return self.received(arrival),
+            Input::Left { id } => self.left(id, out),
+            Input::Send { id, server, not_past } => self.send(now, id, server, not_past, out),
+            Input::Refuse { id, advice } => self.finish(id, true, advice, false, out),
+            Input::Fail { id } => self.finish(id, false, 0, false, out),
+            Input::Cancel { id, attempt } => self.cancel(id, attempt, out),
+            Input::Connected { id, attempt } => return self.connected(now, id, attempt, out),
+            Input::Progress { id, attempt, step } => return self.progress(id, attempt, step),
+            Input::Ended { id, attempt, ending, reply } => {
+                return self.ended(id, attempt, ending, reply, out);
+            }
+            Input::Fleet { whole, servers } => self.fleet.update(whole, servers),
+            Input::Tick => self.tick(now, out),
+            Input::Panicked => self.panicked(out),
+        }
+        Ok(())
+    }
+
+    // ---- The client's side ----
+
+    fn received(&mut self, arrival: Arrival) -> Done {
+        let id = arrival.id;
+        // Two attempts with one id must not be out at once.
+        if self.live.contains_key(&id) && !planted!(IdReusedWhileHeld) {
+            return Err(Wrong::Held(id));
+        }
+        self.due.insert((arrival.deadline + self.limits.grace, id));
+        self.live.insert(id, Life { phase: Phase::Held, attempts: 0, ran: None, late: false, arrival });
+        Ok(())
+    }
+
+    fn left(&mut self, id: RequestId, out: &mut Vec<Order>) {
+        // It may have crossed the answer.
+        let Some(life) = self.live.get_mut(&id) else { return };
+        match std::mem::replace(&mut life.phase, Phase::Held) {
+            Phase::Held => self.forget(id),
+            Phase::Out(mut attempt) => {
+                // What has not come whole to a server needs not come at all; what has, the module may stop.
+                if !attempt.may_have_run() && !planted!(NoAbortOnLeave) {
+                    abort(id, &mut attempt, out);
+                }
+                life.phase =
+                    if planted!(LeftStillServed) { Phase::Out(attempt) } else { Phase::Left(attempt) };
+                if !planted!(LeftStillServed) {
+                    self.undue(id);
+                }
+            }
+            over => {
+                life.phase = over;
+                return;
+            }
+        }
+        out.push(Order::Tell(Told::ClientGone { id }));
+    }
+
+    // ---- The module's side ----
+
+    fn send(&mut self, now: Time, id: RequestId, server: Name, not_past: Time, out: &mut Vec<Order>) {
+        let never =
+            |attempt, server, ending| Order::Tell(Told::Ended { id, attempt, server, ending, last: false });
+        let limits = self.limits;
+        let ready = self.fleet.ready(&server);
+        let Some(life) = self.live.get_mut(&id) else {
+            return out.push(Order::Tell(Told::Ended {
+                id,
+                attempt: 0,
+                server,
+                ending: Ending::Stale,
+                last: true,
+            }));
+        };
+        let idle = matches!(life.phase, Phase::Held)
+            || planted!(SendWhileOut) && matches!(life.phase, Phase::Out(_));
+        let more = life.attempts < limits.attempts
+            || planted!(OneAttemptTooMany) && life.attempts == limits.attempts;
+        if !idle || !more || now >= life.arrival.deadline {
+            return out.push(never(life.attempts, server, Ending::Stale));
+        }
+        let Some((listed, place)) = ready else {
+            // It counts, or a module that insists would be told so at every turn.
+            life.attempts += 1;
+            return out.push(never(life.attempts - 1, server, Ending::NoRoute));
+        };
+        if !life.may_repeat(now, listed.zone, listed.cell, limits) {
+            return out.push(never(life.attempts, server, Ending::Stale));
+        }
+        let attempt = life.attempts;
+        life.attempts += 1;
+        let not_past =
+            if not_past == 0 { life.arrival.deadline } else { not_past.min(life.arrival.deadline) };
+        life.phase = Phase::Out(Attempt {
+            number: attempt,
+            server: server.clone(),
+            step: Step::Connecting,
+            aborted: false,
+            place,
+            zone: listed.zone,
+            cell: listed.cell,
+            since: now,
+        });
+        out.push(Order::Start { id, attempt, server, place, not_past });
+    }
+
+    fn cancel(&mut self, id: RequestId, attempt: u32, out: &mut Vec<Order>) {
+        let Some(life) = self.live.get_mut(&id) else { return };
+        if let Phase::Out(a) | Phase::Answered(a) | Phase::Left(a) = &mut life.phase {
+            if a.number == attempt {
+                abort(id, a, out);
+                if planted!(CancelFreesAtOnce) && matches!(life.phase, Phase::Out(_)) {
+                    life.phase = Phase::Held;
+                }
+            }
+        }
+    }
+
+    /// The end without service.
+    fn finish(&mut self, id: RequestId, refuse: bool, advice: Time, overdue: bool, out: &mut Vec<Order>) {
+        let Some(life) = self.live.get_mut(&id) else { return };
+        life.late |= overdue;
+        match std::mem::replace(&mut life.phase, Phase::Held) {
+            Phase::Held => {
+                let answer = life.give_up(refuse, advice);
+                self.forget(id);
+                out.push(Order::Answer { id, answer });
+            }
+            Phase::Out(mut attempt) => {
+                if attempt.may_have_run() && !planted!(OutNotCounted) {
+                    life.ran.get_or_insert(attempt.ran());
+                }
+                let answer = life.give_up(refuse, advice);
+                out.push(Order::Answer { id, answer });
+                if !planted!(NoAbortOnAnswer) {
+                    abort(id, &mut attempt, out);
+                }
+                life.phase = Phase::Answered(attempt);
+                if !planted!(DeadlineOutlivesAnswer) {
+                    self.undue(id);
+                }
+            }
+            // The module's word and the answer have crossed.
+            over => life.phase = over,
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Order>) {
+        while let Some(&(at, id)) = self.due.first() {
+            if at > now || planted!(OverdueByOne) && at == now {
+                return;
+            }
+            self.due.pop_first();
+            if planted!(OverdueSparesAttempts)
+                && self.live.get(&id).is_some_and(|l| matches!(l.phase, Phase::Out(_)))
+            {
+                continue;
+            }
+            self.finish(id, true, 0, true, out);
+            out.push(Order::Tell(Told::ClientGone { id }));
+        }
+    }
+
+    fn panicked(&mut self, out: &mut Vec<Order>) {
+        let ids: Vec<RequestId> = self.live.keys().copied().collect();
+        for id in ids {
+            self.finish(id, true, 0, false, out);
+        }
+        if planted!(PanicForgetsAttempts) {
+            self.live.clear();
+            self.due.clear();
+        }
+    }
+
+    // ---- The attempts' side ----
+
+    fn connected(&mut self, now: Time, id: RequestId, attempt: u32, out: &mut Vec<Order>) -> Done {
+        let limits = self.limits;
+        let (a, awaited) = find(&mut self.live, id, attempt)?;
+        if a.step != Step::Connecting {
+            return Err(Wrong::OutOfOrder { id, attempt, at: a.step });
+        }
+        let go_on = !a.aborted || planted!(WriteAfterAbort);
+        let awaited = awaited || planted!(WriteAfterAnswer);
+        // While it came up the server may have been told to drain, or another may have come at its place.
+        let there = match self.fleet.ready(&a.server) {
+            Some((_, place)) => place == a.place || planted!(WriteToNewOwner),
+            None => planted!(WriteAfterDrain),
+        };
+        let (zone, cell) = (a.zone, a.cell);
+        let life = self.live.get_mut(&id).expect("just seen");
+        // A key's time may have run out meanwhile.
+        if !go_on || !awaited || !there || !life.may_repeat(now, zone, cell, limits) {
+            out.push(Order::Withhold { id, attempt });
+            return Ok(());
+        }
+        if let Phase::Out(a) | Phase::Answered(a) | Phase::Left(a) = &mut life.phase {
+            (a.step, a.since) = (Step::Writing, now);
+        }
+        out.push(Order::Write { id, attempt });
+        Ok(())
+    }
+
+    fn progress(&mut self, id: RequestId, attempt: u32, step: Step) -> Done {
+        let (a, _) = find(&mut self.live, id, attempt)?;
+        if a.step < Step::Writing || step <= a.step {
+            return Err(Wrong::OutOfOrder { id, attempt, at: a.step });
+        }
+        a.step = step;
+        Ok(())
+    }
+
+    fn ended(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        ending: Ending,
+        reply: Reply,
+        out: &mut Vec<Order>,
+    ) -> Done {
+        let (a, _) = find(&mut self.live, id, attempt)?;
+        if reply != Reply::None && a.step < Step::Writing {
+            return Err(Wrong::OutOfOrder { id, attempt, at: a.step });
+        }
+        // Given up before its last byte was out: nothing has run, and nobody is to blame.
+        let unsent = ending == Ending::Undone && reply == Reply::None && !a.may_have_run();
+        let ending = if unsent || planted!(UndoneTakenForProof) && ending == Ending::Undone {
+            Ending::Stale
+        } else {
+            ending
+        };
+        let never = matches!(ending, Ending::Full | Ending::NoRoute | Ending::Stale)
+            || planted!(LateTakenForProof) && ending == Ending::Late;
+        let life = self.live.get_mut(&id).expect("just seen");
+        let (a, awaited) = match std::mem::replace(&mut life.phase, Phase::Held) {
+            Phase::Out(a) => (a, true),
+            Phase::Answered(a) => (a, planted!(LateAnswerAccepted)),
+            Phase::Left(a) => (a, false),
+            Phase::Held => return Err(Wrong::NotOut { id, attempt }),
+        };
+        if !never {
+            life.ran.get_or_insert(a.ran());
+        }
+        life.late = ending == Ending::Late;
+        let answer = match reply {
+            Reply::None => None,
+            Reply::Good => Some(Final::Served),
+            Reply::Turned => Some(Final::Turned),
+        };
+        if let Some(answer) = answer.filter(|_| awaited) {
+            out.push(Order::Answer { id, answer });
+        }
+        let last = !awaited || answer.is_some();
+        if last && (awaited || !planted!(AnsweredNeverForgotten)) {
+            self.forget(id);
+        }
+        out.push(Order::Tell(Told::Ended { id, attempt, server: a.server, ending, last }));
+        Ok(())
+    }
+
+    fn undue(&mut self, id: RequestId) {
+        if let Some(life) = self.live.get(&id) {
+            self.due.remove(&(life.arrival.deadline + self.limits.grace, id));
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if !planted!(DeadlineOutlivesLife) {
+            self.undue(id);
+        }
+        self.live.remove(&id);
+    }
+}
+
+impl Life {
+    /// Whether another attempt at this server keeps the rule on effects: nothing that must not run twice goes
+    /// out where it may.
+    fn may_repeat(&self, now: Time, zone: u32, cell: u32, limits: Limits) -> bool {
+        let Some(ran) = self.ran else { return true };
+        let arrival = &self.arrival;
+        match arrival.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => planted!(UnsafeRepeated),
+            Effect::Keyed => {
+                let same = match arrival.group {
+                    Group::All => true,
+                    Group::Zone => ran.zone == zone,
+                    Group::Cell => ran.cell == cell,
+                };
+                let forgotten = ran.since + arrival.key_ttl;
+                let in_time = now + limits.key_margin < forgotten
+                    || planted!(KeyWindowByOne) && now + limits.key_margin == forgotten;
+                (same || planted!(KeyOutsideGroup)) && in_time
+            }
+        }
+    }
+
+    /// A refusal only if nothing can have run.
+    fn give_up(&self, refuse: bool, advice: Time) -> Final {
+        if refuse && (self.ran.is_none() || planted!(RefusedThoughRun)) {
+            Final::Refused { tried: self.attempts > 0, advice }
+        } else {
+            Final::Failed { late: self.late }
+        }
+    }
+}
+
+/// The attempt with this number, if it is out, and whether its answer is awaited.
+fn find(
+    live: &mut BTreeMap<RequestId, Life>,
+    id: RequestId,
+    number: u32,
+) -> Result<(&mut Attempt, bool), Wrong> {
+    let wrong = Wrong::NotOut { id, attempt: number };
+    match &mut live.get_mut(&id).ok_or(wrong)?.phase {
+        Phase::Out(a) if a.number == number => Ok((a, true)),
+        Phase::Answered(a) | Phase::Left(a) if a.number == number => Ok((a, false)),
+        _ => Err(wrong),
+    }
+}
+
+fn abort(id: RequestId, attempt: &mut Attempt, out: &mut Vec<Order>) {
+    if !std::mem::replace(&mut attempt.aborted, true) {
+        out.push(Order::Abort { id, attempt: attempt.number });
+    }
+}
--- a/src/bin/granitethread/backends.rs
+++ b/src/bin/granitethread/backends.rs
@@ -3,8 +3,7 @@
 //! A connection is polled by the attempt that uses it and by nothing while it is idle: dropping the attempt
 //! closes it, so no late answer can reach anyone, and an exchange wakes one task.
 
-use crate::config::Config;
-use crate::discovery::{State, Target};
+use crate::list::{State, Target};
 use bytes::Bytes;
 use granitehub::{Ending, Load, Name, Scope};
 use http_body_util::{BodyExt, Full, Limited};
@@ -80,9 +79,21 @@
     }
 }
 
-/// How much of an attempt's request has been handed to its socket.
-#[derive(Default)]
+/// What an attempt tells on its way.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Note {
+    /// Its connection is up. It writes only if the word that comes back is yes.
+    Connected,
+    /// Its last byte is out.
+    Written,
+    /// A part of the answer is in.
+    Answering,
+}
+
+/// How far an attempt has come, counted where its bytes pass.
 pub struct Progress {
+    tell: Box<dyn Fn(Note) -> bool>,
+    told: Cell<Option<Note>>,
     written: Cell<usize>,
     whole: Cell<usize>,
     /// Whether a part of the answer has come that is not an interim answer (1xx).
@@ -90,7 +101,33 @@
     news: Notify,
 }
 
+impl Default for Progress {
+    fn default() -> Self {
+        Progress::new(|_| true)
+    }
+}
+
 impl Progress {
+    pub fn new(tell: impl Fn(Note) -> bool + 'static) -> Self {
+        Progress {
+            tell: Box::new(tell),
+            told: Cell::new(None),
+            written: Cell::default(),
+            whole: Cell::default(),
+            begun: Arc::default(),
+            news: Notify::new(),
+        }
+    }
+
+    /// Each once, and nothing behind the answer's beginning.
+    fn note(&self, note: Note) {
+        let told = self.told.get();
+        if told != Some(note) && told != Some(Note::Answering) {
+            self.told.set(Some(note));
+            (self.tell)(note);
+        }
+    }
+
     /// Whether the last byte may be out. `whole` counts what we ask hyper to write and hyper adds at most,
     /// so a request is never taken for unwritten when it is not.
     fn may_have_run(&self) -> bool {
@@ -143,25 +180,32 @@
     pub connects: Cell<u64>,
 }
 
+/// Figures that hold for all backends.
+pub struct Limits {
+    /// The most connections, up, coming up or idle.
+    pub sockets: usize,
+    /// The most units that an answer may bill.
+    pub most_units: f64,
+    pub connect_timeout: Duration,
+    /// How long a backend leaves a connection idle.
+    pub keepalive: Duration,
+}
+
 impl Backends {
-    pub fn new(config: &Config) -> Rc<Self> {
+    pub fn new(limits: &Limits) -> Rc<Self> {
         Rc::new(Backends {
             table: RefCell::default(),
             open: Rc::default(),
-            budget: config.backend_sockets,
-            most_units: config.settings.most_units.max(1.0),
-            connect_timeout: config.connect_timeout,
+            budget: limits.sockets,
+            most_units: limits.most_units.max(1.0),
+            connect_timeout: limits.connect_timeout,
             // The backend counts idle time from when it wrote its answer and closes at the settings' time at
             // the latest: half of it keeps clear of requests written to a connection on its way out.
-            idle_time: config.keepalive / 2,
+            idle_time: limits.keepalive / 2,
             connects: Cell::new(0),
         })
     }
 
-    pub fn any_ready(&self) -> bool {
-        self.table.borrow().values().any(|b| b.ready)
-    }
-
     /// Takes in what discovery tells. Connections to an old address, an old process or a backend that wants
     /// nothing new are of no use. Returns those whose address a later one has taken over: they are gone, though
     /// discovery may say so only later, and what is meant for them would reach a cold backend unseen.
@@ -217,17 +261,13 @@
         oldest.map(|b| b.idle.remove(0)).is_some()
     }
 
-    /// Where a backend that still wants new work listens.
-    fn address(&self, name: &Name) -> Option<SocketAddr> {
-        self.table.borrow().get(name).filter(|b| b.ready).and_then(|b| b.address)
-    }
-
-    fn take_idle(&self, name: &Name) -> Option<Connection> {
+    fn take_idle(&self, name: &Name, place: SocketAddr) -> Option<Connection> {
         let mut table = self.table.borrow_mut();
         let backend = table.get_mut(name)?;
         let now = Instant::now();
         while let Some(mut connection) = backend.idle.pop() {
-            if now - connection.used < self.idle_time && connection.reusable() {
+            let here = connection.address == place;
+            if here && now - connection.used < self.idle_time && connection.reusable() {
                 return Some(connection);
             }
         }
@@ -264,11 +304,12 @@
     pub async fn attempt(
         &self,
         name: &Name,
+        place: SocketAddr,
         request: &Outgoing,
         not_past: Instant,
         progress: &Rc<Progress>,
     ) -> Outcome {
-        match timeout_at(not_past, self.exchange(name, request, not_past, progress)).await {
+        match timeout_at(not_past, self.exchange(name, place, request, not_past, progress)).await {
             Ok(outcome) => outcome,
             Err(_) if progress.may_have_run() => Outcome::without_answer(Ending::Late),
             Err(_) => Outcome::without_answer(Ending::NoRoute),
@@ -278,24 +319,25 @@
     async fn exchange(
         &self,
         name: &Name,
+        place: SocketAddr,
         request: &Outgoing,
         not_past: Instant,
         progress: &Rc<Progress>,
     ) -> Outcome {
         let unreachable = || Outcome::without_answer(Ending::NoRoute);
-        let mut connection = match self.take_idle(name) {
+        let mut connection = match self.take_idle(name, place) {
             Some(connection) => connection,
-            None => {
-                let Some(address) = self.address(name) else { return unreachable() };
-                let Some(connection) = self.connect(address).await else { return unreachable() };
-                // The backend may have been told to drain, or have moved, while the connection came up:
-                // nothing is written to it from then on.
-                if self.address(name) != Some(address) {
-                    return unreachable();
-                }
-                connection
-            }
+            None => match self.connect(place).await {
+                Some(connection) => connection,
+                None => return unreachable(),
+            },
         };
+        // The backend may have been told to drain, or another have come at its address, while the connection
+        // came up; or nobody waits any more. Nothing is written then.
+        if !(progress.tell)(Note::Connected) {
+            self.keep(name, connection);
+            return unreachable();
+        }
         connection.link.idle.set(false);
         connection.link.progress.replace(progress.clone());
         let mut request = request.to_backend(not_past.saturating_duration_since(Instant::now()));
@@ -505,6 +547,9 @@
         if let Poll::Ready(Ok(n)) = &written {
             let progress = self.link.progress.borrow();
             progress.written.set(progress.written.get() + n);
+            if progress.may_have_run() {
+                progress.note(Note::Written);
+            }
         }
         written
     }
@@ -529,6 +574,7 @@
         let read = Pin::new(&mut self.io).poll_read(cx, buf);
         if matches!(read, Poll::Ready(Ok(()))) {
             let progress = self.link.progress.borrow();
+            progress.note(Note::Answering);
             progress.begun.store(true, Relaxed);
             progress.news.notify_one();
         }
@@ -582,6 +628,12 @@
         }
     }
 
+    impl Backends {
+        fn address(&self, name: &Name) -> Option<SocketAddr> {
+            self.table.borrow().get(name).filter(|b| b.ready).and_then(|b| b.address)
+        }
+    }
+
     fn backends(address: SocketAddr) -> Backends {
         let backend = Backend { address: Some(address), boot_ms: 0, ready: true, idle: Vec::new() };
         Backends {
@@ -617,7 +669,8 @@
     async fn attempt(b: &Backends, request: &Outgoing) -> (Ending, Rc<Progress>) {
         let progress = Rc::default();
         let limit = Instant::now() + Duration::from_secs(20);
-        (b.attempt(&"s-1".into(), request, limit, &progress).await.ending, progress)
+        let place = b.address(&"s-1".into()).unwrap();
+        (b.attempt(&"s-1".into(), place, request, limit, &progress).await.ending, progress)
     }
 
     /// What `size` says is what reaches the backend, to the byte: too much would call a request unwritten
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -1,6 +1,6 @@
 //! What a gateway is told at its start: the file that `LB_CONFIG` names.
 
-use crate::discovery::List;
+use crate::list::List;
 use granitehub::{settings, Settings};
 use serde::Deserialize;
 use serde_json::Value;
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -1,15 +1,13 @@
 //! The watch on the list of backends.
 
-use crate::driver::Driver;
+use crate::list::List;
 use bytes::Bytes;
 use granitehub::Scope;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -22,47 +20,18 @@
 const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST: usize = 4 << 20;
 
-/// The list of backends, or what changed in it.
-#[derive(Deserialize)]
-pub struct List {
-    pub rev: u64,
-    pub all: bool,
-    pub targets: Vec<Target>,
-}
-
-#[derive(Deserialize)]
-pub struct Target {
-    pub uid: String,
-    /// Not an address yet: an entry that says `Gone` counts, whatever stands here.
-    #[serde(default)]
-    pub endpoint: String,
-    #[serde(default)]
-    pub az: String,
-    #[serde(default)]
-    pub pod_group: u32,
-    pub state: State,
-    #[serde(default = "one")]
-    pub capacity_hint: f64,
-    #[serde(default)]
-    pub boot_ms: u64,
-}
-
-#[derive(Clone, Copy, Deserialize, PartialEq, Eq)]
-pub enum State {
-    Ready,
-    Terminating,
-    Gone,
-}
-
-fn one() -> f64 {
-    1.0
+/// What the watch has to tell.
+pub enum News {
+    List(Scope, List),
+    /// A call failed, and why. The old list stands.
+    Failed(String),
 }
 
 type Connection = SendRequest<Empty<Bytes>>;
 
 /// Asks for the whole list once, then for what changed since. Whatever fails, the old list stands and the
 /// next call comes on a new connection.
-pub async fn watch(address: SocketAddr, driver: Rc<Driver>) {
+pub async fn watch(address: SocketAddr, tell: impl Fn(News)) {
     let mut rev = None;
     let mut connection = None;
     loop {
@@ -74,11 +43,11 @@
                     sleep(PAUSE).await;
                 }
                 let scope = if list.all { Scope::Full } else { Scope::Changes };
-                driver.fleet(scope, list);
+                tell(News::List(scope, list));
             }
             Ok(_) => rev = None,
             Err(what) => {
-                driver.discovery_failed(&what);
+                tell(News::Failed(what));
                 connection = None;
                 sleep(PAUSE).await;
             }
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -1,11 +1,10 @@
-//! Drives the decision module: what happened becomes events, its actions are carried out. No policy.
-//!
-//! Whatever the module says or leaves unsaid, a request gets one final answer by its deadline, and two of
-//! its attempts are never out at once.
-
-use crate::backends::{Backends, Outcome, Outgoing, Progress, Served};
-use crate::config::Config;
-use crate::discovery::{List, State, Target};
+//! Joins the rooms: what happened goes to the life of its request and to the decision module, and what they
+//! order is carried out. No policy and no rule stands here: the rules are `granite_lifecycle`'s.
+
+use crate::backends::{Backends, Note, Outcome, Outgoing, Progress, Served};
+use crate::discovery::News;
+use crate::list::{List, State, Target};
+use granite_lifecycle::{Arrival, Final, Input, Limits, Listed, Lives, Order, Reply, Step, Told, Wrong};
 use granitehub::{
     Action, AttemptEnd, Effect, Ending, Event, Gateway, Health, Name, Node, Request, RequestId, Scope,
     Settings, Time,
@@ -16,6 +15,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -29,6 +29,8 @@
 const MARGIN: Duration = Duration::from_millis(20);
 /// How long past its deadline here the module may still have the last word on a request.
 const GRACE: Duration = Duration::from_millis(5);
+/// So long before servers forget a key its last repeat is written.
+const KEY_MARGIN: Duration = Duration::from_millis(20);
 const STATUS_EVERY: Duration = Duration::from_secs(10);
 
 /// The final answer to a request.
@@ -60,31 +62,24 @@
     pub outgoing: Outgoing,
 }
 
-/// A request from its arrival until it is answered and no attempt is out.
-struct Live {
+/// A request's ends in the world of sockets, for as long as its life lasts.
+struct Ends {
     /// None once answered, or when the client is gone.
     client: Option<oneshot::Sender<Answer>>,
     outgoing: Rc<Outgoing>,
-    attempts: u32,
     out: Option<AbortHandle>,
-    may_have_run: bool,
-    late: bool,
-    deadline: Instant,
-}
-
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Module(u64),
-    Deadline(RequestId),
 }
 
 struct Inner {
     gateway: Gateway,
+    lives: Lives,
+    ends: HashMap<RequestId, Ends>,
     /// The list of backends as it stands.
     nodes: BTreeMap<Name, Node>,
     events: Vec<Event>,
-    live: HashMap<RequestId, Live>,
-    timers: BinaryHeap<Reverse<(Instant, Due)>>,
+    timers: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// Empty but while orders are carried out: kept for its room.
+    orders: Vec<Order>,
 }
 
 /// Counts since the last status line.
@@ -114,7 +109,6 @@
     discovery_down: Cell<bool>,
     zones: Vec<String>,
     tick: Duration,
-    try_limit: u32,
     pub classes: Vec<(String, Effect, Duration)>,
     pub plans: Vec<String>,
     pub gateways: u32,
@@ -145,17 +139,26 @@
 }
 
 impl Driver {
-    pub fn new(config: &Config, backends: Rc<Backends>) -> Result<Rc<Self>, String> {
-        let (clock, s) = (Clock::new(), config.settings.clone());
+    pub fn new(
+        s: Settings,
+        seed: u64,
+        zones: Vec<String>,
+        backends: Rc<Backends>,
+    ) -> Result<Rc<Self>, String> {
+        let clock = Clock::new();
         let classes = s.classes.iter();
+        let limits = Limits {
+            attempts: s.try_limit,
+            grace: GRACE.as_nanos() as Time,
+            key_margin: KEY_MARGIN.as_nanos() as Time,
+        };
         Ok(Rc::new(Driver {
             wake: Notify::new(),
             backends,
             counts: Counts::default(),
             discovery_down: Cell::new(false),
-            zones: config.zones.clone(),
+            zones,
             tick: Duration::from_nanos(s.tick),
-            try_limit: s.try_limit,
             classes: classes.map(|c| (c.name.clone(), c.effect, Duration::from_nanos(c.deadline))).collect(),
             plans: s.plans.iter().map(|p| p.name.clone()).collect(),
             gateways: s.gateways,
@@ -163,18 +166,25 @@
             settings: s.clone(),
             state: RefCell::new(Inner {
                 nodes: BTreeMap::new(),
-                gateway: Gateway::new(s, config.seed, clock.time(Instant::now()))
+                gateway: Gateway::new(s, seed, clock.time(Instant::now()))
                     .map_err(|e| format!("settings: {e}"))?,
                 events: Vec::new(),
-                live: HashMap::new(),
+                lives: Lives::new(limits),
+                ends: HashMap::new(),
                 timers: BinaryHeap::new(),
+                orders: Vec::new(),
             }),
             clock,
         }))
     }
 
+    /// The time on the module's clock.
+    pub fn time(&self, at: Instant) -> Time {
+        self.clock.time(at)
+    }
+
     pub fn can_serve(&self) -> bool {
-        self.backends.any_ready()
+        self.state.borrow().lives.fleet().any_ready()
     }
 
     fn event(&self, event: Event) {
@@ -189,21 +199,49 @@
         self.list(Scope::Cached, known);
     }
 
-    pub fn fleet(&self, scope: Scope, list: List) {
-        if self.discovery_down.replace(false) {
-            crate::log!("discovery: back, version {}", list.rev);
+    /// What discovery has to tell.
+    pub fn news(&self, news: News) {
+        match news {
+            News::List(scope, list) => {
+                if self.discovery_down.replace(false) {
+                    crate::log!("discovery: back, version {}", list.rev);
+                }
+                self.list(scope, list);
+            }
+            News::Failed(what) => {
+                if !self.discovery_down.replace(true) {
+                    crate::log!("discovery: {what}; the old list stands");
+                }
+                self.event(Event::Fleet { seq: 0, scope: Scope::Failed, nodes: Vec::new() });
+            }
         }
-        self.list(scope, list);
     }
 
     fn list(&self, scope: Scope, list: List) {
-        // Before the module hears of it: an attempt on its way checks with the backends.
         let replaced = self.backends.update(scope, &list.targets);
-        let mut nodes: Vec<Node> = list.targets.into_iter().map(|t| self.node(t)).collect();
-        nodes.extend(replaced.iter().map(|name| Node::new(name, Health::Removed)));
+        let placed = |t: Target| {
+            let place = t.endpoint.parse().ok().filter(|_| t.state == State::Ready);
+            (self.node(t), place)
+        };
+        let mut nodes: Vec<(Node, Option<SocketAddr>)> = list.targets.into_iter().map(placed).collect();
+        nodes.extend(replaced.iter().map(|name| (Node::new(name, Health::Removed), None)));
+        let servers = nodes.iter().map(|(n, place)| Listed {
+            name: n.name.clone(),
+            zone: n.zone,
+            cell: n.cell,
+            place: *place,
+            gone: n.health == Health::Removed,
+        });
+        let whole = scope != Scope::Changes;
+        // Before the module hears of it: an attempt on its way asks for the leave to write.
+        let fleet = Input::Fleet { whole, servers: servers.collect() };
+        let nodes: Vec<Node> = nodes.into_iter().map(|(n, _)| n).collect();
         {
-            let held = &mut self.state.borrow_mut().nodes;
-            if scope != Scope::Changes {
+            let mut state = self.state.borrow_mut();
+            let Inner { lives, orders, nodes: held, .. } = &mut *state;
+            let done = lives.handle(self.clock.time(Instant::now()), fleet, orders);
+            debug_assert!(done.is_ok() && orders.is_empty(), "a list orders nothing");
+            if whole {
                 held.clear();
             }
             held.extend(nodes.iter().map(|n| (n.name.clone(), n.clone())));
@@ -228,41 +266,24 @@
         }
     }
 
-    pub fn discovery_failed(&self, what: &str) {
-        if !self.discovery_down.replace(true) {
-            crate::log!("discovery: {what}; the old list stands");
-        }
-        self.event(Event::Fleet { seq: 0, scope: Scope::Failed, nodes: Vec::new() });
-    }
-
     // ---- Requests ----
 
-    /// Takes in a request. None if one with its id is still held: two attempts with one id must not be out
-    /// at once.
+    /// Takes in a request. None if the life of one with its id is not over.
     pub fn submit(self: &Rc<Self>, r: Incoming) -> Option<Ticket> {
         let mut state = self.state.borrow_mut();
-        if state.live.contains_key(&r.id) {
-            return None;
-        }
-        let deadline = r.arrived + r.timeout - MARGIN.min(r.timeout / 10);
+        let (_, effect, _) = *self.classes.get(r.class).unwrap_or(&self.classes[0]);
+        let class = self.settings.classes.get(r.class).unwrap_or(&self.settings.classes[0]);
+        let deadline = self.clock.time(r.arrived + r.timeout - MARGIN.min(r.timeout / 10));
+        let arrival = Arrival { id: r.id, effect, group: class.group, key_ttl: class.key_ttl, deadline };
+        self.handle(&mut state, r.arrived, Input::Received(arrival), Facts::default()).ok()?;
         let (client, answer) = oneshot::channel();
-        let live = Live {
-            client: Some(client),
-            outgoing: Rc::new(r.outgoing),
-            attempts: 0,
-            out: None,
-            may_have_run: false,
-            late: false,
-            deadline,
-        };
-        state.live.insert(r.id, live);
-        state.timers.push(Reverse((deadline + GRACE, Due::Deadline(r.id))));
+        state.ends.insert(r.id, Ends { client: Some(client), outgoing: Rc::new(r.outgoing), out: None });
         state.events.push(Event::Request(Request {
             id: r.id,
             class: r.class,
             plan: r.plan,
             customer: r.customer,
-            deadline: self.clock.time(deadline),
+            deadline,
             units: r.units,
             spread: r.spread,
             repeat: r.repeat,
@@ -272,41 +293,156 @@
     }
 
     /// Nobody waits for the answer any more.
-    fn gone(&self, id: RequestId) {
+    fn gone(self: &Rc<Self>, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        let Some(live) = state.live.get_mut(&id) else { return };
-        if live.client.take().is_none() {
-            return;
-        }
-        if live.out.is_none() {
-            state.live.remove(&id);
+        self.take(&mut state, Instant::now(), Input::Left { id }, Facts::default());
+    }
+
+    // ---- Orders ----
+
+    /// Hands the lives an input and carries out what they order. Whether a leave to write was among it.
+    fn handle(
+        self: &Rc<Self>,
+        state: &mut Inner,
+        now: Instant,
+        input: Input,
+        mut facts: Facts,
+    ) -> Result<bool, Wrong> {
+        let mut orders = std::mem::take(&mut state.orders);
+        let done = state.lives.handle(self.clock.time(now), input, &mut orders);
+        let mut leave = false;
+        for order in orders.drain(..) {
+            match order {
+                Order::Start { id, attempt, server, place, not_past } => {
+                    self.start(state, id, attempt, server, place, not_past, now);
+                }
+                Order::Write { .. } => leave = true,
+                Order::Withhold { .. } => {}
+                Order::Abort { id, .. } => {
+                    state.ends.get(&id).and_then(|e| e.out.as_ref()).inspect(|out| out.abort());
+                }
+                Order::Answer { id, answer } => self.answer(state, id, answer, &mut facts),
+                Order::Tell(told) => self.tell(state, told, &mut facts),
+            }
         }
-        add(&self.counts.failed);
-        state.events.push(Event::ClientGone { id });
-        self.wake.notify_one();
+        state.orders = orders;
+        done.map(|()| leave)
     }
 
-    /// Gives the final answer, unless it has been given.
-    fn answer(&self, live: &mut Live, answer: Answer) {
-        if let Some(client) = live.client.take() {
-            add(match answer {
-                Answer::Served(_) => &self.counts.served,
-                Answer::Refused { .. } => &self.counts.refused,
-                Answer::Failed { .. } | Answer::Turned(_) => &self.counts.failed,
-            });
+    /// The same where nothing can be wrong but our own telling.
+    fn take(self: &Rc<Self>, state: &mut Inner, now: Instant, input: Input, facts: Facts) -> bool {
+        self.handle(state, now, input, facts).unwrap_or_else(|wrong| {
+            crate::log!("lifecycle: {wrong}");
+            false
+        })
+    }
+
+    /// Gives a request its final answer.
+    fn answer(&self, state: &mut Inner, id: RequestId, answer: Final, facts: &mut Facts) {
+        let client = state.ends.get_mut(&id).and_then(|e| e.client.take());
+        let (count, answer) = match answer {
+            Final::Served => (&self.counts.served, facts.served.take().map(Answer::Served)),
+            Final::Turned => (&self.counts.failed, facts.turned.map(Answer::Turned)),
+            Final::Refused { tried, advice } => {
+                let retry_after = Duration::from_nanos(advice);
+                (&self.counts.refused, Some(Answer::Refused { tried, retry_after }))
+            }
+            Final::Failed { late } => (&self.counts.failed, Some(Answer::Failed { late })),
+        };
+        add(count);
+        if let (Some(client), Some(answer)) = (client, answer) {
             // An error means that the client has just gone.
             let _ = client.send(answer);
         }
+        self.forget(state, id);
     }
 
-    /// The end without service: a refusal only if no attempt can have run.
-    fn give_up(&self, live: &mut Live, refuse: bool, advice: Time) {
-        let answer = if refuse && !live.may_have_run {
-            Answer::Refused { tried: live.attempts > 0, retry_after: Duration::from_nanos(advice) }
-        } else {
-            Answer::Failed { late: live.late }
+    /// Lets the ends go of a request whose life is over.
+    fn forget(&self, state: &mut Inner, id: RequestId) {
+        if state.lives.get(id).is_none() {
+            state.ends.remove(&id);
+        }
+    }
+
+    /// Tells the module.
+    fn tell(&self, state: &mut Inner, told: Told, facts: &mut Facts) {
+        let event = match told {
+            Told::ClientGone { id } => {
+                if state.ends.get_mut(&id).and_then(|e| e.client.take()).is_some() {
+                    add(&self.counts.failed);
+                }
+                self.forget(state, id);
+                Event::ClientGone { id }
+            }
+            Told::Ended { id, attempt, server, ending, last } => {
+                self.forget(state, id);
+                Event::AttemptEnd(AttemptEnd {
+                    id,
+                    attempt,
+                    server,
+                    ending,
+                    last,
+                    elapsed: facts.elapsed.as_nanos() as Time,
+                    settled: facts.settled,
+                    metered: facts.metered,
+                    load: facts.load,
+                })
+            }
+        };
+        state.events.push(event);
+        self.wake.notify_one();
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "the figures of one order")]
+    fn start(
+        self: &Rc<Self>,
+        state: &mut Inner,
+        id: RequestId,
+        attempt: u32,
+        server: Name,
+        place: SocketAddr,
+        not_past: Time,
+        now: Instant,
+    ) {
+        let Some(ends) = state.ends.get_mut(&id) else { return };
+        let run = Attempt { driver: self.clone(), id, number: attempt, sent: now, done: false };
+        let (driver, request) = (self.clone(), ends.outgoing.clone());
+        let progress = Rc::new(Progress::new(move |note| driver.note(id, attempt, note)));
+        let not_past = self.clock.instant(not_past);
+        let task = spawn_local(async move {
+            let outcome = run.driver.backends.attempt(&server, place, &request, not_past, &progress).await;
+            run.done(outcome);
+        });
+        ends.out = Some(task.abort_handle());
+    }
+
+    /// An attempt tells how far it has come. Whether it may go on.
+    fn note(self: &Rc<Self>, id: RequestId, attempt: u32, note: Note) -> bool {
+        let input = match note {
+            Note::Connected => Input::Connected { id, attempt },
+            Note::Written => Input::Progress { id, attempt, step: Step::Written },
+            Note::Answering => Input::Progress { id, attempt, step: Step::Answering },
         };
-        self.answer(live, answer);
+        self.take(&mut self.state.borrow_mut(), Instant::now(), input, Facts::default())
+    }
+
+    /// An attempt is over, however it came to that.
+    fn ended(self: &Rc<Self>, run: &Attempt, outcome: Outcome) {
+        let (id, attempt) = (run.id, run.number);
+        let mut state = self.state.borrow_mut();
+        let now = Instant::now();
+        let reply = match (&outcome.served, outcome.turned) {
+            (Some(_), _) => Reply::Good,
+            (None, Some(_)) => Reply::Turned,
+            (None, None) => Reply::None,
+        };
+        let input = Input::Ended { id, attempt, ending: outcome.ending, reply };
+        if let Err(wrong) = self.handle(&mut state, now, input, Facts::new(run.sent.elapsed(), outcome)) {
+            crate::log!("lifecycle: {wrong}");
+            // It must not stay out for ever.
+            let undone = Input::Ended { id, attempt, ending: Ending::Undone, reply: Reply::None };
+            let _ = self.handle(&mut state, now, undone, Facts::default());
+        }
     }
 
     // ---- The loop ----
@@ -339,194 +475,76 @@
         }
     }
 
-    /// When the next timer is due. Deadlines of requests that are over wake nobody.
+    /// When the next timer is due.
     fn next_due(&self) -> Instant {
-        let mut state = self.state.borrow_mut();
-        let Inner { timers, live, .. } = &mut *state;
-        while let Some(Reverse((at, due))) = timers.peek() {
-            match due {
-                Due::Deadline(id) if !live.contains_key(id) => drop(timers.pop()),
-                _ => return *at,
-            }
-        }
-        Instant::now() + STATUS_EVERY
+        let state = self.state.borrow();
+        let module = state.timers.peek().map(|Reverse((at, _))| *at);
+        let overdue = state.lives.next_due().map(|at| self.clock.instant(at));
+        let far = || Instant::now() + STATUS_EVERY;
+        module.into_iter().chain(overdue).min().unwrap_or_else(far)
     }
 
     fn batch(self: &Rc<Self>, now: Instant, actions: &mut Vec<Action>) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        let time = self.clock.time(now);
         while state.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
-            match state.timers.pop() {
-                Some(Reverse((_, Due::Module(token)))) => state.events.push(Event::Timer { token }),
-                Some(Reverse((_, Due::Deadline(id)))) => self.overdue(state, id, now),
-                None => {}
+            if let Some(Reverse((_, token))) = state.timers.pop() {
+                state.events.push(Event::Timer { token });
             }
         }
+        if state.lives.next_due().is_some_and(|at| at <= time) {
+            self.overdue(state, now);
+        }
         if state.events.is_empty() {
             return;
         }
         add(&self.counts.batches);
-        let (time, events) = (self.clock.time(now), std::mem::take(&mut state.events));
+        let events = std::mem::take(&mut state.events);
         if catch_unwind(AssertUnwindSafe(|| state.gateway.handle(time, events, actions))).is_err() {
             actions.clear();
-            return self.start_again(state, time);
+            return self.start_again(state, now);
         }
         for action in actions.drain(..) {
-            self.carry_out(state, action, now);
+            let input = match action {
+                Action::Send { id, server, not_past } => Input::Send { id, server, not_past },
+                Action::Reject { id, advice } => Input::Refuse { id, advice },
+                Action::Fail { id } => Input::Fail { id },
+                Action::Cancel { id, attempt } => Input::Cancel { id, attempt },
+                Action::Timer { token, at } => {
+                    state.timers.push(Reverse((self.clock.instant(at), token)));
+                    continue;
+                }
+                // The watch always stands.
+                Action::Subscribe { .. } => continue,
+            };
+            self.take(state, now, input, Facts::default());
         }
     }
 
+    /// The module kept silent: what is overdue is answered all the same, and nothing more goes out for it.
+    fn overdue(self: &Rc<Self>, state: &mut Inner, now: Instant) {
+        let answered = || self.counts.refused.get() + self.counts.failed.get();
+        let before = answered();
+        self.take(state, now, Input::Tick, Facts::default());
+        self.counts.overdue.set(self.counts.overdue.get() + answered() - before);
+    }
+
     /// The module panicked, and what it holds can't be trusted: as after a restart, a new one begins with the
     /// list alone, and what was held gets its answer. The process and its connections live on.
-    fn start_again(&self, state: &mut Inner, time: Time) {
-        crate::log!("the module panicked: a new one begins, {} requests end", state.live.len());
+    fn start_again(self: &Rc<Self>, state: &mut Inner, now: Instant) {
+        crate::log!("the module panicked: a new one begins, {} requests end", state.lives.len());
+        let time = self.clock.time(now);
         // These settings were good at the start.
         let Ok(gateway) = Gateway::new(self.settings.clone(), time, time) else { return };
         state.gateway = gateway;
-        for live in state.live.values_mut() {
-            live.may_have_run |= live.out.is_some();
-            self.give_up(live, true, 0);
-            live.out.iter().for_each(AbortHandle::abort);
-        }
-        state.live.retain(|_, l| l.out.is_some());
+        self.take(state, now, Input::Panicked, Facts::default());
         state.timers.clear();
         let nodes = state.nodes.values().cloned().collect();
         state.events.push(Event::Fleet { seq: 0, scope: Scope::Cached, nodes });
         self.wake.notify_one();
     }
 
-    /// The module kept silent: the request is answered all the same, and nothing more goes out for it.
-    fn overdue(&self, state: &mut Inner, id: RequestId, now: Instant) {
-        // An id may have come again since.
-        let Some(live) = state.live.get_mut(&id).filter(|l| l.deadline <= now && l.client.is_some()) else {
-            return;
-        };
-        add(&self.counts.overdue);
-        live.may_have_run |= live.out.is_some();
-        live.late = true;
-        self.give_up(live, true, 0);
-        match &live.out {
-            Some(attempt) => attempt.abort(),
-            None => drop(state.live.remove(&id)),
-        }
-        state.events.push(Event::ClientGone { id });
-    }
-
-    fn carry_out(self: &Rc<Self>, state: &mut Inner, action: Action, now: Instant) {
-        match action {
-            Action::Send { id, server, not_past } => self.send(state, id, server, not_past, now),
-            Action::Reject { id, advice } => self.finish(state, id, true, advice),
-            Action::Fail { id } => self.finish(state, id, false, 0),
-            Action::Cancel { id, attempt } => {
-                let live = state.live.get(&id).filter(|l| l.attempts == attempt + 1);
-                if let Some(out) = live.and_then(|l| l.out.as_ref()) {
-                    out.abort();
-                }
-            }
-            Action::Timer { token, at } => {
-                state.timers.push(Reverse((self.clock.instant(at), Due::Module(token))));
-            }
-            // The watch always stands.
-            Action::Subscribe { .. } => {}
-        }
-    }
-
-    fn finish(&self, state: &mut Inner, id: RequestId, refuse: bool, advice: Time) {
-        let Some(live) = state.live.get_mut(&id) else { return };
-        live.may_have_run |= live.out.is_some();
-        self.give_up(live, refuse, advice);
-        match &live.out {
-            Some(attempt) => attempt.abort(),
-            None => drop(state.live.remove(&id)),
-        }
-    }
-
-    fn send(self: &Rc<Self>, state: &mut Inner, id: RequestId, server: Name, not_past: Time, now: Instant) {
-        let live = state.live.get_mut(&id);
-        let attempt = live.as_ref().map_or(0, |l| l.attempts);
-        let Some(live) =
-            live.filter(|l| l.client.is_some() && l.out.is_none() && l.attempts < self.try_limit)
-        else {
-            // Over already, as when the client left in this batch: the module hears that nothing went out.
-            state.events.push(self.end(
-                id,
-                attempt,
-                server,
-                false,
-                Duration::ZERO,
-                Outcome::without_answer(Ending::Stale),
-            ));
-            self.wake.notify_one();
-            return;
-        };
-        live.attempts += 1;
-        let not_past = match not_past {
-            0 => live.deadline,
-            at => self.clock.instant(at).min(live.deadline),
-        };
-        let run = Attempt {
-            driver: self.clone(),
-            id,
-            number: attempt,
-            server,
-            sent: now,
-            progress: Rc::default(),
-            done: false,
-        };
-        let request = live.outgoing.clone();
-        let task = spawn_local(async move {
-            let outcome = run.driver.backends.attempt(&run.server, &request, not_past, &run.progress).await;
-            run.done(outcome);
-        });
-        live.out = Some(task.abort_handle());
-    }
-
-    /// An attempt is over, however it came to that.
-    fn ended(&self, run: &mut Attempt, mut outcome: Outcome) {
-        let mut state = self.state.borrow_mut();
-        let mut last = true;
-        if let Some(live) = state.live.get_mut(&run.id) {
-            live.out = None;
-            live.may_have_run |= !matches!(outcome.ending, Ending::Full | Ending::NoRoute | Ending::Stale);
-            live.late = outcome.ending == Ending::Late;
-            if let Some(served) = outcome.served.take() {
-                self.answer(live, Answer::Served(served));
-            }
-            if let Some(status) = outcome.turned {
-                self.answer(live, Answer::Turned(status));
-            }
-            last = live.client.is_none();
-            if last {
-                state.live.remove(&run.id);
-            }
-        }
-        let event = self.end(run.id, run.number, run.server.clone(), last, run.sent.elapsed(), outcome);
-        state.events.push(event);
-        self.wake.notify_one();
-    }
-
-    fn end(
-        &self,
-        id: RequestId,
-        attempt: u32,
-        server: Name,
-        last: bool,
-        elapsed: Duration,
-        outcome: Outcome,
-    ) -> Event {
-        Event::AttemptEnd(AttemptEnd {
-            id,
-            attempt,
-            server,
-            ending: outcome.ending,
-            last,
-            elapsed: elapsed.as_nanos() as Time,
-            settled: outcome.settled,
-            metered: outcome.metered,
-            load: outcome.load,
-        })
-    }
-
     /// A line for whoever carries the pager, if anything went on.
     fn status(&self) {
         let c = &self.counts;
@@ -536,7 +554,7 @@
         let (batches, connects) = (take(&c.batches), take(&self.backends.connects));
         let latest = c.latest.replace(Duration::ZERO).as_millis();
         if served + refused + failed > 0 {
-            let held = self.state.borrow().live.len();
+            let held = self.state.borrow().lives.len();
             crate::log!(
                 "served {served}, refused {refused}, failed {failed} ({overdue} overdue), held {held}; new connections {connects}, \
                  batches {batches}, loop late by {latest} ms at most"
@@ -545,31 +563,44 @@
     }
 }
 
+/// What an attempt's end brings along for the client and for the module.
+#[derive(Default)]
+struct Facts {
+    elapsed: Duration,
+    served: Option<Served>,
+    turned: Option<StatusCode>,
+    settled: f64,
+    metered: Option<f64>,
+    load: Option<granitehub::Load>,
+}
+
+impl Facts {
+    fn new(elapsed: Duration, outcome: Outcome) -> Self {
+        let Outcome { served, turned, settled, metered, load, .. } = outcome;
+        Facts { elapsed, served, turned, settled, metered, load }
+    }
+}
+
 /// An attempt in flight. Its end is told once, also if its task is aborted or lost.
 struct Attempt {
     driver: Rc<Driver>,
     id: RequestId,
     number: u32,
-    server: Name,
     sent: Instant,
-    progress: Rc<Progress>,
     done: bool,
 }
 
 impl Attempt {
     fn done(mut self, outcome: Outcome) {
         self.done = true;
-        let driver = self.driver.clone();
-        driver.ended(&mut self, outcome);
+        self.driver.ended(&self, outcome);
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
         if !self.done {
-            self.done = true;
-            let driver = self.driver.clone();
-            driver.ended(self, Outcome::without_answer(Ending::Undone));
+            self.driver.ended(self, Outcome::without_answer(Ending::Undone));
         }
     }
 }
@@ -609,26 +640,22 @@
     use granitehub::{Class, Group, Plan};
     use hyper::header::HeaderValue;
     use hyper::{Method, Uri};
+    use tokio::task::LocalSet;
 
     fn driver() -> Rc<Driver> {
         let aim = 1_000_000_000;
-        let config = Config {
-            listen: ([127, 0, 0, 1], 0).into(),
-            discovery: ([127, 0, 0, 1], 0).into(),
-            seed: 7,
-            known: None,
-            settings: Settings {
-                classes: vec![Class::new("book-slot", aim, 2 * aim, Effect::Unsafe, Group::All)],
-                plans: vec![Plan::new("basic", 10.0, 10.0)],
-                ..Settings::default()
-            },
-            zones: Vec::new(),
+        let settings = Settings {
+            classes: vec![Class::new("book-slot", aim, 2 * aim, Effect::Unsafe, Group::All)],
+            plans: vec![Plan::new("basic", 10.0, 10.0)],
+            ..Settings::default()
+        };
+        let limits = crate::backends::Limits {
+            sockets: 10,
+            most_units: 1.0,
             connect_timeout: Duration::from_secs(1),
             keepalive: Duration::from_secs(1),
-            client_sockets: 10,
-            backend_sockets: 10,
         };
-        Driver::new(&config, Backends::new(&config)).unwrap()
+        Driver::new(settings, 7, Vec::new(), Backends::new(&limits)).unwrap()
     }
 
     fn incoming(class: usize) -> Incoming {
@@ -654,13 +681,28 @@
         }
     }
 
+    /// Has the first attempt of a request written to a server.
+    fn written(driver: &Rc<Driver>, state: &mut Inner, id: RequestId) {
+        let place = Some(([127, 0, 0, 1], 9).into());
+        let s = Listed { name: "s-1".into(), zone: 0, cell: 0, place, gone: false };
+        for input in [
+            Input::Fleet { whole: true, servers: vec![s] },
+            Input::Send { id, server: "s-1".into(), not_past: 0 },
+            Input::Connected { id, attempt: 0 },
+            Input::Progress { id, attempt: 0, step: Step::Written },
+        ] {
+            assert!(driver.handle(state, Instant::now(), input, Facts::default()).is_ok());
+        }
+    }
+
     /// The module ignores a class that it does not know and says nothing: the answer comes all the same.
     #[tokio::test]
     async fn a_request_on_which_the_module_keeps_silent_is_answered_in_time() {
         let driver = driver();
         let (r, silent) = (incoming(0), incoming(99));
         let ticket = driver.submit(silent).unwrap();
-        let limit = driver.state.borrow().live[&1].deadline;
+        let limit = driver.state.borrow().lives.next_due().unwrap();
+        let limit = driver.clock.instant(limit) - GRACE;
         assert!(limit < Instant::now() + Duration::from_millis(300), "the way back takes its time");
         assert!(driver.submit(r).is_none(), "its id is held");
         let answer = tokio::select! {
@@ -669,43 +711,52 @@
         };
         assert!(matches!(answer, Answer::Refused { tried: false, .. }), "nothing was sent for it");
         assert!(Instant::now() >= limit, "until then the module has the word");
-        assert!(driver.state.borrow().live.is_empty());
+        assert!(driver.state.borrow().lives.is_empty() && driver.state.borrow().ends.is_empty());
     }
 
     /// NaN is kept from the module by the server; given to it all the same it may panic. The loop goes on.
     #[tokio::test]
     async fn a_panic_of_the_module_ends_what_it_held_and_nothing_else() {
-        let driver = driver();
-        let server = "s-1";
-        driver.state.borrow_mut().nodes.insert(server.into(), Node::new(server, Health::Up));
-        let (held, other) =
-            (driver.submit(incoming(0)).unwrap(), driver.submit(Incoming { id: 2, ..incoming(0) }));
-        {
-            let mut state = driver.state.borrow_mut();
-            state.live.get_mut(&1).unwrap().may_have_run = true;
-            let time = driver.clock.time(Instant::now());
-            driver.start_again(&mut state, time);
-            assert!(state.live.is_empty() && state.timers.is_empty());
-            let list = |e: &Event| matches!(e, Event::Fleet { nodes, .. } if nodes.len() == 1);
-            assert!(state.events.iter().any(list), "the new one is told of the backends");
-        }
-        assert!(matches!(held.await, Answer::Failed { .. }), "it may have run");
-        assert!(matches!(other.unwrap().await, Answer::Refused { .. }), "it was never sent");
+        LocalSet::new()
+            .run_until(async {
+                let driver = driver();
+                let server = "s-1";
+                driver.state.borrow_mut().nodes.insert(server.into(), Node::new(server, Health::Up));
+                let (held, other) =
+                    (driver.submit(incoming(0)).unwrap(), driver.submit(Incoming { id: 2, ..incoming(0) }));
+                {
+                    let mut state = driver.state.borrow_mut();
+                    written(&driver, &mut state, 1);
+                    driver.start_again(&mut state, Instant::now());
+                    assert!(state.timers.is_empty() && state.lives.next_due().is_none());
+                    assert_eq!(state.lives.len(), 1, "only the attempt that is out has yet to end");
+                    let list = |e: &Event| matches!(e, Event::Fleet { nodes, .. } if nodes.len() == 1);
+                    assert!(state.events.iter().any(list), "the new one is told of the backends");
+                }
+                assert!(matches!(held.await, Answer::Failed { .. }), "it may have run");
+                assert!(matches!(other.unwrap().await, Answer::Refused { .. }), "it was never sent");
+            })
+            .await;
     }
 
     /// Whatever the module says of it: once an attempt may have run, a request is not refused.
     #[tokio::test]
     async fn a_request_that_may_have_run_is_never_refused() {
-        let driver = driver();
-        let ticket = driver.submit(incoming(0)).unwrap();
-        {
-            let mut state = driver.state.borrow_mut();
-            state.live.get_mut(&1).unwrap().may_have_run = true;
-            driver.finish(&mut state, 1, true, 0);
-            // A second final answer has nobody to go to.
-            driver.finish(&mut state, 1, false, 0);
-        }
-        assert!(matches!(ticket.await, Answer::Failed { late: false }));
+        LocalSet::new()
+            .run_until(async {
+                let driver = driver();
+                let ticket = driver.submit(incoming(0)).unwrap();
+                {
+                    let mut state = driver.state.borrow_mut();
+                    written(&driver, &mut state, 1);
+                    let (refuse, fail) = (Input::Refuse { id: 1, advice: 0 }, Input::Fail { id: 1 });
+                    driver.take(&mut state, Instant::now(), refuse, Facts::default());
+                    // A second final answer has nobody to go to.
+                    driver.take(&mut state, Instant::now(), fail, Facts::default());
+                }
+                assert!(matches!(ticket.await, Answer::Failed { late: false }));
+            })
+            .await;
     }
 
     /// A backend's start is told in Unix milliseconds, and the module compares it with its own clock.
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -14,6 +14,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod list;
 mod server;
 
 use backends::Backends;
@@ -49,8 +50,13 @@
     let (mut term, mut int) = (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
     // Before `/ready`: from then on the signal may come, and by default it would end the process.
     let hup = signals(SignalKind::hangup())?;
-    let backends = Backends::new(&config);
-    let driver = Driver::new(&config, backends.clone())?;
+    let backends = Backends::new(&backends::Limits {
+        sockets: config.backend_sockets,
+        most_units: config.settings.most_units,
+        connect_timeout: config.connect_timeout,
+        keepalive: config.keepalive,
+    });
+    let driver = Driver::new(config.settings, config.seed, config.zones, backends.clone())?;
     if let Some(known) = config.known {
         driver.cached(known);
     }
@@ -74,13 +80,17 @@
 /// Watches discovery where the configuration says it is, also after a new one. The watch that waits at the
 /// old address is dropped at once: what that has yet to tell would come too late.
 async fn follow(address: SocketAddr, mut hup: Signal, driver: Rc<Driver>) {
-    let mut watch = spawn_local(discovery::watch(address, driver.clone()));
+    let begin = |address| {
+        let driver = driver.clone();
+        spawn_local(discovery::watch(address, move |news| driver.news(news)))
+    };
+    let mut watch = begin(address);
     while hup.recv().await.is_some() {
         match config::reload() {
             Ok(address) => {
                 log!("new configuration: discovery at {address}");
                 watch.abort();
-                watch = spawn_local(discovery::watch(address, driver.clone()));
+                watch = begin(address);
             }
             Err(what) => log!("new configuration refused, the old one stands: {what}"),
         }
--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/server.rs
@@ -3,10 +3,13 @@
 use crate::backends::{Backends, Outgoing, MAX_BODY};
 use crate::driver::{Answer, Driver, Incoming};
 use bytes::{Bytes, BytesMut};
+use granite_lifecycle::connection::{self, Input, Order, State};
+use granite_lifecycle::{Close, Connection};
 use granitehub::Effect;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming as IncomingBody};
+use hyper::body::{Body, Frame, Incoming as IncomingBody, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -15,9 +18,11 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
@@ -33,8 +38,6 @@
 const HEAD_TIME: Duration = Duration::from_millis(2200);
 /// By so long after connecting the first request is whole, body and all; a later one, after its head.
 const BODY_TIME: Duration = Duration::from_millis(2600);
-/// So long a new client is left to say something before it may make room for others.
-const SETTLE: Duration = Duration::from_millis(100);
 /// Of a body that is too large so much is read, so that the client gets to read the answer.
 const MAX_DISCARD: usize = 1 << 20;
 /// Accounts are numbers below 2^33.
@@ -43,15 +46,46 @@
 const BACKLOG: u32 = 1024;
 const EMFILE_PAUSE: Duration = Duration::from_millis(5);
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<Told>;
 
-/// A client's connection.
+/// A client's connection, and how to have it close.
 struct Client {
-    /// Since when it has had no whole request in hand.
-    idle: Cell<Option<Instant>>,
-    /// Whether it has sent a whole and sound request; until then `idle` is when it came.
-    asked: Cell<bool>,
+    life: Cell<Connection>,
+    driver: Rc<Driver>,
+    /// Why it is to close, and the news of it.
+    wanted: Cell<Option<Close>>,
     close: Notify,
+    /// Whether the answer's last byte has gone to hyper, so that a flush means that all of it is written.
+    handed: Cell<bool>,
+}
+
+impl Client {
+    fn new(driver: Rc<Driver>) -> Rc<Self> {
+        let life = Cell::new(Connection::new(driver.time(Instant::now())));
+        Rc::new(Client {
+            life,
+            driver,
+            wanted: Cell::new(None),
+            close: Notify::new(),
+            handed: Cell::new(false),
+        })
+    }
+
+    fn handle(&self, input: Input) -> Order {
+        let mut life = self.life.get();
+        let order = life.handle(self.driver.time(Instant::now()), input);
+        self.life.set(life);
+        order.unwrap_or_else(|wrong| {
+            crate::log!("lifecycle: {wrong}");
+            Order::None
+        })
+    }
+
+    /// Has it close for this reason. How is settled when its turn comes: it may have sent a request by then.
+    fn close(&self, why: Close) {
+        self.wanted.set(Some(why));
+        self.close.notify_one();
+    }
 }
 
 pub struct Server {
@@ -129,11 +163,7 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let client = Rc::new(Client {
-                    idle: Cell::new(Some(Instant::now())),
-                    asked: Cell::new(false),
-                    close: Notify::new(),
-                });
+                let client = Client::new(self.driver.clone());
                 *next += 1;
                 self.clients.borrow_mut().insert(*next, client.clone());
                 let place = Place { server: self.clone(), number: *next };
@@ -149,23 +179,22 @@
         }
     }
 
-    /// Has every client's connection close, once it has no request in hand.
+    /// Has every client's connection close, once it is owed nothing.
     fn close_all(&self) {
-        self.clients.borrow().values().for_each(|c| c.close.notify_one());
+        self.clients.borrow().values().for_each(|c| c.close(Close::Drain));
     }
 
-    /// Has the client close that can best be spared: who never sent a sound request goes before who idles
-    /// between requests. None if every client has a request in hand; else how long to wait before that one
-    /// may go.
+    /// Has the client close that can best be spared. None if every client is owed an answer; else how long to
+    /// wait before that one may go.
     fn close_spare(&self) -> Option<Duration> {
         let clients = self.clients.borrow();
-        let idle = clients.values().filter_map(|c| Some((c.asked.get(), c.idle.get()?, c)));
-        let (asked, since, client) = idle.min_by_key(|(asked, since, _)| (*asked, *since))?;
-        let wait = if asked { Duration::ZERO } else { SETTLE.saturating_sub(since.elapsed()) };
-        if wait.is_zero() {
-            client.close.notify_one();
+        let lives: Vec<(&Rc<Client>, Connection)> = clients.values().map(|c| (c, c.life.get())).collect();
+        let now = self.driver.time(Instant::now());
+        let (client, wait) = connection::spare(lives.iter().map(|(c, life)| (*c, life)), now)?;
+        if wait == 0 {
+            client.close(Close::Room);
         }
-        Some(wait)
+        Some(Duration::from_nanos(wait))
     }
 
     async fn serve(self: &Rc<Self>, stream: TcpStream, client: Rc<Client>) {
@@ -174,15 +203,16 @@
         }
         let accepted = Instant::now();
         let service = service_fn(|request| {
-            let limit = if client.asked.get() { Instant::now() } else { accepted } + BODY_TIME;
+            client.handle(Input::Head);
+            let limit = if client.life.get().asked() { Instant::now() } else { accepted } + BODY_TIME;
             let client = client.clone();
-            async move { Ok::<_, Infallible>(self.reply(request, client, limit).await) }
+            async move { Ok::<_, Infallible>(self.reply(request, &client, limit).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIME)
             .max_buf_size(HEAD_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(Watched { io: TokioIo::new(stream), client: client.clone() }, service);
         let mut connection = pin!(connection);
         tokio::select! {
             // First, so that a request which has arrived is read before a close.
@@ -191,15 +221,18 @@
             _ = connection.as_mut() => return,
             () = client.close.notified() => {}
         }
-        if client.idle.get().is_none() {
+        let why = client.wanted.get().unwrap_or(Close::Drain);
+        if client.handle(Input::Close(why)) == Order::Finish {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
     }
 
     /// `limit`: when the request's body must have come.
-    async fn reply(&self, request: Request<IncomingBody>, client: Rc<Client>, limit: Instant) -> Reply {
+    async fn reply(&self, request: Request<IncomingBody>, client: &Rc<Client>, limit: Instant) -> Reply {
         let mut reply = match request.uri().path() {
+            // RFC 9112, 3.2: whoever reads the other one would take the request for another's.
+            _ if request.headers().get_all(HOST).iter().count() > 1 => plain(StatusCode::BAD_REQUEST, ""),
             // Bodies come with a length. A coding beside one may hide a second request in the body, and hyper
             // drops the length then, so what has both can't be told from what has one.
             _ if request.headers().contains_key(TRANSFER_ENCODING) => plain(StatusCode::LENGTH_REQUIRED, ""),
@@ -214,18 +247,20 @@
         };
         // Behind these nothing is read: where the request ends is in doubt, or far off.
         let cut = matches!(reply.status().as_u16(), 408 | 411 | 413);
-        if self.draining.get() || cut {
+        let close = client.handle(Input::Reply) == Order::Answer { close: true };
+        if self.draining.get() || close || cut {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        reply
+        client.handed.set(reply.body().is_end_stream());
+        reply.map(|body| Told { body, client: client.clone() })
     }
 
     async fn api(
         &self,
         request: Request<IncomingBody>,
-        client: Rc<Client>,
+        client: &Client,
         limit: Instant,
-    ) -> Result<Reply, StatusCode> {
+    ) -> Result<Response<Full<Bytes>>, StatusCode> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         if body.size_hint().lower() > MAX_BODY as u64 {
@@ -240,9 +275,9 @@
             return Err(StatusCode::BAD_REQUEST);
         }
         incoming.outgoing.body = body;
-        // Not before: hundreds of half requests would hold every place.
-        let _busy = Busy::new(client);
+        // Not in hand before: hundreds of half requests would hold every place.
         let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
+        client.handle(Input::Taken);
         Ok(match ticket.await {
             Answer::Served(served) => {
                 let mut reply = Response::new(Full::new(served.body));
@@ -325,20 +360,84 @@
     }
 }
 
-/// Marks a client idle again, also when its request is dropped.
-struct Busy(Rc<Client>);
+/// An answer's body that tells when all of it has gone to hyper.
+struct Told {
+    body: Full<Bytes>,
+    client: Rc<Client>,
+}
+
+impl Body for Told {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        self.client.handed.set(self.body.is_end_stream());
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A client's socket that tells when something has come and when all has been written.
+struct Watched {
+    io: TokioIo<TcpStream>,
+    client: Rc<Client>,
+}
 
-impl Busy {
-    fn new(client: Rc<Client>) -> Self {
-        client.asked.set(true);
-        client.idle.set(None);
-        Busy(client)
+impl Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) && self.client.life.get().state() == State::Idle {
+            self.client.handle(Input::Bytes);
+        }
+        read
     }
 }
 
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.idle.set(Some(Instant::now()));
+impl Write for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    /// hyper flushes the socket when its own buffer is empty.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.io).poll_flush(cx);
+        let client = &self.client;
+        if flushed.is_ready() && client.life.get().state() == State::Answering && client.handed.replace(false)
+        {
+            client.handle(Input::Flushed);
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
 
@@ -355,7 +454,7 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Reply {
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *reply.status_mut() = status;
     reply
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,10 +22,11 @@
 #![forbid(unsafe_code)]
 
 pub mod decide;
-pub mod interface;
 pub mod settings;
 
 pub use decide::Gateway;
+/// Settings, events, actions, ids and times: a crate of its own, so that other deciding parts speak of the same.
+pub use granite_interface as interface;
 pub use interface::*;
 
 /// The README's example, compiled and run.
