--- /dev/null
+++ b/crates/check/src/mind.rs
@@ -0,0 +1,153 @@
+//! Who plays the decision module: an adversary, whose words are steps of the world, or the real one, which is
+//! handed its events and speaks when it is its turn.
+
+use crate::world::World;
+use granite_interface::{Action, AttemptEnd, Class, Event, Health, Node, Plan, Scope, Settings, Time};
+use granite_lifecycle::{Input, Listed, Told};
+use granitehub::Gateway;
+use std::hash::{Hash, Hasher};
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Mind {
+    Adversary,
+    Real(Box<Real>),
+}
+
+#[derive(Clone, Debug)]
+pub struct Real {
+    gateway: Gateway,
+    events: Vec<Event>,
+    timers: Vec<(Time, u64)>,
+    list: Vec<Node>,
+}
+
+/// Two are the same if nothing that they hold differs. Their figures are floating, so their text is compared.
+impl Real {
+    fn image(&self) -> String {
+        format!("{self:?}")
+    }
+}
+
+impl PartialEq for Real {
+    fn eq(&self, other: &Self) -> bool {
+        self.image() == other.image()
+    }
+}
+
+impl Eq for Real {}
+
+impl Hash for Real {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.image().hash(state);
+    }
+}
+
+fn gateway(world: &World, now: Time) -> Gateway {
+    let mut class =
+        Class::new("class", world.time(1), world.time(crate::world::DEADLINE), world.effect, world.group);
+    class.key_ttl = world.time(crate::world::KEY_TTL);
+    let settings = Settings {
+        classes: vec![class],
+        plans: vec![Plan::new("basic", 1000.0, 1000.0)],
+        cancelling: true,
+        retry_after: true,
+        max_retry_after: 2_000_000_000,
+        try_limit: world.most_attempts,
+        ..Settings::default()
+    };
+    Gateway::new(settings, 7, now).expect("settings in range")
+}
+
+impl Mind {
+    pub fn new(world: &World) -> Self {
+        if !world.real {
+            return Mind::Adversary;
+        }
+        let (events, timers, list) = Default::default();
+        Mind::Real(Box::new(Real { gateway: gateway(world, 0), events, timers, list }))
+    }
+
+    pub fn is_real(&self) -> bool {
+        matches!(self, Mind::Real(_))
+    }
+
+    pub fn event(&mut self, event: Event) {
+        if let Mind::Real(real) = self {
+            real.events.push(event);
+        }
+    }
+
+    pub fn tell(&mut self, told: Told) {
+        self.event(match told {
+            Told::ClientGone { id } => Event::ClientGone { id },
+            Told::Ended { id, attempt, server, ending, last } => Event::AttemptEnd(AttemptEnd {
+                id,
+                attempt,
+                server,
+                ending,
+                last,
+                elapsed: 1_000_000,
+                settled: 0.0,
+                metered: None,
+                load: None,
+            }),
+        });
+    }
+
+    pub fn list(&mut self, scope: Scope, servers: &[Listed]) {
+        let Mind::Real(real) = self else { return };
+        let node = |s: &Listed| {
+            let health = match s.place {
+                Some(_) => Health::Up,
+                None if s.gone => Health::Removed,
+                None => Health::Draining,
+            };
+            Node { cell: s.cell, ..Node::new(&s.name, health) }
+        };
+        let nodes: Vec<Node> = servers.iter().map(node).collect();
+        real.list.retain(|n| nodes.iter().all(|m| m.name != n.name));
+        real.list.extend(nodes.iter().cloned());
+        real.events.push(Event::Fleet { seq: 1, scope, nodes });
+    }
+
+    /// A new one, that knows the list alone.
+    pub fn restart(&mut self, world: &World, now: Time) {
+        let Mind::Real(real) = self else { return };
+        real.gateway = gateway(world, now);
+        real.timers.clear();
+        real.events = vec![Event::Fleet { seq: 0, scope: Scope::Cached, nodes: real.list.clone() }];
+    }
+
+    pub fn has_news(&self, now: Time) -> bool {
+        match self {
+            Mind::Adversary => false,
+            Mind::Real(real) => !real.events.is_empty() || real.timers.iter().any(|(at, _)| *at <= now),
+        }
+    }
+
+    /// Its turn: what it has to say.
+    pub fn batch(&mut self, now: Time) -> Vec<Input> {
+        let Mind::Real(real) = self else { return Vec::new() };
+        let due: Vec<u64> = real.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
+        real.timers.retain(|t| t.0 > now);
+        real.events.extend(due.into_iter().map(|token| Event::Timer { token }));
+        let (events, mut actions) = (std::mem::take(&mut real.events), Vec::new());
+        real.gateway.handle(now, events, &mut actions);
+        let mut said = Vec::new();
+        for action in actions {
+            said.push(match action {
+                Action::Send { id, server, not_past } => Input::Send { id, server, not_past },
+                Action::Reject { id, advice } => Input::Refuse { id, advice },
+                Action::Fail { id } => Input::Fail { id },
+                Action::Cancel { id, attempt } => Input::Cancel { id, attempt },
+                Action::Timer { token, at } => {
+                    real.timers.push((at, token));
+                    continue;
+                }
+                Action::Subscribe { .. } => continue,
+            });
+        }
+        real.timers.sort_unstable();
+        said
+    }
+}
--- a/crates/lifecycle/src/connection.rs
+++ b/crates/lifecycle/src/connection.rs
@@ -5,9 +5,9 @@
 //! | --- | --- | --- | --- | --- | --- | --- |
 //! | `Idle` | `Head` | `Body` | - | - | - | `Shut` |
 //! | `Head` | stays | `Body` | - | - | - | `Shut` |
-//! | `Body` | stays | - | `InHand` | `Answering` | - | drain: `Finish`; room: `Shut` |
-//! | `InHand` | stays | - | - | `Answering` | - | `Finish` |
-//! | `Answering` | stays | `Body` | - | - | `Idle` | `Finish` |
+//! | `Body` | stays | - | `InHand` | `Answering` | stays | drain: `Finish`; room: `Shut`, or `Finish` while an answer before it is not written |
+//! | `InHand` | stays | - | - | `Answering` | stays | `Finish` |
+//! | `Answering` | stays | `Body` | - | - | `Idle` | `Finish`; room, after [`STUCK`]: `Shut` |
 //! | `Closed` | - | - | - | - | - | stays |
 //!
 //! A head may come while the answer before it is still being written: bytes keep their order.
@@ -97,17 +97,24 @@
     /// Whether it has sent a whole and sound request.
     asked: bool,
     closing: bool,
+    /// Whether an answer has bytes that are not written yet, also while the next request is read behind it.
+    unwritten: bool,
 }
 
 impl Connection {
     pub fn new(now: Time) -> Self {
-        Connection { state: State::Idle, since: now, asked: false, closing: false }
+        Connection { state: State::Idle, since: now, asked: false, closing: false, unwritten: false }
     }
 
     pub fn state(&self) -> State {
         self.state
     }
 
+    /// Whether an answer has bytes that are not written yet.
+    pub fn unwritten(&self) -> bool {
+        self.unwritten
+    }
+
     /// Whether it has sent a whole and sound request.
     pub fn asked(&self) -> bool {
         self.asked
@@ -142,11 +149,11 @@
                 Order::None
             }
             (Body | InHand, Input::Reply) => {
-                (self.state, self.since) = (Answering, now);
+                (self.state, self.since, self.unwritten) = (Answering, now, true);
                 Order::Answer { close: self.closing && !planted!(CloseNotSaid) }
             }
             (Answering, Input::Flushed) => {
-                (self.state, self.since) = (Idle, now);
+                (self.state, self.since, self.unwritten) = (Idle, now, false);
                 if self.closing && !planted!(FinishedStaysOpen) {
                     self.state = Closed;
                     Order::Shut
@@ -154,8 +161,13 @@
                     Order::None
                 }
             }
+            (Body | InHand, Input::Flushed) if self.unwritten => {
+                self.unwritten = false;
+                Order::None
+            }
             (Idle | Head, Input::Close(_)) => self.shut(),
-            (Body, Input::Close(Close::Room)) => self.shut(),
+            (Body, Input::Close(Close::Room)) if !self.unwritten || planted!(NextHidesAnswer) => self.shut(),
+            (Answering, Input::Close(Close::Room)) if self.stuck(now) => self.shut(),
             (Answering, Input::Close(_)) if planted!(DrainCutsAnswer) => self.shut(),
             (InHand, Input::Close(_)) if planted!(DrainCutsRequest) => self.shut(),
             (Body | InHand | Answering, Input::Close(_)) => {
@@ -167,6 +179,11 @@
         Ok(order)
     }
 
+    /// Whether its client has had its answer to read for so long that it won't.
+    fn stuck(&self, now: Time) -> bool {
+        self.state == State::Answering && now.saturating_sub(self.since) >= STUCK && !planted!(StuckKept)
+    }
+
     fn shut(&mut self) -> Order {
         if planted!(HalfHeadKept) && self.state == State::Head {
             self.closing = true;
@@ -181,6 +198,9 @@
         let quiet = now.saturating_sub(self.since);
         let stuck = self.state == State::Answering;
         let wait = match self.state {
+            _ if self.unwritten && self.state != State::Answering && !planted!(NextHidesAnswer) => {
+                return None
+            }
             State::Idle | State::Head | State::Body if self.asked => 0,
             State::Idle | State::Head | State::Body => SETTLE.saturating_sub(quiet),
             State::InHand if planted!(BusySpared) => 0,
--- a/crates/lifecycle/src/defects.rs
+++ b/crates/lifecycle/src/defects.rs
@@ -29,7 +29,6 @@
     OverdueSparesAttempts, "overdue-spares-attempts", "the overdue guard leaves requests alone that have an attempt out";
     PanicForgetsAttempts, "panic-forgets-attempts", "after a panic attempts that are out are forgotten";
     WriteAfterAbort, "write-after-abort", "an attempt that was told to stop may write when its connection is up";
-    WriteAfterAnswer, "write-after-answer", "the leave to write does not ask whether anybody waits";
     WriteToNewOwner, "write-to-new-owner", "the leave to write does not look at the server's place";
     WriteAfterDrain, "write-after-drain", "the leave to write does not ask whether the server wants new work";
     UndoneTakenForProof, "undone-taken-for-proof", "an attempt that was given up counts as never run, whole or not";
@@ -46,6 +45,8 @@
     DrainCutsAnswer, "drain-cuts-answer", "a drain ends a connection while its answer is being written";
     DrainCutsRequest, "drain-cuts-request", "a drain ends a connection with a request in hand";
     HalfHeadKept, "half-head-kept", "a drain waits for the rest of half a head";
+    NextHidesAnswer, "next-hides-answer", "once the next head is read, the answer before it counts as written";
+    StuckKept, "stuck-kept", "a client that does not read its answer is picked to make room and kept all the same";
     BusySpared, "busy-spared", "a client with a request in hand makes room for others";
 }
 
--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -467,12 +467,12 @@
 
     fn connected(&mut self, now: Time, id: RequestId, attempt: u32, out: &mut Vec<Order>) -> Done {
         let limits = self.limits;
-        let (a, awaited) = find(&mut self.live, id, attempt)?;
+        let a = find(&mut self.live, id, attempt)?;
         if a.step != Step::Connecting {
             return Err(Wrong::OutOfOrder { id, attempt, at: a.step });
         }
+        // Behind an answer or a leave it has been told to stop, if nothing was written yet.
         let go_on = !a.aborted || planted!(WriteAfterAbort);
-        let awaited = awaited || planted!(WriteAfterAnswer);
         // While it came up the server may have been told to drain, or another may have come at its place.
         let there = match self.fleet.ready(&a.server) {
             Some((_, place)) => place == a.place || planted!(WriteToNewOwner),
@@ -481,7 +481,7 @@
         let (zone, cell) = (a.zone, a.cell);
         let life = self.live.get_mut(&id).expect("just seen");
         // A key's time may have run out meanwhile.
-        if !go_on || !awaited || !there || !life.may_repeat(now, zone, cell, limits) {
+        if !go_on || !there || !life.may_repeat(now, zone, cell, limits) {
             out.push(Order::Withhold { id, attempt });
             return Ok(());
         }
@@ -493,7 +493,7 @@
     }
 
     fn progress(&mut self, id: RequestId, attempt: u32, step: Step) -> Done {
-        let (a, _) = find(&mut self.live, id, attempt)?;
+        let a = find(&mut self.live, id, attempt)?;
         if a.step < Step::Writing || step <= a.step {
             return Err(Wrong::OutOfOrder { id, attempt, at: a.step });
         }
@@ -509,7 +509,7 @@
         reply: Reply,
         out: &mut Vec<Order>,
     ) -> Done {
-        let (a, _) = find(&mut self.live, id, attempt)?;
+        let a = find(&mut self.live, id, attempt)?;
         if reply != Reply::None && a.step < Step::Writing {
             return Err(Wrong::OutOfOrder { id, attempt, at: a.step });
         }
@@ -596,16 +596,11 @@
     }
 }
 
-/// The attempt with this number, if it is out, and whether its answer is awaited.
-fn find(
-    live: &mut BTreeMap<RequestId, Life>,
-    id: RequestId,
-    number: u32,
-) -> Result<(&mut Attempt, bool), Wrong> {
+/// The attempt with this number, if it is out.
+fn find(live: &mut BTreeMap<RequestId, Life>, id: RequestId, number: u32) -> Result<&mut Attempt, Wrong> {
     let wrong = Wrong::NotOut { id, attempt: number };
     match &mut live.get_mut(&id).ok_or(wrong)?.phase {
-        Phase::Out(a) if a.number == number => Ok((a, true)),
-        Phase::Answered(a) | Phase::Left(a) if a.number == number => Ok((a, false)),
+        Phase::Out(a) | Phase::Answered(a) | Phase::Left(a) if a.number == number => Ok(a),
         _ => Err(wrong),
     }
 }
--- /dev/null
+++ b/crates/rig/src/lives.rs
@@ -0,0 +1,245 @@
+//! The scenario of the request's life: servers that fail in every way, a list that drains and brings back,
+//! clients that leave, and at the end a drain of the gateway. A ledger on both sides tells what ran and what
+//! was answered.
+
+use crate::demo::request;
+use crate::fleet::{body, good, lock, not_started, serve};
+use crate::peers::{list, say, Client, Discovery, Message};
+use crate::program::{locate, Program, EXAMPLE};
+use crate::scenario::{Figures, Play, Scenario};
+use fastrand::Rng;
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const SCENARIO: Scenario = Scenario {
+    name: "lives",
+    about: "servers that fail in every way, drains, clients that leave: one truthful answer each",
+    seconds: 10,
+    defects: &[
+        ("lying-refusal", "servers say that they have not started what they have run"),
+        ("foreign-answer", "servers answer with what was made for another"),
+        ("deaf-list", "the list drains a server and does not tell the gateway"),
+        ("hung-gateway", "the gateway is stopped for a while with requests in hand"),
+    ],
+    run,
+};
+
+const SERVERS: usize = 3;
+const LANES: u64 = 16;
+/// The drain's grace, and what a machine under load may add to it.
+const GRACE: Duration = Duration::from_millis(500 + 500);
+/// What a machine under load may add to a request's time.
+const SLACK: Duration = Duration::from_millis(1000);
+
+/// What the servers know.
+#[derive(Default)]
+struct Ledger {
+    /// How often each request has run or may have, by its id.
+    runs: Mutex<HashMap<String, u32>>,
+    /// Since when each server is drained.
+    drained: Mutex<[Option<Instant>; SERVERS]>,
+    after_drain: AtomicUsize,
+    attempts: AtomicUsize,
+}
+
+/// What became of a client's request.
+struct Answered {
+    id: String,
+    class: &'static str,
+    timeout: Duration,
+    took: Duration,
+    /// None if it left by itself.
+    stayed: bool,
+    status: Option<u16>,
+    own: bool,
+}
+
+fn script(n: usize, ledger: &Arc<Ledger>, play: &Play) -> Arc<crate::fleet::Script> {
+    let (ledger, play) = (ledger.clone(), play.clone());
+    let tries = AtomicUsize::new(0);
+    let last = Mutex::new(String::from("for nobody\n"));
+    Arc::new(move |m: &Message, to: &mut _| {
+        ledger.attempts.fetch_add(1, Ordering::Relaxed);
+        if lock(&ledger.drained)[n].is_some_and(|since| since.elapsed() > GRACE) {
+            ledger.after_drain.fetch_add(1, Ordering::Relaxed);
+        }
+        let id = m.header("request-id").unwrap_or_default().to_string();
+        let nth = tries.fetch_add(1, Ordering::Relaxed) as u64;
+        let mut rng = Rng::with_seed(play.seed ^ (n as u64) << 48 ^ nth.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let ran = || *lock(&ledger.runs).entry(id.clone()).or_default() += 1;
+        let fate = rng.u32(0..100);
+        if fate < 8 {
+            if play.has("lying-refusal") {
+                ran();
+            }
+            return not_started(to);
+        }
+        ran();
+        match fate {
+            8..=15 => say(to, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"),
+            16..=21 => false,
+            22..=25 => say(to, "HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n"),
+            26..=28 => {
+                say(to, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf");
+                false
+            }
+            29..=31 => {
+                // Far too late: the gateway has given up by then, and it must reach nobody.
+                thread::sleep(Duration::from_millis(2700));
+                good(to, &body(m), None)
+            }
+            _ => {
+                thread::sleep(Duration::from_millis(rng.u64(0..50)));
+                let own = body(m);
+                let other = std::mem::replace(&mut *lock(&last), own.clone());
+                let text = if play.has("foreign-answer") && fate > 95 { other } else { own };
+                good(to, &text, None) && fate > 35
+            }
+        }
+    })
+}
+
+/// One client after another on a lane, until `until`.
+fn lane(n: u64, play: &Play, to: SocketAddr, until: Instant) -> Vec<Answered> {
+    let mut rng = Rng::with_seed(play.seed.wrapping_add(n).wrapping_mul(0x2545_f491_4f6c_dd1d));
+    let (mut all, mut client) = (Vec::new(), None::<Client>);
+    let mut number = (n + 1) << 32;
+    while Instant::now() < until {
+        number += 1;
+        let class = ["quote", "confirm", "book-slot"][rng.usize(0..3)];
+        let timeout = Duration::from_millis(rng.u64(300..1500));
+        let text = request(class, number, "partner", &format!("{:016x}", 0xc0 + n), timeout.as_secs_f64());
+        let Some(mut on) = client.take().or_else(|| Client::try_connect(to)) else { continue };
+        let (started, id) = (Instant::now(), format!("{number:016x}"));
+        let mut answered =
+            Answered { id, class, timeout, took: Duration::ZERO, stayed: true, status: None, own: true };
+        match rng.u32(0..100) {
+            // Leaves with the request whole, at once or a little later.
+            0..=9 => {
+                answered.stayed = false;
+                let _ = on.stream.write_all(text.as_bytes());
+                thread::sleep(Duration::from_millis(rng.u64(0..40)));
+                let _ = on.stream.shutdown(Shutdown::Both);
+            }
+            // Leaves in the middle of it.
+            10..=13 => {
+                answered.stayed = false;
+                let _ = on.stream.write_all(&text.as_bytes()[..rng.usize(1..text.len())]);
+            }
+            _ => {
+                let answer = on.try_ask(&text);
+                answered.took = started.elapsed();
+                answered.status = answer.as_ref().map(Message::status);
+                let own = format!("for {}\n", answered.id);
+                answered.own = answer.as_ref().is_none_or(|a| a.status() != 200 || a.body == own.as_bytes());
+                let closing = answer.as_ref().is_some_and(|a| a.header("connection") == Some("close"));
+                client = answer.filter(|_| !closing).map(|_| on);
+            }
+        }
+        all.push(answered);
+    }
+    all
+}
+
+fn run(play: &Play) -> Result<Figures, String> {
+    let ledger = Arc::<Ledger>::default();
+    let mut addresses = Vec::new();
+    for n in 0..SERVERS {
+        addresses.push(serve(script(n, &ledger, play)).map_err(|e| e.to_string())?);
+    }
+    let names = ["server-1", "server-2", "server-3"];
+    let all: Vec<_> = (0..SERVERS).map(|n| (names[n], addresses[n], "Ready")).collect();
+    let discovery = Arc::new(Discovery::new(list(1, true, &all)));
+    let mut gateway = Program::start(&locate()?, EXAMPLE, discovery.address)?;
+    discovery.called(2);
+    let (until, over) = (Instant::now() + play.time, Arc::new(AtomicBool::new(false)));
+    // One server after another is drained for a while.
+    let changes = {
+        let (ledger, discovery, over, addresses) =
+            (ledger.clone(), discovery.clone(), over.clone(), addresses.clone());
+        let deaf = play.has("deaf-list");
+        thread::spawn(move || {
+            let mut rev = 1;
+            for n in (0..SERVERS).cycle() {
+                for state in ["Terminating", "Ready"] {
+                    rev += 1;
+                    if !deaf {
+                        discovery.tell(rev, list(rev, false, &[(names[n], addresses[n], state)]));
+                    }
+                    lock(&ledger.drained)[n] = (state == "Terminating").then(Instant::now);
+                    let next = Instant::now() + Duration::from_millis(1300);
+                    while Instant::now() < next {
+                        if over.load(Ordering::Relaxed) {
+                            return;
+                        }
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                }
+            }
+        })
+    };
+    let lanes: Vec<_> = (0..LANES)
+        .map(|n| {
+            let (play, to) = (play.clone(), gateway.address);
+            thread::spawn(move || lane(n, &play, to, until))
+        })
+        .collect();
+    if play.has("hung-gateway") {
+        thread::sleep(play.time / 3);
+        let id = gateway.child.id().to_string();
+        for (signal, wait) in [("-STOP", 3500), ("-CONT", 0)] {
+            let _ = std::process::Command::new("kill").args([signal, &id]).status();
+            thread::sleep(Duration::from_millis(wait));
+        }
+    }
+    let mut asked: Vec<Answered> = Vec::new();
+    for lane in lanes {
+        asked.extend(lane.join().map_err(|_| "a client was lost")?);
+    }
+    over.store(true, Ordering::Relaxed);
+    changes.join().map_err(|_| "the list was lost")?;
+    let status = gateway.drain(Duration::from_secs(20))?;
+    let panicked =
+        gateway.log.try_iter().filter(|l| l.contains("panicked") || l.contains("lifecycle:")).count();
+    Ok(figures(&ledger, &asked, status.success(), panicked))
+}
+
+fn figures(ledger: &Ledger, asked: &[Answered], clean: bool, panicked: usize) -> Figures {
+    let runs = lock(&ledger.runs);
+    let ran = |a: &Answered| runs.get(&a.id).copied().unwrap_or(0);
+    let stayed = || asked.iter().filter(|a| a.stayed);
+    let status = |wanted: &[u16]| stayed().filter(|a| a.status.is_some_and(|s| wanted.contains(&s))).count();
+    let (served, refused, failed) = (status(&[200]), status(&[429, 503]), status(&[502, 504]));
+    let share = |n: usize| (1000.0 * n as f64 / stayed().count().max(1) as f64).round() / 1000.0;
+    let mut f = Figures::default();
+    f.set("asked", asked.len());
+    f.set("left", asked.len() - stayed().count());
+    f.bound("served_share", share(served), 0.5, 1.0);
+    f.set("refused_share", share(refused));
+    f.set("failed_share", share(failed));
+    let attempts = ledger.attempts.load(Ordering::Relaxed);
+    f.set("attempts_per_request", (100.0 * attempts as f64 / asked.len().max(1) as f64).round() / 100.0);
+    f.none("unanswered", stayed().filter(|a| a.status.is_none()).count());
+    f.none(
+        "other_answers",
+        stayed().count()
+            - status(&[200, 429, 502, 503, 504])
+            - stayed().filter(|a| a.status.is_none()).count(),
+    );
+    f.none("answered_late", stayed().filter(|a| a.took > a.timeout + SLACK).count());
+    f.none("answers_made_for_another", asked.iter().filter(|a| !a.own).count());
+    f.none("book_slots_run_twice", asked.iter().filter(|a| a.class == "book-slot" && ran(a) > 1).count());
+    f.none(
+        "refused_though_run",
+        stayed().filter(|a| matches!(a.status, Some(429 | 503)) && ran(a) > 0).count(),
+    );
+    f.none("sent_after_drain", ledger.after_drain.load(Ordering::Relaxed));
+    f.none("machine_errors", panicked);
+    f.none("unclean_ends", usize::from(!clean));
+    f
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,1 +1,116 @@
-fn main() {}
+//! `granitethread-rig`: scenarios around the real program, on loopback.
+//!
+//! Exit status: 0 if every bound held, 1 if one did not or the scenario could not be played, 2 for a command
+//! line that won't do.
+#![forbid(unsafe_code)]
+
+use clap::Parser;
+use granite_rig::scenario::{Play, ALL};
+use std::io::Write;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Parser)]
+#[command(name = "granitethread-rig", version, about = "Scenarios around the real gateway, all on loopback")]
+struct Args {
+    /// `list`, `demo`, or the name of a scenario
+    name: String,
+    /// Settles every random choice of the scenario
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How long it plays, 1 to 600
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=600))]
+    seconds: Option<u64>,
+    /// Print the figures as one JSON object on the last line
+    #[arg(long)]
+    json: bool,
+    /// Have the rig's peers do this wrong: the scenario must fail
+    #[arg(long, value_name = "NAME")]
+    defect: Option<String>,
+    /// Print the scenario's defects
+    #[arg(long)]
+    list_defects: bool,
+}
+
+/// A line that survives whoever reads it.
+fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
+fn wrong(what: &str) -> ExitCode {
+    eprintln!("granitethread-rig: {what}");
+    ExitCode::from(2)
+}
+
+fn demo(seconds: Option<u64>) -> ExitCode {
+    let stop = Arc::new(AtomicBool::new(false));
+    let on_signal = stop.clone();
+    if let Err(e) = ctrlc::set_handler(move || on_signal.store(true, Ordering::Relaxed)) {
+        return wrong(&format!("cannot listen for signals: {e}"));
+    }
+    if let Some(seconds) = seconds {
+        let stop = stop.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs(seconds));
+            stop.store(true, Ordering::Relaxed);
+        });
+    }
+    match granite_rig::demo::run(&stop, say) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("granitethread-rig: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    match args.name.as_str() {
+        "list" => {
+            say("demo         a gateway to look at, until Ctrl-C");
+            ALL.iter().for_each(|s| say(&format!("{:12} {}", s.name, s.about)));
+            return ExitCode::SUCCESS;
+        }
+        "demo" => return demo(args.seconds),
+        _ => {}
+    }
+    let Some(scenario) = ALL.iter().find(|s| s.name == args.name) else {
+        return wrong(&format!("no scenario is named {:?}; list prints the names", args.name));
+    };
+    if args.list_defects {
+        scenario.defects.iter().for_each(|(name, what)| say(&format!("{name:20} {what}")));
+        return ExitCode::SUCCESS;
+    }
+    if let Some(name) = &args.defect {
+        if scenario.defects.iter().all(|(known, _)| known != name) {
+            return wrong(&format!("no defect is named {name:?}; --list-defects prints the names"));
+        }
+    }
+    let time = Duration::from_secs(args.seconds.unwrap_or(scenario.seconds));
+    let play = Play { seed: args.seed, time, defect: args.defect };
+    let figures = match (scenario.run)(&play) {
+        Ok(figures) => figures,
+        Err(what) => {
+            eprintln!("granitethread-rig: {what}");
+            return ExitCode::FAILURE;
+        }
+    };
+    figures.figures.iter().for_each(|(name, value)| say(&format!("{name:28} {value}")));
+    figures.broken.iter().for_each(|what| say(&format!("BROKEN: {what}")));
+    let ok = figures.broken.is_empty();
+    if args.json {
+        let mut all = figures.figures;
+        all.insert("scenario".into(), scenario.name.into());
+        all.insert("seed".into(), args.seed.into());
+        all.insert("ok".into(), ok.into());
+        say(&serde_json::Value::Object(all).to_string());
+    }
+    if ok {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/rig/src/peers.rs
@@ -0,0 +1,281 @@
+//! Scripted neighbours of a gateway on loopback: discovery, backends, clients. Everything listens on port 0 and
+//! every wait is for an event, with a limit that only a failure reaches: then it panics, as a test wants.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+pub const LIMIT: Duration = Duration::from_secs(20);
+/// Numbers requests and files of this process.
+pub static NUMBER: AtomicU64 = AtomicU64::new(1);
+
+/// A message as it came over the wire: request or answer.
+#[derive(Debug, Clone)]
+pub struct Message {
+    pub start: String,
+    headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+    /// Which connection of the backend it came on, from 0.
+    pub connection: usize,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+/// Reads one message; None at the end of the connection, clean or not.
+pub fn read(from: &mut impl BufRead, connection: usize) -> Option<Message> {
+    let mut start = String::new();
+    if from.read_line(&mut start).ok()? == 0 {
+        return None;
+    }
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+        headers.insert(name.to_ascii_lowercase(), value.to_string());
+    }
+    let length = headers.get("content-length").map_or(Some(0), |l| l.parse().ok())?;
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some(Message { start: start.trim_end().to_string(), headers, body, connection })
+}
+
+pub struct Backend {
+    pub address: SocketAddr,
+    pub requests: Receiver<Message>,
+    /// The numbers of connections that the gateway ended.
+    pub ended: Receiver<usize>,
+}
+
+impl Backend {
+    /// `script` answers a request on its connection; false closes the connection.
+    pub fn new(script: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let ((seen, requests), (end, ended)) = (channel(), channel());
+        let script = Arc::new(script);
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let Ok(mut stream) = stream else { return };
+                let (seen, end, script): (Sender<Message>, Sender<usize>, _) =
+                    (seen.clone(), end.clone(), script.clone());
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                    while let Some(message) = read(&mut reader, number) {
+                        let _ = seen.send(message.clone());
+                        if !script(&message, &mut stream) {
+                            return;
+                        }
+                    }
+                    let _ = end.send(number);
+                });
+            }
+        });
+        Backend { address, requests, ended }
+    }
+
+    /// Answers every request with a body that names it.
+    pub fn good() -> Self {
+        Backend::new(|m, s| ok(s, &format!("for {}", m.header("request-id").unwrap_or("nobody"))))
+    }
+
+    pub fn next(&self) -> Message {
+        self.requests.recv_timeout(LIMIT).expect("a request reaches the backend")
+    }
+
+    pub fn untouched(&self) -> bool {
+        self.requests.try_recv().is_err()
+    }
+}
+
+pub fn ok(to: &mut TcpStream, body: &str) -> bool {
+    say(to, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+pub fn say(to: &mut TcpStream, text: &str) -> bool {
+    to.write_all(text.as_bytes()).is_ok()
+}
+
+#[derive(Default)]
+struct Told {
+    /// Bodies, in order; a call for the whole list gets the latest that is one.
+    lists: Vec<(u64, String)>,
+    calls: usize,
+}
+
+/// Discovery that tells what the test says next.
+pub struct Discovery {
+    pub address: SocketAddr,
+    told: Arc<(Mutex<Told>, Condvar)>,
+}
+
+impl Discovery {
+    pub fn new(first: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let told = Arc::new((Mutex::new(Told::default()), Condvar::new()));
+        let d = Discovery { address, told: told.clone() };
+        d.tell(1, first);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (Ok(stream), told) = (stream, told.clone()) else { return };
+                thread::spawn(move || Discovery::serve(stream, &told));
+            }
+        });
+        d
+    }
+
+    /// Discovery that takes calls and answers none.
+    pub fn silent() -> Self {
+        let d = Discovery::new(String::new());
+        d.untell();
+        d
+    }
+
+    fn serve(mut stream: TcpStream, told: &(Mutex<Told>, Condvar)) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        while let Some(call) = read(&mut reader, 0) {
+            let since = call.start.split("since=").nth(1).and_then(|s| s.split('&').next()?.parse().ok());
+            let mut t = told.0.lock().expect("not poisoned");
+            t.calls += 1;
+            told.1.notify_all();
+            let body = loop {
+                let newer = match since {
+                    None => t.lists.iter().rev().find(|l| l.1.contains(r#""all":true"#)),
+                    Some(since) => t.lists.iter().find(|l| l.0 > since),
+                };
+                if let Some((_, body)) = newer {
+                    break body.clone();
+                }
+                t = told.1.wait(t).expect("not poisoned");
+            };
+            drop(t);
+            ok(&mut stream, &body);
+        }
+    }
+
+    pub fn tell(&self, rev: u64, body: String) {
+        self.told.0.lock().expect("not poisoned").lists.push((rev, body));
+        self.told.1.notify_all();
+    }
+
+    /// Takes the latest back.
+    pub fn untell(&self) {
+        self.told.0.lock().expect("not poisoned").lists.pop();
+    }
+
+    pub fn calls(&self) -> usize {
+        self.told.0.lock().expect("not poisoned").calls
+    }
+
+    /// Waits until the gateway has called so often: it has then taken in what the calls before told.
+    pub fn called(&self, times: usize) {
+        let t = self.told.0.lock().expect("not poisoned");
+        let (_guard, late) =
+            self.told.1.wait_timeout_while(t, LIMIT, |t| t.calls < times).expect("not poisoned");
+        assert!(!late.timed_out(), "discovery is called {times} times");
+    }
+}
+
+pub fn list(rev: u64, all: bool, targets: &[(&str, SocketAddr, &str)]) -> String {
+    let targets: Vec<String> = targets
+        .iter()
+        .map(|(uid, address, state)| {
+            format!(
+                r#"{{"uid":"{uid}","endpoint":"{address}","az":"hall","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+            )
+        })
+        .collect();
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn connect(to: SocketAddr) -> Self {
+        let stream = TcpStream::connect(to).expect("the gateway accepts");
+        stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+        let reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        Client { stream, reader }
+    }
+
+    /// The same where the gateway may be gone.
+    pub fn try_connect(to: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(to).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(LIMIT)).ok()?;
+        let reader = BufReader::new(stream.try_clone().ok()?);
+        Some(Client { stream, reader })
+    }
+
+    /// The answer, if one comes whole.
+    pub fn try_ask(&mut self, text: &str) -> Option<Message> {
+        self.stream.write_all(text.as_bytes()).ok()?;
+        read(&mut self.reader, 0)
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("the gateway reads");
+    }
+
+    pub fn answer(&mut self) -> Message {
+        read(&mut self.reader, 0).expect("a whole answer")
+    }
+
+    pub fn ask(&mut self, text: &str) -> Message {
+        self.send(text);
+        self.answer()
+    }
+
+    /// Whether the gateway has closed the connection, with no further byte.
+    pub fn closed(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0]), Ok(0))
+    }
+}
+
+/// A request of each class, new with every call.
+pub struct Ask {
+    pub class: &'static str,
+    pub id: String,
+    pub plan: &'static str,
+    pub timeout: &'static str,
+}
+
+pub fn ask(class: &'static str) -> Ask {
+    let id = format!("{:016x}", NUMBER.fetch_add(1, Ordering::Relaxed));
+    Ask { class, id, plan: "basic", timeout: "2.0" }
+}
+
+impl Ask {
+    pub fn text(&self) -> String {
+        let Ask { class, id, plan, timeout } = self;
+        let (method, rest) = match *class {
+            "quote" => ("GET", "\r\n".to_string()),
+            "confirm" => ("POST", "Idempotency-Key: k-1\r\nContent-Length: 5\r\n\r\nhello".to_string()),
+            _ => ("POST", "Content-Length: 5\r\n\r\nhello".to_string()),
+        };
+        format!(
+            "{method} /api?x=1 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n\
+             Plan: {plan}\r\nAccount: 00000000b4d65521\r\nRequest-Timeout: {timeout}\r\n\
+             Quota-Info: units=1,spread=1,first=0\r\n{rest}"
+        )
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scenario.rs
@@ -0,0 +1,62 @@
+//! What a scenario is: a seed settles its random choices, its figures are counts and shares, and bounds on
+//! them hold or do not.
+
+use serde_json::{Map, Value};
+use std::time::Duration;
+
+/// How to play one.
+#[derive(Clone, Debug)]
+pub struct Play {
+    pub seed: u64,
+    pub time: Duration,
+    /// What the rig's own peers do wrong on purpose.
+    pub defect: Option<String>,
+}
+
+impl Play {
+    pub fn has(&self, defect: &str) -> bool {
+        self.defect.as_deref() == Some(defect)
+    }
+}
+
+/// The figures of a run, and the bounds that did not hold.
+#[derive(Default)]
+pub struct Figures {
+    pub figures: Map<String, Value>,
+    pub broken: Vec<String>,
+}
+
+impl Figures {
+    pub fn set(&mut self, name: &str, value: impl Into<Value>) {
+        self.figures.insert(name.into(), value.into());
+    }
+
+    /// A figure that must be `least` to `most`.
+    pub fn bound(&mut self, name: &str, value: f64, least: f64, most: f64) {
+        self.set(name, value);
+        if !(least..=most).contains(&value) {
+            self.broken.push(format!("{name} is {value}: {least} to {most} is wanted"));
+        }
+    }
+
+    /// A count that must be nothing.
+    pub fn none(&mut self, name: &str, count: usize) {
+        self.set(name, count);
+        if count > 0 {
+            self.broken.push(format!("{name} is {count}: none is wanted"));
+        }
+    }
+}
+
+/// A scenario of the rig.
+pub struct Scenario {
+    pub name: &'static str,
+    pub about: &'static str,
+    /// How long it plays if nothing else is said, in seconds.
+    pub seconds: u64,
+    /// Names of defects, and what is wrong then.
+    pub defects: &'static [(&'static str, &'static str)],
+    pub run: fn(&Play) -> Result<Figures, String>,
+}
+
+pub const ALL: &[Scenario] = &[crate::lives::SCENARIO];
--- /dev/null
+++ b/crates/rig/tests/scenarios.rs
@@ -0,0 +1,31 @@
+//! The scenarios hold with any seed, and fail with each of their defects.
+
+use granite_rig::scenario::{Play, Scenario, ALL};
+use std::time::Duration;
+
+fn play(scenario: &Scenario, seed: u64, defect: Option<&str>) -> Vec<String> {
+    let time = Duration::from_secs(scenario.seconds.min(4));
+    let play = Play { seed, time, defect: defect.map(String::from) };
+    let figures = (scenario.run)(&play).expect("it can be played");
+    assert!(!figures.figures.is_empty());
+    figures.broken
+}
+
+#[test]
+fn every_scenario_holds() {
+    for scenario in ALL {
+        for seed in [1, 20_261] {
+            let broken = play(scenario, seed, None);
+            assert!(broken.is_empty(), "{} with seed {seed}: {broken:?}", scenario.name);
+        }
+    }
+}
+
+#[test]
+fn every_defect_is_seen() {
+    for scenario in ALL {
+        for (name, _) in scenario.defects {
+            assert!(!play(scenario, 3, Some(name)).is_empty(), "{}: {name} is not seen", scenario.name);
+        }
+    }
+}
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use std::env;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 /// Descriptors that are neither clients nor backends: standard streams, the event loop, signals, the
@@ -76,6 +77,13 @@
     load_with(|_| None).map(|config| config.discovery)
 }
 
+/// Whether a file would do for a start.
+pub fn check(file: &Path) -> Result<(), String> {
+    let name = file.display();
+    let text = std::fs::read(file).map_err(|e| format!("{name}: {e}"))?;
+    read(&text, |_| None).map(drop).map_err(|e| format!("{name}: {e}"))
+}
+
 fn read(text: &[u8], word: Word) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let settings = settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -5,6 +5,7 @@
 use crate::discovery::News;
 use crate::list::{List, State, Target};
 use granite_lifecycle::{Arrival, Final, Input, Limits, Listed, Lives, Order, Reply, Step, Told, Wrong};
+use granite_operator::Lifecycle;
 use granitehub::{
     Action, AttemptEnd, Effect, Ending, Event, Gateway, Health, Name, Node, Request, RequestId, Scope,
     Settings, Time,
@@ -25,12 +26,6 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep_until, Instant};
 
-/// What the final answer needs at the end of a request's time: the module's last word and the way back.
-const MARGIN: Duration = Duration::from_millis(20);
-/// How long past its deadline here the module may still have the last word on a request.
-const GRACE: Duration = Duration::from_millis(5);
-/// So long before servers forget a key its last repeat is written.
-const KEY_MARGIN: Duration = Duration::from_millis(20);
 const STATUS_EVERY: Duration = Duration::from_secs(10);
 
 /// The final answer to a request.
@@ -109,6 +104,8 @@
     discovery_down: Cell<bool>,
     zones: Vec<String>,
     tick: Duration,
+    /// What the final answer needs at the end of a request's time: the module's last word and the way back.
+    way_back: Duration,
     pub classes: Vec<(String, Effect, Duration)>,
     pub plans: Vec<String>,
     pub gateways: u32,
@@ -143,14 +140,15 @@
         s: Settings,
         seed: u64,
         zones: Vec<String>,
+        figures: &Lifecycle,
         backends: Rc<Backends>,
     ) -> Result<Rc<Self>, String> {
         let clock = Clock::new();
         let classes = s.classes.iter();
         let limits = Limits {
             attempts: s.try_limit,
-            grace: GRACE.as_nanos() as Time,
-            key_margin: KEY_MARGIN.as_nanos() as Time,
+            grace: figures.module_grace.as_nanos() as Time,
+            key_margin: figures.key_margin.as_nanos() as Time,
         };
         Ok(Rc::new(Driver {
             wake: Notify::new(),
@@ -159,6 +157,7 @@
             discovery_down: Cell::new(false),
             zones,
             tick: Duration::from_nanos(s.tick),
+            way_back: figures.way_back,
             classes: classes.map(|c| (c.name.clone(), c.effect, Duration::from_nanos(c.deadline))).collect(),
             plans: s.plans.iter().map(|p| p.name.clone()).collect(),
             gateways: s.gateways,
@@ -273,7 +272,7 @@
         let mut state = self.state.borrow_mut();
         let (_, effect, _) = *self.classes.get(r.class).unwrap_or(&self.classes[0]);
         let class = self.settings.classes.get(r.class).unwrap_or(&self.settings.classes[0]);
-        let deadline = self.clock.time(r.arrived + r.timeout - MARGIN.min(r.timeout / 10));
+        let deadline = self.clock.time(r.arrived + r.timeout - self.way_back.min(r.timeout / 10));
         let arrival = Arrival { id: r.id, effect, group: class.group, key_ttl: class.key_ttl, deadline };
         self.handle(&mut state, r.arrived, Input::Received(arrival), Facts::default()).ok()?;
         let (client, answer) = oneshot::channel();
@@ -655,7 +654,7 @@
             connect_timeout: Duration::from_secs(1),
             keepalive: Duration::from_secs(1),
         };
-        Driver::new(settings, 7, Vec::new(), Backends::new(&limits)).unwrap()
+        Driver::new(settings, 7, Vec::new(), &Lifecycle::default(), Backends::new(&limits)).unwrap()
     }
 
     fn incoming(class: usize) -> Incoming {
@@ -702,7 +701,7 @@
         let (r, silent) = (incoming(0), incoming(99));
         let ticket = driver.submit(silent).unwrap();
         let limit = driver.state.borrow().lives.next_due().unwrap();
-        let limit = driver.clock.instant(limit) - GRACE;
+        let limit = driver.clock.instant(limit) - Lifecycle::default().module_grace;
         assert!(limit < Instant::now() + Duration::from_millis(300), "the way back takes its time");
         assert!(driver.submit(r).is_none(), "its id is held");
         let answer = tokio::select! {
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -18,15 +18,39 @@
 mod server;
 
 use backends::Backends;
+use clap::{Parser, Subcommand};
 use driver::Driver;
+use granite_operator::Operator;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::spawn_local;
 
+/// An API gateway that keeps each customer of a shared fleet of backends to its plan.
+///
+/// LB_CONFIG names its own file (deploy/gateway.example.json is one), GRANITETHREAD_OPERATOR the operators'
+/// (deploy/operator.toml), if there is one.
+#[derive(Parser)]
+#[command(name = "granitethread", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Reads an operators' file, or a gateway's own (.json), says what is wrong with it, and ends
+    Check { file: PathBuf },
+}
+
 fn main() -> ExitCode {
-    match start() {
+    let done = match Args::parse().command {
+        None => start(),
+        Some(Command::Check { file }) => check(&file),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             log!("granitethread: {what}");
@@ -35,17 +59,35 @@
     }
 }
 
+fn check(file: &Path) -> Result<(), String> {
+    if file.extension().is_some_and(|e| e == "json") {
+        return config::check(file);
+    }
+    operator(file).map(drop)
+}
+
+/// The operators' file.
+fn operator(file: &Path) -> Result<Operator, String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    granite_operator::read(&text).map_err(|trouble| format!("{name}:{trouble}"))
+}
+
 fn start() -> Result<(), String> {
+    let operator = match std::env::var_os("GRANITETHREAD_OPERATOR") {
+        None => Operator::default(),
+        Some(file) => operator(Path::new(&file))?,
+    };
     let config = config::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(Default::default())
         .map_err(|e| format!("cannot start the event loop: {e}"))?;
     // As a task: what wakes the future of `block_on` itself costs a write to an eventfd each time.
-    runtime.block_on(async { spawn_local(run(config)).await }).map_err(|e| format!("lost: {e}"))?
+    runtime.block_on(async { spawn_local(run(config, operator)).await }).map_err(|e| format!("lost: {e}"))?
 }
 
-async fn run(config: config::Config) -> Result<(), String> {
+async fn run(config: config::Config, operator: Operator) -> Result<(), String> {
     let signals = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
     let (mut term, mut int) = (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
     // Before `/ready`: from then on the signal may come, and by default it would end the process.
@@ -56,7 +98,8 @@
         connect_timeout: config.connect_timeout,
         keepalive: config.keepalive,
     });
-    let driver = Driver::new(config.settings, config.seed, config.zones, backends.clone())?;
+    let driver =
+        Driver::new(config.settings, config.seed, config.zones, &operator.lifecycle, backends.clone())?;
     if let Some(known) = config.known {
         driver.cached(known);
     }
--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/server.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming as IncomingBody, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -19,6 +19,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -27,7 +28,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, Sleep};
 
 /// How long after SIGTERM clients may still come, with some room.
 const WINDOW: Duration = Duration::from_millis(500);
@@ -42,6 +43,8 @@
 const MAX_DISCARD: usize = 1 << 20;
 /// Accounts are numbers below 2^33.
 const MAX_ACCOUNT: u64 = (1 << 33) - 1;
+/// So long a client is left to read its last answer and to close.
+const LINGER: Duration = Duration::from_millis(500);
 const HEAD_BYTES: usize = 16 << 10;
 const BACKLOG: u32 = 1024;
 const EMFILE_PAUSE: Duration = Duration::from_millis(5);
@@ -212,7 +215,10 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIME)
             .max_buf_size(HEAD_BYTES)
-            .serve_connection(Watched { io: TokioIo::new(stream), client: client.clone() }, service);
+            .serve_connection(
+                Watched { io: TokioIo::new(stream), client: client.clone(), linger: None },
+                service,
+            );
         let mut connection = pin!(connection);
         tokio::select! {
             // First, so that a request which has arrived is read before a close.
@@ -392,6 +398,8 @@
 struct Watched {
     io: TokioIo<TcpStream>,
     client: Rc<Client>,
+    /// Until when what still comes is thrown away behind the last answer, and how much of it has come.
+    linger: Option<(Pin<Box<Sleep>>, usize)>,
 }
 
 impl Read for Watched {
@@ -429,15 +437,31 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.io).poll_flush(cx);
         let client = &self.client;
-        if flushed.is_ready() && client.life.get().state() == State::Answering && client.handed.replace(false)
-        {
+        if flushed.is_ready() && client.life.get().unwritten() && client.handed.replace(false) {
             client.handle(Input::Flushed);
         }
         flushed
     }
 
+    /// RFC 9112, 9.6: a close with bytes unread resets the connection, and with it what the client has not read
+    /// of its last answer. So this side is closed first, and the other read until the client has closed too.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        if self.linger.is_none() {
+            std::task::ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+            self.linger = Some((Box::pin(sleep(LINGER)), 0));
+        }
+        let Watched { io, linger: Some((end, thrown)), .. } = &mut *self else { return Poll::Ready(Ok(())) };
+        loop {
+            let mut bytes = [MaybeUninit::uninit(); 4096];
+            let mut buffer = ReadBuf::uninit(&mut bytes);
+            match Pin::new(&mut *io).poll_read(cx, buffer.unfilled()) {
+                Poll::Pending => return end.as_mut().poll(cx).map(Ok),
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() && *thrown <= MAX_DISCARD => {
+                    *thrown += buffer.filled().len();
+                }
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+            }
+        }
     }
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,6 +54,7 @@
 }
 
 /// What is held of a request until its final answer.
+#[derive(Clone, Debug)]
 struct Held {
     class: usize,
     plan: usize,
@@ -73,6 +74,7 @@
     tried: Vec<Name>,
 }
 
+#[derive(Clone, Debug)]
 struct Out {
     server: Name,
     at: Time,
@@ -81,6 +83,7 @@
 }
 
 /// One resource's sub-scheduler: a queue and a deficit counter per plan, and a round-robin pointer.
+#[derive(Clone, Debug)]
 struct Sub {
     queues: Vec<VecDeque<RequestId>>,
     deficit: Vec<f64>,
@@ -88,6 +91,7 @@
     in_flight: f64,
 }
 
+#[derive(Clone, Debug)]
 struct Server {
     zone: u32,
     cell: u32,
@@ -111,7 +115,7 @@
 }
 
 /// One customer's quota as this gateway sees it. Rates are units a second.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Customer {
     plan: usize,
     spread: f64,
@@ -136,6 +140,7 @@
     share_then: f64,
 }
 
+#[derive(Clone, Debug)]
 pub struct Gateway {
     s: Settings,
     rng: Rng,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -132,6 +132,19 @@
     assert_eq!(client.ask(&good).status(), 200, "the connection still serves");
 }
 
+/// RFC 9112, 3.2: 400 for more than one Host, since two readers may take different ones.
+#[test]
+fn a_second_host_is_refused() {
+    let backend = Backend::good();
+    let gateway = Gateway::start(&one(&backend));
+    let mut client = gateway.client();
+    let twice = ask("quote").text().replace("Host: origin.svc", "Host: origin.svc\r\nHost: other.svc");
+    assert_eq!(client.ask(&twice).status(), 400);
+    assert_eq!(client.ask("GET /ready HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n").status(), 400);
+    assert!(backend.untouched());
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200, "the connection goes on");
+}
+
 #[test]
 fn a_body_too_large_is_answered_413_and_the_connection_ends_cleanly() {
     let backend = Backend::good();
@@ -708,6 +721,35 @@
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
+/// RFC 9112, 9.6: an answer that is being written when the drain begins is written to its end.
+#[test]
+fn an_answer_in_the_middle_of_which_a_drain_begins_comes_whole() {
+    const BIG: usize = 60 << 10;
+    let backend = Backend::new(|_, s| ok(s, &"x".repeat(BIG)));
+    let mut gateway = Gateway::start(&one(&backend));
+    // So many that what the system holds for a client that reads nothing is full.
+    let mut client = gateway.client();
+    let texts: Vec<String> = (0..200).map(|_| ask("quote").text()).collect();
+    let mut writer = client.stream.try_clone().expect("a second handle");
+    let writing = std::thread::spawn(move || drop(writer.write_all(texts.concat().as_bytes())));
+    // It has stopped when no further request reaches the backend for long: then an answer is half written.
+    let mut answers = 0;
+    while backend.requests.recv_timeout(Duration::from_millis(700)).is_ok() {
+        answers += 1;
+    }
+    assert!(answers < 200, "it is held up by the client");
+    gateway.signal("-TERM");
+    gateway.logged("draining");
+    let mut got = Vec::new();
+    client.stream.read_to_end(&mut got).expect("a clean end");
+    writing.join().expect("no panic");
+    let heads = got.windows(15).filter(|w| w == b"HTTP/1.1 200 OK").count();
+    let bodies = got.iter().filter(|b| **b == b'x').count();
+    assert!(heads > 0 && heads <= answers);
+    assert_eq!(bodies, heads * BIG, "every answer that was begun is whole");
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
 // ---- Descriptors ----
 
 #[test]
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -522,7 +522,7 @@
     for bad in [-1.0, f64::NAN, f64::INFINITY] {
         let mut s = settings();
         s.plans[1].rate = bad;
-        let told = Gateway::new(s, 1, 0).err().expect("refused");
+        let told = Gateway::new(s, 1, 0).expect_err("refused");
         assert!(told.contains("gold") && told.contains("rate"), "{told}");
     }
 }
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,77 @@
+//! The operators' file and the example of a gateway's own, as the program takes them.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_granitethread");
+static NUMBER: AtomicU32 = AtomicU32::new(0);
+
+struct File(PathBuf);
+
+impl File {
+    fn new(text: &str, ending: &str) -> Self {
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("granitethread-operator-{}-{number}.{ending}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).expect("a file");
+        File(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn check(file: &PathBuf) -> Output {
+    Command::new(PROGRAM).arg("check").arg(file).output().expect("it runs")
+}
+
+fn repository(file: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("deploy").join(file)
+}
+
+#[test]
+fn what_stands_in_the_repository_will_do() {
+    for file in ["operator.toml", "gateway.example.json"] {
+        let output = check(&repository(file));
+        assert!(output.status.success(), "{file}: {}", String::from_utf8_lossy(&output.stderr));
+        assert!(output.stderr.is_empty() && output.stdout.is_empty());
+    }
+}
+
+#[test]
+fn what_will_not_do_is_one_line_with_its_place_whether_checked_or_started_with() {
+    for (text, wanted) in [
+        ("[lifecycle]\nway_back = 3\n", ":2: lifecycle.way_back: unknown field"),
+        ("[planet]\nx = 1\n", ":1: planet: unknown field"),
+        ("\n[lifecycle]\nmodule_grace_ms = true\n", ":3: lifecycle.module_grace_ms: invalid type"),
+        (
+            "[lifecycle]\nkey_margin_ms = 1001\n",
+            ":2: lifecycle.key_margin_ms: 1001 is out of range: 0 to 1000",
+        ),
+    ] {
+        let file = File::new(text, "toml");
+        let started = Command::new(PROGRAM)
+            .env("GRANITETHREAD_OPERATOR", &file.0)
+            .env("LB_CONFIG", repository("gateway.example.json"))
+            .output()
+            .expect("it runs");
+        for output in [check(&file.0), started] {
+            let said = String::from_utf8_lossy(&output.stderr);
+            assert_eq!(output.status.code(), Some(1), "{said}");
+            assert_eq!(said.lines().count(), 1, "{said}");
+            assert!(said.contains(wanted) && said.contains(&file.0.display().to_string()), "{said}");
+        }
+    }
+    let own = File::new("{\"listen\": 5}", "json");
+    let output = check(&own.0);
+    assert_eq!((output.status.code(), String::from_utf8_lossy(&output.stderr).lines().count()), (Some(1), 1));
+    let missing = check(&PathBuf::from("no-such-file.toml"));
+    assert_eq!(
+        (missing.status.code(), String::from_utf8_lossy(&missing.stderr).lines().count()),
+        (Some(1), 1)
+    );
+}
