--- a/crates/lifecycle/src/connection.rs
+++ b/crates/lifecycle/src/connection.rs
@@ -92,7 +92,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Connection {
     state: State,
-    /// When it last began or ended to have a request in hand.
+    /// When it came, or had its last answer known.
     since: Time,
     /// Whether it has sent a whole and sound request.
     asked: bool,
@@ -120,7 +120,7 @@
         self.asked
     }
 
-    /// Takes what happened at `now`.
+    /// Takes what happened. The time counts for `Reply` and `Close` alone.
     ///
     /// # Errors
     /// [`Wrong`], if that can't be in the present state.
@@ -142,7 +142,7 @@
                 Order::None
             }
             (Body, Input::Taken) => {
-                (self.state, self.asked, self.since) = (InHand, true, now);
+                (self.state, self.asked) = (InHand, true);
                 if planted!(TakenNotInHand) {
                     self.state = Body;
                 }
@@ -153,7 +153,8 @@
                 Order::Answer { close: self.closing && !planted!(CloseNotSaid) }
             }
             (Answering, Input::Flushed) => {
-                (self.state, self.since, self.unwritten) = (Idle, now, false);
+                // As a rule at once behind the answer: idle since then.
+                (self.state, self.unwritten) = (Idle, false);
                 if self.closing && !planted!(FinishedStaysOpen) {
                     self.state = Closed;
                     Order::Shut
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -41,9 +41,9 @@
 pub mod defects;
 mod fleet;
 mod request;
+mod words;
 
 pub use connection::{Close, Connection};
 pub use fleet::{Fleet, Listed};
-pub use request::{
-    Arrival, Attempt, Final, Input, Life, Limits, Lives, Order, Phase, Ran, Reply, Step, Told, Wrong,
-};
+pub use request::{Attempt, Life, Lives, Phase, Ran};
+pub use words::{Arrival, Final, Input, Limits, Order, Reply, Step, Told, Wrong};
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -417,12 +417,21 @@
 
     /// An attempt tells how far it has come. Whether it may go on.
     fn note(self: &Rc<Self>, id: RequestId, attempt: u32, note: Note) -> bool {
-        let input = match note {
-            Note::Connected => Input::Connected { id, attempt },
-            Note::Written => Input::Progress { id, attempt, step: Step::Written },
-            Note::Answering => Input::Progress { id, attempt, step: Step::Answering },
+        let step = match note {
+            Note::Connected => {
+                let input = Input::Connected { id, attempt };
+                return self.take(&mut self.state.borrow_mut(), Instant::now(), input, Facts::default());
+            }
+            Note::Written => Step::Written,
+            Note::Answering => Step::Answering,
         };
-        self.take(&mut self.state.borrow_mut(), Instant::now(), input, Facts::default())
+        // Nothing is ordered on such news, and it needs no time.
+        let mut state = self.state.borrow_mut();
+        let Inner { lives, orders, .. } = &mut *state;
+        if let Err(wrong) = lives.handle(0, Input::Progress { id, attempt, step }, orders) {
+            crate::log!("lifecycle: {wrong}");
+        }
+        true
     }
 
     /// An attempt is over, however it came to that.
@@ -436,7 +445,8 @@
             (None, None) => Reply::None,
         };
         let input = Input::Ended { id, attempt, ending: outcome.ending, reply };
-        if let Err(wrong) = self.handle(&mut state, now, input, Facts::new(run.sent.elapsed(), outcome)) {
+        let elapsed = now.saturating_duration_since(run.sent);
+        if let Err(wrong) = self.handle(&mut state, now, input, Facts::new(elapsed, outcome)) {
             crate::log!("lifecycle: {wrong}");
             // It must not stay out for ever.
             let undone = Input::Ended { id, attempt, ending: Ending::Undone, reply: Reply::None };
--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/server.rs
@@ -76,7 +76,9 @@
 
     fn handle(&self, input: Input) -> Order {
         let mut life = self.life.get();
-        let order = life.handle(self.driver.time(Instant::now()), input);
+        let timed = matches!(input, Input::Reply | Input::Close(_));
+        let now = if timed { self.driver.time(Instant::now()) } else { 0 };
+        let order = life.handle(now, input);
         self.life.set(life);
         order.unwrap_or_else(|wrong| {
             crate::log!("lifecycle: {wrong}");
