Plans whose excess earns more than it costs pass while there is room; chance by cost

The module read over_worth and over_cost and used neither: what was beyond a quota was refused alike for all. Now within_quota in src/decide.rs lets a plan's excess pass when it earns more than it costs, no late answers close the rooms and nothing waits; elsewhere the chance is as steep as the stated cost. Two tests of the module.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,13 +34,16 @@
 /// What an own request tells of the demand beside one that the meter tells of: the even part that it is
 /// multiplied by is a guess, yet at a wide spread a second request here is rare but for heavy customers.
 const OWN: f64 = 12.0;
-/// How steeply a request's chance falls with what the store is short of, in requests' worth.
-const SHORT: f64 = 4.0;
+/// How steeply a request's chance falls with what the store is short of, in requests' worth, where what is sent
+/// beyond a quota costs all of its worth.
+const SHORT: f64 = 4.7;
 /// The most that the store is taken to owe, as a part of what it holds.
 const DEBT: f64 = 0.25;
 /// Weight of the even part beside what passed here and what the meter told, in rates: the ratio of two small
 /// counts is noise that every request of the customer is then multiplied by.
 const EVEN: f64 = 1.0;
+/// Under how much of the rooms open the back end counts as pressed.
+const PRESSED: f64 = 0.9;
 const TIMER_PUMP: u64 = 0;
 const TIMER_ASK: u64 = 1;
 const TIMER_REQUESTS: u64 = 2;
@@ -368,6 +371,7 @@
             return true;
         }
         let draw = self.rng.f64();
+        let queued = self.subs.iter().any(|s| s.queues.iter().any(|q| !q.is_empty()));
         let plan = &self.s.plans[r.plan];
         let c = self.customers.get_mut(&r.customer).expect("entered above");
         c.asked += r.units / tau;
@@ -375,11 +379,15 @@
         c.told += OWN * used * r.units;
         let local = c.local(plan, mean);
         let asked = c.asks(plan, mean);
+        let cost = if plan.over_cost > plan.over_worth { plan.over_cost } else { 1.0 };
         // The chance is met once for each quarter of a request's worth that the store is short of.
-        let short = ((r.units - c.level) / mean.max(1e-9)).max(0.0) * SHORT * local + 1.0 - local;
+        let short = ((r.units - c.level) / mean.max(1e-9)).max(0.0) * SHORT * cost * local + 1.0 - local;
         let rate = within(plan, mean, self.hold);
         let chance = 1.0 - (rate / asked.max(1e-9)).min(1.0).powf(short);
-        let pass = c.level >= r.units || draw >= chance;
+        // Beyond the paper: where a plan says that what is beyond its quota earns more than it costs, it is
+        // refused only while the back end is pressed.
+        let welcome = plan.over_worth > plan.over_cost && self.open > PRESSED && !queued;
+        let pass = c.level >= r.units || draw >= chance || welcome;
         if pass {
             c.level -= r.units * c.weight(plan, mean);
             c.passed += r.units / tau;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -180,6 +180,49 @@
     assert!((30..=40).contains(&refused), "{refused} of 60 refused with a burst of 20");
 }
 
+/// Lima's `basico`: what is beyond its quota earns a part of its worth and costs nothing.
+#[test]
+fn what_earns_more_beyond_a_quota_than_it_costs_passes_until_the_back_end_is_pressed() {
+    let refused = |over_worth: f64, over_cost: f64, elapsed: Time| {
+        let mut s = settings();
+        s.plans[0] = Plan { over_worth, over_cost, ..s.plans[0].clone() };
+        let mut rig = Rig::new(s, 40);
+        for i in 0..60 {
+            rig.now += 20 * MS;
+            let (id, out) = rig.request(0, 1, &format!("c{i}"), 1.0);
+            let server = sent_to(&out).remove(0);
+            rig.end_with(id, 0, &server, Ending::Pass, elapsed, None);
+        }
+        let refused = |rig: &mut Rig| {
+            let (id, out) = rig.request(0, 0, "a", 1.0);
+            rejected(&out, id)
+        };
+        (0..60).filter(|_| refused(&mut rig)).count()
+    };
+    assert_eq!(refused(0.3, 0.0, 50 * MS), 0, "it earns, and there is room");
+    assert!(refused(0.3, 0.0, 900 * MS) >= 30, "it earns, but the back end is pressed");
+    assert!(refused(0.3, 0.5, 50 * MS) >= 20, "it costs more than it earns");
+}
+
+#[test]
+fn the_less_a_plan_loses_beyond_its_quota_the_milder_the_chance() {
+    let passed = |over_cost: f64| {
+        let mut s = settings();
+        s.plans[0].over_cost = over_cost;
+        let mut rig = Rig::new(s, 40);
+        (0..400)
+            .filter(|_| {
+                rig.now += 25 * MS;
+                let (id, out) = rig.request(0, 0, "a", 1.0);
+                !rejected(&out, id)
+            })
+            .count()
+    };
+    let (mild, stern) = (passed(0.2), passed(1.0));
+    assert!(mild > stern, "{mild} of 400 pass where little is lost, {stern} where all is");
+    assert!(stern < 150, "{stern} of 400 at a rate of 10 for 10 s and a burst of 20");
+}
+
 #[test]
 fn an_unmetered_burst_is_spread_over_the_gateways() {
     let passed = |spread| {
