--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -28,6 +28,17 @@
     /// Absent: this process is no planner, or no forwarder.
     pub planner: Option<Planner>,
     pub forwarder: Option<Forwarder>,
+    /// `log.format`, "plain" or "json", default plain: words, or one JSON object a line with fields.
+    pub log: LogFormat,
+}
+
+/// How the log is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    #[default]
+    Plain,
+    Json,
 }
 
 /// `[allowances]`: the terms that all planners and forwarders of an installation share (docs/design/planners.md).
@@ -123,6 +134,13 @@
     allowances: AllowancesTable,
     planner: Option<PlannerTable>,
     forwarder: Option<ForwarderTable>,
+    log: LogTable,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct LogTable {
+    format: LogFormat,
 }
 
 #[derive(Deserialize, Default)]
@@ -184,6 +202,7 @@
         planner: file.planner.map(|t| planner(text, t)).transpose()?,
         forwarder: file.forwarder.map(|t| forwarder(text, t, &allowances)).transpose()?,
         allowances,
+        log: file.log.format,
     })
 }
 
@@ -317,6 +336,12 @@
         assert!(wrong("[allowances]\ntick_ms = 100\nlease_ms = 200\n").contains("300 to 10000 is wanted"));
     }
 
+    #[test]
+    fn the_log_is_plain_or_json() {
+        assert_eq!(read("[log]\nformat = \"json\"\n").unwrap().log, LogFormat::Json);
+        assert!(wrong("[log]\nformat = \"xml\"\n").starts_with("2: log.format: unknown variant `xml`"));
+    }
+
     #[test]
     fn it_is_one_line_whatever_the_file_holds() {
         for text in
--- a/src/bin/granitethread/allowance/forwarder.rs
+++ b/src/bin/granitethread/allowance/forwarder.rs
@@ -122,11 +122,11 @@
                     why = writing => why,
                 };
                 if !std::mem::replace(&mut quiet, true) {
-                    crate::log!("planner {address}: {why}");
+                    tracing::warn!(%address, cause = why, "planner {address}: {why}");
                 }
             }
         } else if !std::mem::replace(&mut quiet, true) {
-            crate::log!("planner {address}: it can't be reached");
+            tracing::warn!(%address, "planner {address}: it can't be reached");
         }
         sleep(PAUSE).await;
         if driver.with_planner(n) {
--- a/src/bin/granitethread/allowance/planner.rs
+++ b/src/bin/granitethread/allowance/planner.rs
@@ -75,7 +75,7 @@
     });
     let forwarders = bind(own.listen).await?;
     let people = bind(own.state).await?;
-    crate::log!("planning on {}, state on {}", local(&forwarders), local(&people));
+    tracing::info!("planning on {}, state on {}", local(&forwarders), local(&people));
     let for_people = shared.clone();
     tokio::select! {
         () = stop => {}
@@ -141,7 +141,7 @@
             Ok(messages) => messages,
             Err(fault) => {
                 shared.dropped.set(shared.dropped.get() + 1);
-                crate::log!("{peer} is dropped: {fault}");
+                tracing::warn!(%peer, cause = %fault, "{peer} is dropped: {fault}");
                 return;
             }
         };
@@ -152,7 +152,7 @@
             let Ok(answer) = catch_unwind(AssertUnwindSafe(handle)) else {
                 // One customer's figures are dealt with inside; this peer alone goes.
                 shared.panics.set(shared.panics.get() + 1);
-                crate::log!("{peer} is dropped: its report led to a panic");
+                tracing::warn!(%peer, "{peer} is dropped: its report led to a panic");
                 return;
             };
             match answer {
@@ -164,7 +164,7 @@
                 }
                 Err(refused) => {
                     shared.dropped.set(shared.dropped.get() + 1);
-                    crate::log!("{peer} is dropped: {refused}");
+                    tracing::warn!(%peer, cause = %refused, "{peer} is dropped: {refused}");
                     return;
                 }
             }
--- /dev/null
+++ b/src/bin/granitethread/backends/connection.rs
@@ -0,0 +1,186 @@
+//! A connection to a backend. It is polled by the attempt that uses it and by nothing while it is idle.
+
+use super::{Note, Progress};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::future::Future;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::task::{Context, Poll, Waker};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// A connection's place in the descriptor budget.
+pub(super) struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    pub(super) fn new(open: Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Slot(open)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+pub(super) type Sender = SendRequest<Full<Bytes>>;
+
+pub(super) struct Connection {
+    pub(super) sender: Sender,
+    pub(super) io: http1::Connection<Counted, Full<Bytes>>,
+    pub(super) closed: bool,
+    pub(super) link: Rc<Link>,
+    pub(super) address: SocketAddr,
+    pub(super) used: Instant,
+    pub(super) _slot: Slot,
+}
+
+impl Connection {
+    /// Whether it can take another request. Looks for the other side's close, and for bytes that belong to
+    /// no request, first.
+    pub(super) fn reusable(&mut self) -> bool {
+        self.link.idle.set(true);
+        let mut cx = Context::from_waker(Waker::noop());
+        self.closed = self.closed || Pin::new(&mut self.io).poll(&mut cx).is_ready();
+        !self.closed && self.sender.is_ready()
+    }
+
+    pub(super) async fn answer(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Option<hyper::Result<Response<Incoming>>> {
+        let answer = self.sender.send_request(request);
+        drive(&mut self.io, &mut self.closed, answer).await
+    }
+}
+
+/// Whether the other side ended the connection in the middle of an answer; otherwise what it sent can't be
+/// read.
+pub(super) fn broke_off(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(e) = cause {
+        if let Some(e) = e.downcast_ref::<io::Error>() {
+            return !matches!(e.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData);
+        }
+        if e.downcast_ref::<hyper::Error>().is_some_and(|e| e.is_incomplete_message() || e.is_canceled()) {
+            return true;
+        }
+        cause = e.source();
+    }
+    false
+}
+
+/// Polls a connection along with what waits for it. None if the connection ended and left it waiting.
+pub(super) async fn drive<F: Future>(
+    io: &mut http1::Connection<Counted, Full<Bytes>>,
+    closed: &mut bool,
+    waiting: F,
+) -> Option<F::Output> {
+    let mut waiting = pin!(waiting);
+    std::future::poll_fn(|cx| {
+        *closed = *closed || Pin::new(&mut *io).poll(cx).is_ready();
+        match waiting.as_mut().poll(cx) {
+            Poll::Ready(output) => Poll::Ready(Some(output)),
+            Poll::Pending if *closed => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await
+}
+
+/// What a connection's owner and its socket share.
+#[derive(Default)]
+pub(super) struct Link {
+    /// Of the current attempt.
+    pub(super) progress: RefCell<Rc<Progress>>,
+    pub(super) idle: Cell<bool>,
+}
+
+/// A socket that counts what passes on the current attempt's account.
+pub(super) struct Counted {
+    pub(super) io: TokioIo<TcpStream>,
+    pub(super) link: Rc<Link>,
+}
+
+impl Counted {
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = &written {
+            let progress = self.link.progress.borrow();
+            progress.written.set(progress.written.get() + n);
+            if progress.may_have_run() {
+                progress.note(Note::Written);
+            }
+        }
+        written
+    }
+}
+
+impl Read for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.link.idle.get() {
+            // The runtime may not know yet that something came, so the socket itself is asked: a second copy
+            // of the last answer would be taken for the answer to the next request. Whatever it is, it ends
+            // the connection.
+            let mut one = [MaybeUninit::uninit()];
+            return match SockRef::from(self.io.inner()).peek(&mut one) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+                _ => Poll::Ready(Ok(())),
+            };
+        }
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) {
+            let progress = self.link.progress.borrow();
+            progress.note(Note::Answering);
+            progress.begun.store(true, Relaxed);
+            progress.news.notify_one();
+        }
+        read
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write(cx, buf);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/bin/granitethread/backends/mod.rs
@@ -0,0 +1,178 @@
+//! Backends: their addresses, the pool of connections to them, and attempts.
+//!
+//! A connection is polled by the attempt that uses it and by nothing while it is idle: dropping the attempt
+//! closes it, so no late answer can reach anyone, and an exchange wakes one task.
+
+mod answer;
+mod attempt;
+mod connection;
+mod progress;
+mod request;
+#[cfg(test)]
+mod tests;
+
+pub use answer::{Outcome, Served};
+pub use progress::{Note, Progress};
+pub use request::Outgoing;
+
+use crate::list::{State, Target};
+use connection::{Connection, Counted, Link, Slot};
+use granitehub::{Name, Scope};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{interval, timeout, Instant};
+
+/// The largest body on either side.
+pub const MAX_BODY: usize = 64 << 10;
+const REAP_EVERY: Duration = Duration::from_secs(1);
+/// Backends write an answer at once: what has begun and is not whole after this long never will be, or is
+/// not worth the wait.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+/// The most that is read of an answer's head. It is also the largest buffer of a connection.
+const HEAD_BYTES: usize = 16 << 10;
+
+struct Backend {
+    address: Option<SocketAddr>,
+    boot_ms: u64,
+    ready: bool,
+    /// Warm connections, the one used last at the end.
+    idle: Vec<Connection>,
+}
+
+pub struct Backends {
+    table: RefCell<HashMap<Name, Backend>>,
+    /// Connections that are up or coming up, idle ones among them.
+    open: Rc<Cell<usize>>,
+    budget: usize,
+    most_units: f64,
+    connect_timeout: Duration,
+    idle_time: Duration,
+    pub connects: Cell<u64>,
+}
+
+/// Figures that hold for all backends.
+pub struct Limits {
+    /// The most connections, up, coming up or idle.
+    pub sockets: usize,
+    /// The most units that an answer may bill.
+    pub most_units: f64,
+    pub connect_timeout: Duration,
+    /// How long a backend leaves a connection idle.
+    pub keepalive: Duration,
+}
+
+impl Backends {
+    pub fn new(limits: &Limits) -> Rc<Self> {
+        Rc::new(Backends {
+            table: RefCell::default(),
+            open: Rc::default(),
+            budget: limits.sockets,
+            most_units: limits.most_units.max(1.0),
+            connect_timeout: limits.connect_timeout,
+            // The backend counts idle time from when it wrote its answer and closes at the settings' time at
+            // the latest: half of it keeps clear of requests written to a connection on its way out.
+            idle_time: limits.keepalive / 2,
+            connects: Cell::new(0),
+        })
+    }
+
+    /// Takes in what discovery tells. Connections to an old address, an old process or a backend that wants
+    /// nothing new are of no use. Returns those whose address a later one has taken over: they are gone, though
+    /// discovery may say so only later, and what is meant for them would reach a cold backend unseen.
+    pub fn update(&self, scope: Scope, targets: &[Target]) -> Vec<Name> {
+        let mut replaced = Vec::new();
+        let mut table = self.table.borrow_mut();
+        if scope != Scope::Changes {
+            table.retain(|name, _| targets.iter().any(|t| *t.uid == **name));
+        }
+        for t in targets {
+            if t.state == State::Gone {
+                table.remove(t.uid.as_str());
+                continue;
+            }
+            let address = t.endpoint.parse().ok();
+            let fresh = Backend { address, boot_ms: t.boot_ms, ready: false, idle: Vec::new() };
+            let known = table.entry(t.uid.as_str().into()).or_insert(fresh);
+            known.ready = t.state == State::Ready;
+            if !known.ready || known.address != address || known.boot_ms != t.boot_ms {
+                known.idle.clear();
+            }
+            (known.address, known.boot_ms) = (address, t.boot_ms);
+        }
+        let mut latest = HashMap::new();
+        for (address, boot) in table.values().filter_map(|b| Some((b.address?, b.boot_ms))) {
+            latest.entry(address).and_modify(|l: &mut u64| *l = boot.max(*l)).or_insert(boot);
+        }
+        table.retain(|name, b| {
+            let gone = b.address.is_some_and(|a| b.boot_ms < latest[&a]);
+            replaced.extend(gone.then(|| name.clone()));
+            !gone
+        });
+        replaced
+    }
+
+    /// Closes connections that have been idle for long, or that the other side has closed.
+    pub async fn reap(self: Rc<Self>) {
+        let mut every = interval(REAP_EVERY);
+        loop {
+            let now = every.tick().await;
+            for b in self.table.borrow_mut().values_mut() {
+                b.idle.retain_mut(|c| now - c.used < self.idle_time && c.reusable());
+            }
+        }
+    }
+
+    /// Gives a descriptor back when they run short: the connection that has been idle for longest. Whether
+    /// there was any to give.
+    pub fn drop_idle(&self) -> bool {
+        let mut table = self.table.borrow_mut();
+        // The one used last is at the end, so a backend's oldest is its first.
+        let oldest = table.values_mut().filter(|b| !b.idle.is_empty()).min_by_key(|b| b.idle[0].used);
+        oldest.map(|b| b.idle.remove(0)).is_some()
+    }
+
+    fn take_idle(&self, name: &Name, place: SocketAddr) -> Option<Connection> {
+        let mut table = self.table.borrow_mut();
+        let backend = table.get_mut(name)?;
+        let now = Instant::now();
+        while let Some(mut connection) = backend.idle.pop() {
+            let here = connection.address == place;
+            if here && now - connection.used < self.idle_time && connection.reusable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, name: &Name, mut connection: Connection) {
+        if !connection.reusable() {
+            return;
+        }
+        if let Some(backend) = self.table.borrow_mut().get_mut(name) {
+            if backend.ready && backend.address == Some(connection.address) {
+                connection.used = Instant::now();
+                backend.idle.push(connection);
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<Connection> {
+        if self.open.get() >= self.budget && !self.drop_idle() {
+            return None;
+        }
+        self.connects.set(self.connects.get() + 1);
+        let slot = Slot::new(self.open.clone());
+        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let link = Rc::new(Link::default());
+        let io = Counted { io: TokioIo::new(stream), link: link.clone() };
+        let (sender, io) = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(io).await.ok()?;
+        Some(Connection { sender, io, closed: false, link, address, used: Instant::now(), _slot: slot })
+    }
+}
--- /dev/null
+++ b/src/bin/granitethread/backends/tests.rs
@@ -0,0 +1,123 @@
+use super::*;
+use bytes::Bytes;
+use granitehub::Ending;
+use hyper::header::HeaderValue;
+use hyper::{Method, Response, Uri};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
+
+fn outgoing(body: usize) -> Outgoing {
+    Outgoing {
+        method: Method::POST,
+        uri: Uri::from_static("/api?x=1"),
+        request_id: HeaderValue::from_static("9b1f03aa5c7e2d41"),
+        idempotency_key: Some(HeaderValue::from_static("k")),
+        content_type: None,
+        host: HeaderValue::from_static("origin.svc"),
+        body: Bytes::from(vec![b'x'; body]),
+    }
+}
+
+impl Backends {
+    fn address(&self, name: &Name) -> Option<SocketAddr> {
+        self.table.borrow().get(name).filter(|b| b.ready).and_then(|b| b.address)
+    }
+}
+
+fn backends(address: SocketAddr) -> Backends {
+    let backend = Backend { address: Some(address), boot_ms: 0, ready: true, idle: Vec::new() };
+    Backends {
+        table: RefCell::new(HashMap::from([("s-1".into(), backend)])),
+        open: Rc::default(),
+        budget: 10,
+        most_units: 8.0,
+        connect_timeout: Duration::from_secs(5),
+        idle_time: Duration::from_secs(5),
+        connects: Cell::new(0),
+    }
+}
+
+/// A new backend at the address of an old one, which discovery has not yet called gone.
+#[test]
+fn a_backend_whose_address_has_a_new_owner_is_gone() {
+    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let b = backends(address);
+    let target = |uid: &str, boot_ms: u64| {
+        let text = format!(r#"{{"uid":"{uid}","endpoint":"{address}","state":"Ready","boot_ms":{boot_ms}}}"#);
+        serde_json::from_str::<Target>(&text).unwrap()
+    };
+    assert!(b.update(Scope::Changes, &[target("s-1", 0)]).is_empty());
+    assert_eq!(b.update(Scope::Changes, &[target("s-2", 5)]), ["s-1".into()]);
+    assert_eq!((b.address(&"s-1".into()), b.address(&"s-2".into())), (None, Some(address)));
+    // The old one's entry once more, as in a whole list: the later start counts, whatever the order.
+    assert_eq!(b.update(Scope::Full, &[target("s-1", 0), target("s-2", 5)]), ["s-1".into()]);
+    assert_eq!(b.update(Scope::Full, &[target("s-2", 5), target("s-1", 0)]), ["s-1".into()]);
+    assert_eq!(b.update(Scope::Full, &[target("s-2", 5), target("s-3", 5)]), Vec::<Name>::new());
+}
+
+async fn attempt(b: &Backends, request: &Outgoing) -> (Ending, Rc<Progress>) {
+    let progress = Rc::default();
+    let limit = Instant::now() + Duration::from_secs(20);
+    let place = b.address(&"s-1".into()).unwrap();
+    (b.attempt(&"s-1".into(), place, request, limit, &progress).await.ending, progress)
+}
+
+/// What `size` says is what reaches the backend, to the byte: too much would call a request unwritten
+/// that has run.
+#[tokio::test]
+async fn the_size_of_a_request_is_what_is_written() {
+    for body in [0, 5, MAX_BODY] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (b, request) = (backends(listener.local_addr().unwrap()), outgoing(body));
+        let backend = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (mut got, mut buffer) = (Vec::new(), [0; 4096]);
+            loop {
+                let n = stream.read(&mut buffer).await.unwrap();
+                got.extend_from_slice(&buffer[..n]);
+                let head = got.windows(4).position(|w| w == b"\r\n\r\n");
+                if head.is_some_and(|h| got.len() == h + 4 + body) {
+                    break;
+                }
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            got.len()
+        };
+        let ((ending, progress), got) = tokio::join!(attempt(&b, &request), backend);
+        assert_eq!((ending, progress.whole.get(), progress.written.get()), (Ending::Pass, got, got));
+    }
+}
+
+/// A connection that breaks with part of the request written: it never ran.
+#[tokio::test]
+async fn a_request_broken_before_its_last_byte_never_ran() {
+    let socket = TcpSocket::new_v4().unwrap();
+    // Small buffers, so that the rest of the body can't be written.
+    socket.set_recv_buffer_size(2048).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let b = backends(listener.local_addr().unwrap());
+    let request = outgoing(64 << 20);
+    let backend = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read_exact(&mut [0; 100]).await.unwrap();
+    };
+    let ((ending, progress), ()) = tokio::join!(attempt(&b, &request), backend);
+    assert_eq!(ending, Ending::NoRoute);
+    assert!(progress.written.get() > 0 && !progress.may_have_run());
+}
+
+/// The header is the simulator's figure less 1, in percent; units are the true ones.
+#[test]
+fn the_meter_and_the_bill_reach_the_module_in_its_units() {
+    let answer = |status: u16| {
+        let answer = Response::builder().status(status).header("usage-percent", "85");
+        let answer = answer.header("billed-units", "3").body(Bytes::from_static(b"x")).unwrap();
+        Outcome::read(answer, 8.0)
+    };
+    let good = answer(200);
+    assert_eq!((good.metered, good.settled, good.ending), (Some(0.85), 3.0, Ending::Pass));
+    let bad = answer(500);
+    assert_eq!((bad.metered, bad.settled, bad.ending), (Some(0.85), 0.0, Ending::Fault));
+    assert!(bad.served.is_none());
+}
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -1,27 +1,31 @@
 //! The thin part between the engine and the sockets: what happens on them goes in, what the engine orders is
 //! carried out. No policy and no rule stands here: the engine joins the deciding parts.
 
-use crate::backends::{Backends, Note, Outcome, Outgoing, Progress, Served};
+mod attempt;
+mod clock;
+
+pub use attempt::Ticket;
+
+use crate::backends::{Backends, Note, Outcome, Outgoing, Served};
 use crate::discovery::News;
 use crate::list::{List, State, Target};
+use attempt::Attempt;
+use clock::Clock;
 use granite_engine::{Engine, Entry, Error, Facts, Figures, Final, Input, Notice, Output, Reply, Step};
 use granite_forward::{Account, Mode};
 use granite_operator::Lifecycle;
 use granite_plan::message::{Grant, Report};
-use granitehub::{Effect, Ending, Gateway, Health, Name, Node, RequestId, Scope, Settings, Time};
+use granitehub::{Effect, Ending, Gateway, Health, Node, RequestId, Scope, Settings, Time};
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::future::Future;
-use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
+use tracing::{info, warn};
 
 const STATUS_EVERY: Duration = Duration::from_secs(10);
 
@@ -76,29 +80,6 @@
     pub most_units: f64,
 }
 
-/// The engine's clock: nanoseconds of Unix time that only run forwards, since discovery tells starts of
-/// backends in Unix time.
-struct Clock {
-    start: Instant,
-    unix: Time,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_nanos() as Time }
-    }
-
-    fn time(&self, at: Instant) -> Time {
-        self.unix + at.saturating_duration_since(self.start).as_nanos() as Time
-    }
-
-    fn instant(&self, time: Time) -> Instant {
-        let far = Duration::from_secs(3600);
-        self.start + Duration::from_nanos(time.saturating_sub(self.unix)).min(self.start.elapsed() + far)
-    }
-}
-
 impl Driver {
     pub fn new(
         s: Settings,
@@ -167,7 +148,7 @@
         let replaced = self.backends.update(scope, &list.targets);
         let placed = |t: Target| {
             let place = t.endpoint.parse().ok().filter(|_| t.state == State::Ready);
-            (self.node(t), place)
+            (t.node(&self.zones), place)
         };
         let mut entries: Vec<Entry> = list.targets.into_iter().map(placed).collect();
         entries.extend(replaced.iter().map(|name| (Node::new(name, Health::Removed), None)));
@@ -175,22 +156,6 @@
         self.take(&mut self.state.borrow_mut(), Instant::now(), input, Brought::default());
     }
 
-    fn node(&self, t: Target) -> Node {
-        let zone = self.zones.iter().position(|z| *z == t.az).unwrap_or(self.zones.len());
-        Node {
-            name: t.uid.into(),
-            zone: zone as u32,
-            cell: t.pod_group,
-            health: match t.state {
-                State::Ready => Health::Up,
-                State::Terminating => Health::Draining,
-                State::Gone => Health::Removed,
-            },
-            rating: t.capacity_hint,
-            since: t.boot_ms.saturating_mul(1_000_000),
-        }
-    }
-
     // ---- Requests ----
 
     /// Takes in a request. None if the life of one with its id is not over.
@@ -273,9 +238,9 @@
                 Output::Report { planner, report } => brought.reports.push((planner, report)),
                 Output::Notice(Notice::ListLost) => {
                     let why = brought.why.as_deref().unwrap_or("lost");
-                    crate::log!("discovery: {why}; the old list stands");
+                    warn!(cause = why, "discovery: {why}; the old list stands");
                 }
-                Output::Notice(notice) => crate::log!("{notice}"),
+                Output::Notice(notice) => warn!("{notice}"),
             }
         }
         state.outputs = outputs;
@@ -288,7 +253,7 @@
     /// The same where nothing can be wrong but our own telling.
     fn take(self: &Rc<Self>, state: &mut Inner, now: Instant, input: Input, mut brought: Brought) -> bool {
         self.handle(state, now, input, &mut brought).unwrap_or_else(|wrong| {
-            crate::log!("lifecycle: {wrong}");
+            warn!(cause = %wrong, "lifecycle: {wrong}");
             false
         })
     }
@@ -309,7 +274,7 @@
         // Nothing is ordered on such news, and it needs no time.
         let Inner { engine, outputs, .. } = &mut *state;
         if let Err(wrong) = engine.handle(0, Input::Progress { id, attempt, step }, outputs) {
-            crate::log!("lifecycle: {wrong}");
+            warn!(request = format!("{id:016x}"), attempt, cause = %wrong, "lifecycle: {wrong}");
         }
         true
     }
@@ -330,7 +295,7 @@
         let input = Input::Ended { id, attempt, ending, reply, facts };
         let mut brought = Brought { served, turned, ..Brought::default() };
         if let Err(wrong) = self.handle(&mut state, now, input, &mut brought) {
-            crate::log!("lifecycle: {wrong}");
+            warn!(request = format!("{id:016x}"), attempt, cause = %wrong, "lifecycle: {wrong}");
             // It must not stay out for ever.
             let (ending, reply, facts) = (Ending::Undone, Reply::None, Facts::default());
             let undone = Input::Ended { id, attempt, ending, reply, facts };
@@ -373,7 +338,15 @@
         let c = state.engine.take_counts();
         let (connects, latest) = (self.backends.connects.take(), self.latest.take().as_millis());
         if c.served + c.refused + c.failed > 0 {
-            crate::log!(
+            info!(
+                served = c.served,
+                refused = c.refused,
+                failed = c.failed,
+                overdue = c.overdue,
+                held = state.engine.held(),
+                connects,
+                batches = c.batches,
+                late_ms = latest as u64,
                 "served {}, refused {}, failed {} ({} overdue), held {}; new connections {connects}, \
                  batches {}, loop late by {latest} ms at most",
                 c.served,
@@ -409,80 +382,3 @@
         }
     }
 }
-
-/// An attempt in flight. Its end is told once, also if its task is aborted or lost.
-struct Attempt {
-    driver: Rc<Driver>,
-    id: RequestId,
-    number: u32,
-    sent: Instant,
-    done: bool,
-}
-
-impl Attempt {
-    fn start(self, server: Name, place: SocketAddr, request: Rc<Outgoing>, not_past: Instant) -> AbortHandle {
-        let (driver, id, number) = (self.driver.clone(), self.id, self.number);
-        let progress = Rc::new(Progress::new(move |note| driver.note(id, number, note)));
-        let task = spawn_local(async move {
-            let outcome = self.driver.backends.attempt(&server, place, &request, not_past, &progress).await;
-            self.done(outcome);
-        });
-        task.abort_handle()
-    }
-
-    fn done(mut self, outcome: Outcome) {
-        self.done = true;
-        self.driver.ended(&self, outcome);
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        if !self.done {
-            self.driver.ended(self, Outcome::without_answer(Ending::Undone));
-        }
-    }
-}
-
-/// The wait for a final answer. Dropping it tells that the client is gone.
-pub struct Ticket {
-    id: RequestId,
-    answer: oneshot::Receiver<Answer>,
-    driver: Rc<Driver>,
-    answered: bool,
-}
-
-impl Future for Ticket {
-    type Output = Answer;
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
-        let answer = Pin::new(&mut self.answer).poll(cx);
-        answer.map(|answer| {
-            self.answered = true;
-            answer.unwrap_or(Answer::Failed { late: false })
-        })
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.driver.gone(self.id);
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A backend's start is told in Unix milliseconds, and the module compares it with its own clock.
-    #[test]
-    fn the_clock_is_unix_time() {
-        let clock = Clock::new();
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as Time;
-        let now = Instant::now();
-        assert!(clock.time(now).abs_diff(unix) < 1_000_000_000);
-        assert_eq!(clock.instant(clock.time(now)), now);
-    }
-}
--- /dev/null
+++ b/src/bin/granitethread/driver/attempt.rs
@@ -0,0 +1,81 @@
+//! An attempt in flight, and the wait for a final answer.
+
+use super::{Answer, Driver};
+use crate::backends::{Outcome, Outgoing, Progress};
+use granitehub::{Ending, Name, RequestId};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::Instant;
+
+/// An attempt in flight. Its end is told once, also if its task is aborted or lost.
+pub(super) struct Attempt {
+    pub(super) driver: Rc<Driver>,
+    pub(super) id: RequestId,
+    pub(super) number: u32,
+    pub(super) sent: Instant,
+    pub(super) done: bool,
+}
+
+impl Attempt {
+    pub(super) fn start(
+        self,
+        server: Name,
+        place: SocketAddr,
+        request: Rc<Outgoing>,
+        not_past: Instant,
+    ) -> AbortHandle {
+        let (driver, id, number) = (self.driver.clone(), self.id, self.number);
+        let progress = Rc::new(Progress::new(move |note| driver.note(id, number, note)));
+        let task = spawn_local(async move {
+            let outcome = self.driver.backends.attempt(&server, place, &request, not_past, &progress).await;
+            self.done(outcome);
+        });
+        task.abort_handle()
+    }
+
+    fn done(mut self, outcome: Outcome) {
+        self.done = true;
+        self.driver.ended(&self, outcome);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if !self.done {
+            self.driver.ended(self, Outcome::without_answer(Ending::Undone));
+        }
+    }
+}
+
+/// The wait for a final answer. Dropping it tells that the client is gone.
+pub struct Ticket {
+    pub(super) id: RequestId,
+    pub(super) answer: oneshot::Receiver<Answer>,
+    pub(super) driver: Rc<Driver>,
+    pub(super) answered: bool,
+}
+
+impl Future for Ticket {
+    type Output = Answer;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
+        let answer = Pin::new(&mut self.answer).poll(cx);
+        answer.map(|answer| {
+            self.answered = true;
+            answer.unwrap_or(Answer::Failed { late: false })
+        })
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.driver.gone(self.id);
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/granitethread/fronts/http1/client.rs
@@ -0,0 +1,163 @@
+//! A client's connection: its life, its socket, and how to have it close.
+
+use super::{LINGER, MAX_DISCARD};
+use crate::driver::Driver;
+use bytes::Bytes;
+use granite_lifecycle::connection::{Input, Order, State};
+use granite_lifecycle::{Close, Connection};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep, Instant, Sleep};
+
+/// A client's connection, and how to have it close.
+pub(super) struct Client {
+    pub(super) life: Cell<Connection>,
+    pub(super) driver: Rc<Driver>,
+    /// Why it is to close, and the news of it.
+    pub(super) wanted: Cell<Option<Close>>,
+    pub(super) close: Notify,
+    /// Whether the answer's last byte has gone to hyper, so that a flush means that all of it is written.
+    pub(super) handed: Cell<bool>,
+}
+
+impl Client {
+    pub(super) fn new(driver: Rc<Driver>) -> Rc<Self> {
+        let life = Cell::new(Connection::new(driver.time(Instant::now())));
+        Rc::new(Client {
+            life,
+            driver,
+            wanted: Cell::new(None),
+            close: Notify::new(),
+            handed: Cell::new(false),
+        })
+    }
+
+    pub(super) fn handle(&self, input: Input) -> Order {
+        let mut life = self.life.get();
+        let timed = matches!(input, Input::Reply | Input::Close(_));
+        let now = if timed { self.driver.time(Instant::now()) } else { 0 };
+        let order = life.handle(now, input);
+        self.life.set(life);
+        order.unwrap_or_else(|wrong| {
+            tracing::warn!(cause = %wrong, "lifecycle: {wrong}");
+            Order::None
+        })
+    }
+
+    /// Has it close for this reason. How is settled when its turn comes: it may have sent a request by then.
+    pub(super) fn close(&self, why: Close) {
+        self.wanted.set(Some(why));
+        self.close.notify_one();
+    }
+}
+
+/// An answer's body that tells when all of it has gone to hyper.
+pub(super) struct Told {
+    pub(super) body: Full<Bytes>,
+    pub(super) client: Rc<Client>,
+}
+
+impl Body for Told {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        self.client.handed.set(self.body.is_end_stream());
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A client's socket that tells when something has come and when all has been written.
+pub(super) struct Watched {
+    pub(super) io: TokioIo<TcpStream>,
+    pub(super) client: Rc<Client>,
+    /// Until when what still comes is thrown away behind the last answer, and how much of it has come.
+    pub(super) linger: Option<(Pin<Box<Sleep>>, usize)>,
+}
+
+impl Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) && self.client.life.get().state() == State::Idle {
+            self.client.handle(Input::Bytes);
+        }
+        read
+    }
+}
+
+impl Write for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    /// hyper flushes the socket when its own buffer is empty.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.io).poll_flush(cx);
+        let client = &self.client;
+        if flushed.is_ready() && client.life.get().unwritten() && client.handed.replace(false) {
+            client.handle(Input::Flushed);
+        }
+        flushed
+    }
+
+    /// RFC 9112, 9.6: a close with bytes unread resets the connection, and with it what the client has not read
+    /// of its last answer. So this side is closed first, and the other read until the client has closed too.
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            std::task::ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+            self.linger = Some((Box::pin(sleep(LINGER)), 0));
+        }
+        let Watched { io, linger: Some((end, thrown)), .. } = &mut *self else { return Poll::Ready(Ok(())) };
+        loop {
+            let mut bytes = [MaybeUninit::uninit(); 4096];
+            let mut buffer = ReadBuf::uninit(&mut bytes);
+            match Pin::new(&mut *io).poll_read(cx, buffer.unfilled()) {
+                Poll::Pending => return end.as_mut().poll(cx).map(Ok),
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() && *thrown <= MAX_DISCARD => {
+                    *thrown += buffer.filled().len();
+                }
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+            }
+        }
+    }
+}
--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -1,34 +1,35 @@
-//! The client side: connections, `/ready`, `/api`, the drain at the end.
+//! HTTP/1.1: connections, `/ready`, `/api`, the drain at the end.
 
-use crate::backends::{Backends, Outgoing, MAX_BODY};
-use crate::driver::{Answer, Driver, Incoming};
-use bytes::{Bytes, BytesMut};
-use granite_lifecycle::connection::{self, Input, Order, State};
+mod client;
+mod request;
+
+use crate::backends::{Backends, MAX_BODY};
+use crate::driver::{Answer, Driver};
+use bytes::Bytes;
+use client::{Client, Told, Watched};
+use granite_lifecycle::connection::{self, Input, Order};
 use granite_lifecycle::{Close, Connection};
-use granitehub::Effect;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, Incoming as IncomingBody, SizeHint};
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
-use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming as IncomingBody};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use request::read;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, Sleep};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tracing::info;
 
 /// How long after SIGTERM clients may still come, with some room.
 const WINDOW: Duration = Duration::from_millis(500);
@@ -51,48 +52,6 @@
 
 type Reply = Response<Told>;
 
-/// A client's connection, and how to have it close.
-struct Client {
-    life: Cell<Connection>,
-    driver: Rc<Driver>,
-    /// Why it is to close, and the news of it.
-    wanted: Cell<Option<Close>>,
-    close: Notify,
-    /// Whether the answer's last byte has gone to hyper, so that a flush means that all of it is written.
-    handed: Cell<bool>,
-}
-
-impl Client {
-    fn new(driver: Rc<Driver>) -> Rc<Self> {
-        let life = Cell::new(Connection::new(driver.time(Instant::now())));
-        Rc::new(Client {
-            life,
-            driver,
-            wanted: Cell::new(None),
-            close: Notify::new(),
-            handed: Cell::new(false),
-        })
-    }
-
-    fn handle(&self, input: Input) -> Order {
-        let mut life = self.life.get();
-        let timed = matches!(input, Input::Reply | Input::Close(_));
-        let now = if timed { self.driver.time(Instant::now()) } else { 0 };
-        let order = life.handle(now, input);
-        self.life.set(life);
-        order.unwrap_or_else(|wrong| {
-            crate::log!("lifecycle: {wrong}");
-            Order::None
-        })
-    }
-
-    /// Has it close for this reason. How is settled when its turn comes: it may have sent a request by then.
-    fn close(&self, why: Close) {
-        self.wanted.set(Some(why));
-        self.close.notify_one();
-    }
-}
-
 pub struct Server {
     driver: Rc<Driver>,
     backends: Rc<Backends>,
@@ -131,7 +90,7 @@
             }
         }
         self.draining.set(true);
-        crate::log!("draining");
+        info!("draining");
         let started = Instant::now();
         // At once, not at the end of the window: a request that crosses the close comes again on a new
         // connection, and must find the listener open.
@@ -154,7 +113,8 @@
                 () = &mut last => break,
             }
         }
-        crate::log!("drained in {} ms", started.elapsed().as_millis());
+        let ms = started.elapsed().as_millis() as u64;
+        info!(ms, "drained in {ms} ms");
     }
 
     /// Accepts one client within the descriptor budget.
@@ -311,162 +271,6 @@
             Answer::Failed { late: false } => plain(StatusCode::BAD_GATEWAY, ""),
         })
     }
-
-    /// Reads a request's headers; None if one is missing or malformed, a figure is out of the range that the
-    /// settings allow, or the method does not fit the class. The module relies on it: one wild figure would
-    /// spoil its averages for everybody.
-    fn parse(&self, head: hyper::http::request::Parts, arrived: Instant) -> Option<Incoming> {
-        let h = &head.headers;
-        let class_name = text(h, "request-class")?;
-        let class = self.driver.classes.iter().position(|(name, ..)| name == class_name)?;
-        let (_, effect, longest) = self.driver.classes[class];
-        let keyed = h.contains_key("idempotency-key");
-        let fits = match effect {
-            Effect::Safe => head.method == Method::GET,
-            Effect::Keyed => head.method == Method::POST && keyed,
-            Effect::Unsafe => head.method == Method::POST && !keyed,
-        };
-        if !fits {
-            return None;
-        }
-        let plan_name = text(h, "plan")?;
-        let plan = self.driver.plans.iter().position(|name| name == plan_name)?;
-        let account = text(h, "account")?;
-        hex(account).filter(|a| *a <= MAX_ACCOUNT)?;
-        let wait: f64 = text(h, "request-timeout")?.trim().parse().ok()?;
-        let wait = Duration::try_from_secs_f64(wait).ok().filter(|w| !w.is_zero())?;
-        let quota = text(h, "quota-info")?;
-        let field = |key: &str| quota.split(',').find_map(|f| f.trim().strip_prefix(key)?.strip_prefix('='));
-        let units: f64 = field("units")?.parse().ok()?;
-        let spread: u32 = field("spread")?.parse().ok()?;
-        let first: u32 = field("first")?.parse().ok()?;
-        let (gateways, most) = (self.driver.gateways, self.driver.most_units);
-        if !(units > 0.0 && units <= most && (1..=gateways).contains(&spread) && first < gateways) {
-            return None;
-        }
-        Some(Incoming {
-            arrived,
-            request: granite_engine::Incoming {
-                id: hex(text(h, "request-id")?)?,
-                class,
-                plan,
-                customer: account.into(),
-                timeout: wait.min(longest).as_nanos() as granitehub::Time,
-                units,
-                spread,
-                repeat: h.get("client-retry").is_some_and(|v| v == "1"),
-            },
-            outgoing: Outgoing {
-                request_id: h.get("request-id")?.clone(),
-                idempotency_key: h.get("idempotency-key").cloned(),
-                content_type: h.get(CONTENT_TYPE).cloned(),
-                host: h.get(HOST)?.clone(),
-                method: head.method,
-                // Backends are asked for a path, also if this client thinks that it talks to a proxy.
-                uri: Uri::from(head.uri.into_parts().path_and_query?),
-                body: Bytes::new(),
-            },
-        })
-    }
-}
-
-/// An answer's body that tells when all of it has gone to hyper.
-struct Told {
-    body: Full<Bytes>,
-    client: Rc<Client>,
-}
-
-impl Body for Told {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
-        self.client.handed.set(self.body.is_end_stream());
-        frame
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// A client's socket that tells when something has come and when all has been written.
-struct Watched {
-    io: TokioIo<TcpStream>,
-    client: Rc<Client>,
-    /// Until when what still comes is thrown away behind the last answer, and how much of it has come.
-    linger: Option<(Pin<Box<Sleep>>, usize)>,
-}
-
-impl Read for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.io).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(()))) && self.client.life.get().state() == State::Idle {
-            self.client.handle(Input::Bytes);
-        }
-        read
-    }
-}
-
-impl Write for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    /// hyper flushes the socket when its own buffer is empty.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.io).poll_flush(cx);
-        let client = &self.client;
-        if flushed.is_ready() && client.life.get().unwritten() && client.handed.replace(false) {
-            client.handle(Input::Flushed);
-        }
-        flushed
-    }
-
-    /// RFC 9112, 9.6: a close with bytes unread resets the connection, and with it what the client has not read
-    /// of its last answer. So this side is closed first, and the other read until the client has closed too.
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
-            std::task::ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
-            self.linger = Some((Box::pin(sleep(LINGER)), 0));
-        }
-        let Watched { io, linger: Some((end, thrown)), .. } = &mut *self else { return Poll::Ready(Ok(())) };
-        loop {
-            let mut bytes = [MaybeUninit::uninit(); 4096];
-            let mut buffer = ReadBuf::uninit(&mut bytes);
-            match Pin::new(&mut *io).poll_read(cx, buffer.unfilled()) {
-                Poll::Pending => return end.as_mut().poll(cx).map(Ok),
-                Poll::Ready(Ok(())) if !buffer.filled().is_empty() && *thrown <= MAX_DISCARD => {
-                    *thrown += buffer.filled().len();
-                }
-                Poll::Ready(_) => return Poll::Ready(Ok(())),
-            }
-        }
-    }
 }
 
 /// A client's place in the budget.
@@ -487,44 +291,3 @@
     *reply.status_mut() = status;
     reply
 }
-
-/// A header that comes once.
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    let mut all = headers.get_all(name).iter();
-    let one = all.next()?;
-    one.to_str().ok().filter(|_| all.next().is_none())
-}
-
-/// 16 hex digits.
-fn hex(text: &str) -> Option<u64> {
-    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
-    if digits {
-        u64::from_str_radix(text, 16).ok()
-    } else {
-        None
-    }
-}
-
-async fn read(mut body: IncomingBody) -> Result<Bytes, StatusCode> {
-    let told = body.size_hint().exact().unwrap_or(0) as usize;
-    if told > MAX_DISCARD {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let (mut whole, mut length) = (BytesMut::with_capacity(told.min(MAX_BODY)), 0);
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
-        length += data.len();
-        if length <= MAX_BODY {
-            whole.extend_from_slice(&data);
-        } else if length > MAX_DISCARD {
-            break;
-        }
-    }
-    if length > MAX_BODY {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    Ok(whole.freeze())
-}
--- /dev/null
+++ b/src/bin/granitethread/fronts/http1/request.rs
@@ -0,0 +1,113 @@
+//! A client's request: its head, its figures, its body.
+
+use super::{Server, MAX_ACCOUNT, MAX_DISCARD};
+use crate::backends::{Outgoing, MAX_BODY};
+use crate::driver::Incoming;
+use bytes::{Bytes, BytesMut};
+use granitehub::Effect;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming as IncomingBody};
+use hyper::header::{HeaderMap, CONTENT_TYPE, HOST};
+use hyper::{Method, StatusCode, Uri};
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl Server {
+    /// Reads a request's headers; None if one is missing or malformed, a figure is out of the range that the
+    /// settings allow, or the method does not fit the class. The module relies on it: one wild figure would
+    /// spoil its averages for everybody.
+    pub(super) fn parse(&self, head: hyper::http::request::Parts, arrived: Instant) -> Option<Incoming> {
+        let h = &head.headers;
+        let class_name = text(h, "request-class")?;
+        let class = self.driver.classes.iter().position(|(name, ..)| name == class_name)?;
+        let (_, effect, longest) = self.driver.classes[class];
+        let keyed = h.contains_key("idempotency-key");
+        let fits = match effect {
+            Effect::Safe => head.method == Method::GET,
+            Effect::Keyed => head.method == Method::POST && keyed,
+            Effect::Unsafe => head.method == Method::POST && !keyed,
+        };
+        if !fits {
+            return None;
+        }
+        let plan_name = text(h, "plan")?;
+        let plan = self.driver.plans.iter().position(|name| name == plan_name)?;
+        let account = text(h, "account")?;
+        hex(account).filter(|a| *a <= MAX_ACCOUNT)?;
+        let wait: f64 = text(h, "request-timeout")?.trim().parse().ok()?;
+        let wait = Duration::try_from_secs_f64(wait).ok().filter(|w| !w.is_zero())?;
+        let quota = text(h, "quota-info")?;
+        let field = |key: &str| quota.split(',').find_map(|f| f.trim().strip_prefix(key)?.strip_prefix('='));
+        let units: f64 = field("units")?.parse().ok()?;
+        let spread: u32 = field("spread")?.parse().ok()?;
+        let first: u32 = field("first")?.parse().ok()?;
+        let (gateways, most) = (self.driver.gateways, self.driver.most_units);
+        if !(units > 0.0 && units <= most && (1..=gateways).contains(&spread) && first < gateways) {
+            return None;
+        }
+        Some(Incoming {
+            arrived,
+            request: granite_engine::Incoming {
+                id: hex(text(h, "request-id")?)?,
+                class,
+                plan,
+                customer: account.into(),
+                timeout: wait.min(longest).as_nanos() as granitehub::Time,
+                units,
+                spread,
+                repeat: h.get("client-retry").is_some_and(|v| v == "1"),
+            },
+            outgoing: Outgoing {
+                request_id: h.get("request-id")?.clone(),
+                idempotency_key: h.get("idempotency-key").cloned(),
+                content_type: h.get(CONTENT_TYPE).cloned(),
+                host: h.get(HOST)?.clone(),
+                method: head.method,
+                // Backends are asked for a path, also if this client thinks that it talks to a proxy.
+                uri: Uri::from(head.uri.into_parts().path_and_query?),
+                body: Bytes::new(),
+            },
+        })
+    }
+}
+
+/// A header that comes once.
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut all = headers.get_all(name).iter();
+    let one = all.next()?;
+    one.to_str().ok().filter(|_| all.next().is_none())
+}
+
+/// 16 hex digits.
+fn hex(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    if digits {
+        u64::from_str_radix(text, 16).ok()
+    } else {
+        None
+    }
+}
+
+pub(super) async fn read(mut body: IncomingBody) -> Result<Bytes, StatusCode> {
+    let told = body.size_hint().exact().unwrap_or(0) as usize;
+    if told > MAX_DISCARD {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let (mut whole, mut length) = (BytesMut::with_capacity(told.min(MAX_BODY)), 0);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
+        length += data.len();
+        if length <= MAX_BODY {
+            whole.extend_from_slice(&data);
+        } else if length > MAX_DISCARD {
+            break;
+        }
+    }
+    if length > MAX_BODY {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/src/bin/granitethread/fronts/mod.rs
@@ -0,0 +1,3 @@
+//! Ways in. A front parses and frames, no more.
+
+pub mod http1;
--- a/src/bin/granitethread/list.rs
+++ b/src/bin/granitethread/list.rs
@@ -1,5 +1,6 @@
 //! The list of backends as discovery words it. Plain values: the configuration holds one, the watch brings more.
 
+use granitehub::{Health, Node};
 use serde::Deserialize;
 
 /// The list of backends, or what changed in it.
@@ -37,3 +38,23 @@
 fn one() -> f64 {
     1.0
 }
+
+impl Target {
+    /// As the module knows it. A zone's number is its place in the settings.
+    pub fn node(self, zones: &[String]) -> Node {
+        let t = self;
+        let zone = zones.iter().position(|z| *z == t.az).unwrap_or(zones.len());
+        Node {
+            name: t.uid.into(),
+            zone: zone as u32,
+            cell: t.pod_group,
+            health: match t.state {
+                State::Ready => Health::Up,
+                State::Terminating => Health::Draining,
+                State::Gone => Health::Removed,
+            },
+            rating: t.capacity_hint,
+            since: t.boot_ms.saturating_mul(1_000_000),
+        }
+    }
+}
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -1,33 +1,27 @@
 //! granitethread: one gateway on real sockets around the decision module.
 #![forbid(unsafe_code)]
 
-/// A line of the log. Unlike `eprintln!` it survives whoever reads the log.
-macro_rules! log {
-    ($($part:tt)*) => {{
-        use std::io::Write;
-        let _ = writeln!(std::io::stderr(), $($part)*);
-    }};
-}
-pub(crate) use log;
-
 mod allowance;
 mod backends;
 mod config;
 mod discovery;
 mod driver;
+mod fronts;
 mod list;
-mod server;
+mod log;
 
 use backends::Backends;
 use clap::{Parser, Subcommand};
 use driver::Driver;
-use granite_operator::Operator;
+use fronts::http1;
+use granite_operator::{LogFormat, Operator};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::spawn_local;
+use tracing::{error, info, warn};
 
 /// An API gateway that keeps each customer of a shared fleet of backends to its plan.
 ///
@@ -49,12 +43,15 @@
 fn main() -> ExitCode {
     let done = match Args::parse().command {
         None => start(),
-        Some(Command::Check { file }) => check(&file),
+        Some(Command::Check { file }) => {
+            log::start(LogFormat::Plain);
+            check(&file)
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            log!("granitethread: {what}");
+            error!("granitethread: {what}");
             ExitCode::FAILURE
         }
     }
@@ -76,9 +73,11 @@
 
 fn start() -> Result<(), String> {
     let operator = match std::env::var_os("GRANITETHREAD_OPERATOR") {
-        None => Operator::default(),
-        Some(file) => operator(Path::new(&file))?,
+        None => Ok(Operator::default()),
+        Some(file) => operator(Path::new(&file)),
     };
+    log::start(operator.as_ref().map_or(LogFormat::Plain, |o| o.log));
+    let operator = operator?;
     let config = config::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -116,11 +115,11 @@
     if let Some(known) = config.known {
         driver.cached(known);
     }
-    let listener = server::listen(config.listen)?;
+    let listener = http1::listen(config.listen)?;
     if let Ok(address) = listener.local_addr() {
-        log!("listening on {address}");
+        info!(%address, "listening on {address}");
     }
-    let server = Rc::new(server::Server::new(driver.clone(), backends.clone(), config.client_sockets));
+    let server = Rc::new(http1::Server::new(driver.clone(), backends.clone(), config.client_sockets));
     spawn_local(follow(config.discovery, hup, driver.clone()));
     spawn_local(backends.reap());
     let driver = spawn_local(async move { driver.run().await });
@@ -141,11 +140,11 @@
     while hup.recv().await.is_some() {
         match config::reload() {
             Ok(address) => {
-                log!("new configuration: discovery at {address}");
+                info!(%address, "new configuration: discovery at {address}");
                 watch.abort();
                 watch = begin(address);
             }
-            Err(what) => log!("new configuration refused, the old one stands: {what}"),
+            Err(what) => warn!(cause = what, "new configuration refused, the old one stands: {what}"),
         }
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,8 +34,8 @@
 /// What an own request tells of the demand beside one that the meter tells of: the even part that it is
 /// multiplied by is a guess, yet at a wide spread a second request here is rare but for heavy customers.
 const OWN: f64 = 12.0;
-/// How steeply a request's chance falls with what the store is short of, in requests' worth, where what is sent
-/// beyond a quota costs all of its worth.
+/// How steeply a request's chance falls with what the store is short of, in requests' worth, where what is
+/// sent beyond a quota costs all of its worth.
 const SHORT: f64 = 4.7;
 /// The most that the store is taken to owe, as a part of what it holds.
 const DEBT: f64 = 0.25;
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -75,3 +75,24 @@
         (Some(1), 1)
     );
 }
+
+/// JSON lines by a setting: every line of the log is an object with the message and its fields.
+#[test]
+fn the_log_is_json_when_asked_for() {
+    use std::io::{BufRead, BufReader};
+    let file = File::new("[log]\nformat = \"json\"\n", "toml");
+    let mut child = Command::new(PROGRAM)
+        .env("GRANITETHREAD_OPERATOR", &file.0)
+        .env("LB_CONFIG", repository("gateway.example.json"))
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("it runs");
+    let mut line = String::new();
+    BufReader::new(child.stderr.take().expect("piped")).read_line(&mut line).expect("a line");
+    let _ = (child.kill(), child.wait());
+    let event: serde_json::Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line}: {e}"));
+    let address = event["address"].as_str().expect("a field of its own");
+    assert_eq!(event["message"], format!("listening on {address}"));
+    assert_eq!(event["level"], "INFO");
+}
