--- /dev/null
+++ b/crates/sim/src/days.rs
@@ -0,0 +1,461 @@
+//! The same day played with real processes on loopback and in virtual time, side by side: what the simulator says is
+//! true as far as the two agree.
+
+use crate::chance::{exponential, long_tailed, stream};
+use crate::quota::Quotas;
+use crate::servers::{COLD, COLD_FROM};
+use crate::spec::{plan_of, Spec, MS};
+use crate::world::WORK;
+use crate::{play, Stats};
+use fastrand::Rng;
+use granite_rig::fleet::{lock, not_started, Cores, Meter};
+use granite_rig::peers::{read, Client, Discovery, Message};
+use granite_rig::program::{locate, Program, EXAMPLE};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The days that are played side by side.
+pub const DAYS: [&str; 4] = ["calm", "crash", "cold", "flood"];
+/// By how much the shares of the two may differ.
+pub const TOLERANCE: f64 = 0.06;
+const CLASSES: [&str; 3] = ["quote", "confirm", "book-slot"];
+/// An idle connection is not used again after so long: the gateway lets it go after 2.2 s.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// Connections to a gateway that are kept, and when each was used last.
+type Pool = Mutex<Vec<(Client, Instant)>>;
+
+/// What a day came to, as shares.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Shares {
+    pub goodput: f64,
+    pub refused: f64,
+    pub failed: f64,
+    /// Attempts that reached a server, for each try.
+    pub attempts: f64,
+}
+
+impl Shares {
+    pub fn of(s: &Stats) -> Self {
+        let share = |n: u64| n as f64 / s.asked.max(1) as f64;
+        Shares {
+            goodput: if s.worth_asked > 0.0 { s.worth_served / s.worth_asked } else { 1.0 },
+            refused: share(s.refused),
+            failed: share(s.failed),
+            attempts: share(s.attempts),
+        }
+    }
+
+    pub fn named(&self) -> [(&'static str, f64); 4] {
+        [
+            ("goodput", self.goodput),
+            ("refused", self.refused),
+            ("failed", self.failed),
+            ("attempts", self.attempts),
+        ]
+    }
+}
+
+/// The mean over these seeds in virtual time.
+pub fn simulated(spec: &Spec, seeds: std::ops::Range<u64>) -> Shares {
+    let n = seeds.end.saturating_sub(seeds.start).max(1) as f64;
+    let mut mean = Shares::default();
+    for seed in seeds {
+        let s = Shares::of(&play(spec, seed, false).stats);
+        mean.goodput += s.goodput / n;
+        mean.refused += s.refused / n;
+        mean.failed += s.failed / n;
+        mean.attempts += s.attempts / n;
+    }
+    mean
+}
+
+/// Plays a day with real gateways, as long as the world says.
+///
+/// # Errors
+/// One line, if a gateway does not come up.
+pub fn real(spec: &Spec, seed: u64) -> Result<Shares, String> {
+    let program = locate()?;
+    let day = Arc::new(Day::new(spec.clone(), seed)?);
+    let discovery = Discovery::new(day.list(1));
+    let mut gateways = Vec::new();
+    for n in 0..spec.gateways {
+        gateways.push(Program::start(&program, &config(spec, n), discovery.address)?);
+    }
+    let addresses: Vec<SocketAddr> = gateways.iter().map(|g| g.address).collect();
+    let begun = Instant::now();
+    let clients = {
+        let (day, addresses) = (day.clone(), addresses.clone());
+        thread::spawn(move || day.clients(&addresses, begun))
+    };
+    let mut rng = stream(seed, "late news");
+    let mut late = || Duration::from_millis(rng.u64(200..2500));
+    if let Some(at) = spec.power_cut {
+        wait(begun, at);
+        day.servers.iter().for_each(|s| s.stop());
+        let told = begun + Duration::from_nanos(at) + late();
+        wait(begun, at + 1000 * MS);
+        for s in &day.servers {
+            s.start()?;
+        }
+        thread::sleep(told.saturating_duration_since(Instant::now()));
+        discovery.tell(2, day.list(2));
+    }
+    if let Some(at) = spec.crash {
+        wait(begun, at);
+        gateways[0].kill();
+        wait(begun, at + 2000 * MS);
+        gateways[0].start_again()?;
+    }
+    let done = clients.join().map_err(|_| "the clients panicked".to_string());
+    drop(gateways);
+    done.map(|()| Shares::of(&day.stats()))
+}
+
+fn wait(begun: Instant, at: u64) {
+    thread::sleep((begun + Duration::from_nanos(at)).saturating_duration_since(Instant::now()));
+}
+
+/// A gateway's own file for this world.
+fn config(spec: &Spec, me: usize) -> String {
+    let mut config: Value = serde_json::from_str(EXAMPLE).expect("the example is JSON");
+    let settings = spec.settings(me);
+    let plan = |p: &granite_interface::Plan| {
+        json!({
+            "name": p.name, "quota_rate": p.rate, "depth": p.depth, "value_factor": p.value_factor,
+            "never_over_rate": p.ceiling_rate, "ceiling_burst": p.ceiling_burst,
+        })
+    };
+    let s = &mut config["settings"];
+    (s["me"], s["siblings"]) = (me.into(), spec.gateways.into());
+    s["plans"] = settings.plans.iter().map(plan).collect();
+    config.to_string()
+}
+
+// ---- Servers ----
+
+/// A stand-in server: cores, a waiting room, a cold start, an address of its own that is there while it runs.
+struct Server {
+    address: SocketAddr,
+    running: Mutex<Running>,
+    changed: Condvar,
+    cores: Cores,
+}
+
+#[derive(Default)]
+struct Running {
+    up: bool,
+    /// How often it has started.
+    life: u64,
+    /// When it started last, if it was stopped before.
+    born: Option<(Instant, u64)>,
+    connections: Vec<TcpStream>,
+}
+
+impl Server {
+    fn new(cores: Cores) -> Result<(Self, TcpListener), String> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        let running = Mutex::new(Running { up: true, ..Running::default() });
+        Ok((Server { address, running, changed: Condvar::new(), cores }, listener))
+    }
+
+    fn stop(&self) {
+        {
+            let mut running = lock(&self.running);
+            running.up = false;
+            running.connections.drain(..).for_each(|c| drop(c.shutdown(Shutdown::Both)));
+        }
+        // Its listener finds out by this, and goes.
+        drop(TcpStream::connect(self.address));
+    }
+
+    /// Starts it anew, and waits until it listens.
+    fn start(&self) -> Result<(), String> {
+        let mut running = lock(&self.running);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        (running.up, running.born) = (true, Some((Instant::now(), unix)));
+        running.life += 1;
+        self.changed.notify_all();
+        Ok(())
+    }
+
+    /// What one of its cores does now, as a part of a warm one's.
+    fn speed(&self) -> f64 {
+        let born = lock(&self.running).born;
+        let age = born.map_or(1.0, |(at, _)| at.elapsed().as_secs_f64() * 1e9 / COLD as f64);
+        (COLD_FROM + (1.0 - COLD_FROM) * age).min(1.0)
+    }
+
+    fn life(&self) -> Option<u64> {
+        let running = lock(&self.running);
+        running.up.then_some(running.life)
+    }
+}
+
+/// What all servers share.
+struct Books {
+    spec: Spec,
+    meter: Meter,
+    /// Whose each request is, and its units.
+    asked: Mutex<HashMap<u64, (usize, f64)>>,
+    /// When keyed requests ran first.
+    keys: Mutex<HashMap<u64, Instant>>,
+    work: Mutex<Rng>,
+    attempts: AtomicU64,
+}
+
+impl Books {
+    /// Serves a server's connections while it is up, and comes back with it.
+    fn serve(self: Arc<Self>, server: Arc<Server>, mut listener: TcpListener) {
+        loop {
+            while let Ok((stream, _)) = listener.accept() {
+                let Some(life) = server.life() else { break };
+                let (books, server) = (self.clone(), server.clone());
+                thread::spawn(move || books.connection(&server, life, stream));
+            }
+            drop(listener);
+            let mut running = lock(&server.running);
+            while !running.up {
+                running = server.changed.wait(running).unwrap_or_else(PoisonError::into_inner);
+            }
+            drop(running);
+            listener = match TcpListener::bind(server.address) {
+                Ok(listener) => listener,
+                Err(_) => return,
+            };
+        }
+    }
+
+    fn connection(&self, server: &Server, life: u64, mut stream: TcpStream) {
+        let (Ok(half), Ok(handle)) = (stream.try_clone(), stream.try_clone()) else { return };
+        let _ = stream.set_nodelay(true);
+        lock(&server.running).connections.push(handle);
+        let mut reader = BufReader::new(half);
+        while let Some(message) = read(&mut reader, 0) {
+            if server.life() != Some(life) || !self.answer(server, life, &message, &mut stream) {
+                return;
+            }
+        }
+    }
+
+    /// As the simulator's servers do: `servers.rs` and `world/backends.rs`.
+    fn answer(&self, server: &Server, life: u64, message: &Message, to: &mut TcpStream) -> bool {
+        let id = message.header("request-id").and_then(|id| u64::from_str_radix(id, 16).ok()).unwrap_or(0);
+        let (customer, units) = lock(&self.asked).get(&id).copied().unwrap_or_default();
+        self.attempts.fetch_add(1, Ordering::Relaxed);
+        let work = long_tailed(&mut lock(&self.work), WORK * (0.4 + 0.15 * units)) / server.speed();
+        if !server.cores.work(Duration::from_nanos(work as u64)) {
+            return not_started(to);
+        }
+        if server.life() != Some(life) {
+            return false;
+        }
+        let keyed = message.header("idempotency-key").is_some();
+        let ran = if keyed { lock(&self.keys).insert(id, Instant::now()) } else { None };
+        let repeat = ran.is_some_and(|at| at.elapsed() < Duration::from_secs(2));
+        let used = self.meter.book(&customer.to_string(), if repeat { 0.0 } else { units });
+        let rate = self.spec.settings(0).plans[plan_of(customer)].rate;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nBilled-Units: {units}\r\nUsage-Percent: {:.0}\r\nContent-Length: 2\r\n\r\nok",
+            100.0 * used / rate
+        );
+        to.write_all(head.as_bytes()).is_ok()
+    }
+}
+
+// ---- The day ----
+
+struct Day {
+    spec: Spec,
+    seed: u64,
+    servers: Vec<Arc<Server>>,
+    books: Arc<Books>,
+    offers: Mutex<Quotas>,
+    counts: Mutex<Stats>,
+}
+
+/// A client's first try, as it was drawn.
+#[derive(Clone, Copy)]
+struct First {
+    at: u64,
+    customer: usize,
+    class: usize,
+    units: f64,
+    chance: u64,
+}
+
+impl Day {
+    fn new(spec: Spec, seed: u64) -> Result<Self, String> {
+        let books = Arc::new(Books {
+            spec: spec.clone(),
+            meter: Meter::default(),
+            asked: Mutex::default(),
+            keys: Mutex::default(),
+            work: Mutex::new(stream(seed, "work")),
+            attempts: AtomicU64::new(0),
+        });
+        let mut kinds = stream(seed, "servers");
+        let mut servers = Vec::new();
+        for _ in 0..spec.servers {
+            let (server, listener) = Server::new(Cores::new(2, kinds.usize(8..16)))?;
+            let server = Arc::new(server);
+            servers.push(server.clone());
+            let books = books.clone();
+            thread::spawn(move || books.serve(server, listener));
+        }
+        Ok(Day { spec, seed, servers, books, offers: Mutex::default(), counts: Mutex::default() })
+    }
+
+    /// The list of servers as it is now.
+    fn list(&self, rev: u64) -> String {
+        let target = |(n, s): (usize, &Arc<Server>)| {
+            let boot = lock(&s.running).born.map_or(0, |(_, unix)| unix);
+            json!({
+                "uid": format!("s-{n:04}"), "endpoint": s.address.to_string(), "az": "hall", "model": "m",
+                "pod_group": 0, "state": "Ready", "capacity_hint": 1.0, "boot_ms": boot,
+            })
+        };
+        let targets: Vec<Value> = self.servers.iter().enumerate().map(target).collect();
+        json!({ "rev": rev, "all": true, "targets": targets }).to_string()
+    }
+
+    fn stats(&self) -> Stats {
+        Stats { attempts: self.books.attempts.load(Ordering::Relaxed), ..*lock(&self.counts) }
+    }
+
+    /// All first tries, drawn as the simulator draws them.
+    fn firsts(&self) -> Vec<First> {
+        let (mut load, mut firsts) = (stream(self.seed, "load"), Vec::new());
+        let (mut at, end) = (100 * MS, self.spec.seconds * 1000 * MS);
+        while at < end {
+            let gap = exponential(&mut load, 1e9 / self.spec.rate) as u64;
+            let customer = load.usize(0..self.spec.customers);
+            let drawn = load.f64();
+            let class = if drawn < 0.46 { 0 } else { 1 + usize::from(drawn < 0.73) };
+            let units = f64::from(load.u32(1..=8)).min(f64::from(load.u32(1..=8)));
+            let first = First { at, customer, class, units, chance: load.u64(..) };
+            firsts.push(first);
+            if self.spec.flood.is_some_and(|(from, until)| (from..until).contains(&at)) {
+                // The first partner adds twice as much again.
+                firsts.extend((1..3).map(|n| First { customer: 0, chance: first.chance + n, ..first }));
+            }
+            at += gap;
+        }
+        firsts
+    }
+
+    /// Plays all clients, and returns when the last has done.
+    fn clients(self: Arc<Self>, gateways: &[SocketAddr], begun: Instant) {
+        let pools: Arc<[Pool]> = gateways.iter().map(|_| Pool::default()).collect();
+        let gateways: Arc<[SocketAddr]> = gateways.into();
+        let mut all = Vec::new();
+        for first in self.firsts() {
+            wait(begun, first.at);
+            let (day, pools, gateways) = (self.clone(), pools.clone(), gateways.clone());
+            all.push(thread::spawn(move || day.client(&first, &gateways, &pools, begun)));
+        }
+        all.into_iter().for_each(|c| drop(c.join()));
+    }
+
+    /// One client: it asks, and comes again up to twice, as the simulator's do.
+    fn client(&self, first: &First, gateways: &[SocketAddr], pools: &[Pool], begun: Instant) {
+        let settings = self.spec.settings(0);
+        let (class, plan) = (&settings.classes[first.class], &settings.plans[plan_of(first.customer)]);
+        let now = || begun.elapsed().as_nanos() as u64;
+        let inside = lock(&self.offers).take(first.customer, plan, now(), first.units);
+        let worth = if inside { class.points * plan.value_factor * first.units } else { 0.0 };
+        lock(&self.counts).worth_asked += worth;
+        let asked_at = Instant::now();
+        for tries in 0..3 {
+            if now() >= self.spec.seconds * 1000 * MS {
+                return;
+            }
+            let mut rng = Rng::with_seed(first.chance ^ tries);
+            let home = first.customer * 7 + (now() / self.spec.moves) as usize;
+            let n = gateways.len();
+            let at = if rng.f64() < self.spec.home { home % n } else { (home + rng.usize(0..n.min(3))) % n };
+            let timeout = (class.deadline as f64 * (0.5 + 0.5 * rng.f64())) as u64;
+            let id = (first.chance ^ (tries << 60)).max(1);
+            lock(&self.books.asked).insert(id, (first.customer, first.units));
+            lock(&self.counts).asked += 1;
+            let account = format!("{:016x}", 1 + first.customer);
+            let text = granite_rig::demo::request(
+                CLASSES[first.class],
+                id,
+                &plan.name,
+                &account,
+                Duration::from_nanos(timeout).as_secs_f64(),
+            )
+            .replace("units=1,spread=1", &format!("units={},spread={}", first.units, n.min(3)));
+            let answer = (0..n).find_map(|k| {
+                let g = (at + k) % n;
+                ask(&pools[g], gateways[g], &text, Duration::from_nanos(timeout))
+            });
+            lock(&self.books.asked).remove(&id);
+            let again = match answer {
+                Some(Some((200, _))) => {
+                    let timely = asked_at.elapsed().as_nanos() as u64 <= class.aim;
+                    let mut counts = lock(&self.counts);
+                    counts.served += 1;
+                    counts.in_aim += u64::from(timely);
+                    counts.worth_served += if timely { worth } else { 0.0 };
+                    return;
+                }
+                Some(Some((429 | 503, advice))) => {
+                    lock(&self.counts).refused += 1;
+                    match first.customer % 3 {
+                        0 => advice.max(Duration::from_millis(10)),
+                        1 => Duration::from_millis(5),
+                        _ => Duration::from_millis(300),
+                    }
+                }
+                Some(Some(_)) => {
+                    lock(&self.counts).failed += 1;
+                    if first.class == 2 {
+                        return;
+                    }
+                    Duration::from_millis(100)
+                }
+                // It was taken and nothing came of it: the simulator's client gives up too.
+                _ => return,
+            };
+            thread::sleep(again);
+        }
+    }
+}
+
+/// Asks a gateway, on a connection that is kept if there is one. None if nobody listens; else the status and the
+/// advice, if an answer came in time.
+fn ask(pool: &Pool, to: SocketAddr, text: &str, limit: Duration) -> Option<Option<(u16, Duration)>> {
+    let kept = lock(pool).pop().filter(|(_, used)| used.elapsed() < FRESH).map(|(client, _)| client);
+    let reused = kept.is_some();
+    let mut client = match kept {
+        Some(client) => client,
+        None => Client::try_connect(to)?,
+    };
+    let asked = Instant::now();
+    let mut answer = said(&mut client, text, limit);
+    if answer.is_none() && reused && asked.elapsed() < limit {
+        // It may have been closed as idle while the request was on its way.
+        client = Client::try_connect(to)?;
+        answer = said(&mut client, text, limit.saturating_sub(asked.elapsed()));
+    }
+    if answer.is_some() {
+        lock(pool).push((client, Instant::now()));
+    }
+    Some(answer)
+}
+
+fn said(client: &mut Client, text: &str, limit: Duration) -> Option<(u16, Duration)> {
+    client.stream.set_read_timeout(Some(limit.max(Duration::from_millis(1)))).ok()?;
+    let answer = client.try_ask(text)?;
+    let advice = answer.header("retry-after").and_then(|v| v.parse().ok()).unwrap_or(0.0);
+    Some((answer.status(), Duration::try_from_secs_f64(advice).unwrap_or_default()))
+}
--- a/crates/sim/src/defects.rs
+++ b/crates/sim/src/defects.rs
@@ -1,7 +1,9 @@
 //! Defects of the deciding parts, planted by name. The shipped program is built without them.
 
+use granite_interface::Settings;
 use granite_lifecycle::defects as lifecycle;
 use granite_plan::defects as planning;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Defects that a fleet shows, and in which world.
 pub const ALL: &[(&str, &str)] = &[
@@ -24,13 +26,34 @@
     ("share-counted-unacked", "leases"),
     ("expired-comes-back", "leases"),
     ("restart-spends-floor", "leases"),
+    ("cold-taken-for-warm", "cold"),
+    ("ceiling-forgotten", "ceiling"),
 ];
 
+/// Defects of the decision module: it is told other settings than the world's.
+const OF_MODULE: [&str; 2] = ["cold-taken-for-warm", "ceiling-forgotten"];
+static SPOILT: AtomicUsize = AtomicUsize::new(0);
+
+/// The settings as the module hears them.
+pub fn spoil(mut settings: Settings) -> Settings {
+    match SPOILT.load(Ordering::Relaxed) {
+        1 => settings.cold = 0,
+        2 => settings.plans.iter_mut().for_each(|p| p.ceiling_rate = 0.0),
+        _ => {}
+    }
+    settings
+}
+
 /// Plants it, or takes all out. False if there is none of this name.
 pub fn plant(name: Option<&str>) -> bool {
     lifecycle::plant(None);
     planning::plant(None);
+    SPOILT.store(0, Ordering::Relaxed);
     let Some(name) = name else { return true };
+    if let Some(n) = OF_MODULE.iter().position(|known| *known == name) {
+        SPOILT.store(n + 1, Ordering::Relaxed);
+        return true;
+    }
     if let Some((defect, ..)) = lifecycle::ALL.iter().find(|(_, known, _)| *known == name) {
         lifecycle::plant(Some(*defect));
         return true;
--- /dev/null
+++ b/crates/sim/src/experiment.rs
@@ -0,0 +1,407 @@
+//! Experiments: a base world, sweeps over its parameters, arms side by side, over many seeds. One row a run.
+//!
+//! A file such as
+//!
+//! ```toml
+//! name = "lease-length"
+//! world = "leases"
+//! seeds = [0, 40]            # from, and up to but without
+//! [base]                     # what differs from the world in all runs
+//! seconds = 20
+//! [sweep]                    # every combination is played
+//! lease_ms = [100, 500, 2000]
+//! [[arm]]                    # all of that for each arm, over the same seeds
+//! name = "calm"
+//! [[arm]]
+//! name = "a planner is lost"
+//! planner_down_ms = [8000, 12000]
+//! ```
+
+use crate::record::{Second, QUANTILES};
+use crate::spec::MS;
+use crate::{play, Outcome, Spec};
+use granite_interface::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+/// The most runs of one experiment.
+pub const MOST_RUNS: usize = 1_000_000;
+
+/// What differs from a named world. What is absent stays as it is.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// 1 to 4096.
+    pub gateways: Option<usize>,
+    /// 1 to 10,000.
+    pub servers: Option<usize>,
+    /// 0 to 16; 0: gateways guess from the meter.
+    pub planners: Option<usize>,
+    /// 1 to 10 million.
+    pub customers: Option<usize>,
+    /// Requests a second, above 0 to 1 million.
+    pub rate: Option<f64>,
+    /// 1 to 3600.
+    pub seconds: Option<u64>,
+    /// Mean time between two faults; 0 for none.
+    pub fault_every_ms: Option<u64>,
+    /// The part of all requests that comes through the first gateway, 0 to 1.
+    pub skew: Option<f64>,
+    pub placement: Option<bool>,
+    /// A partner's quota, units a second and units; above 0.
+    pub partner_rate: Option<f64>,
+    pub partner_depth: Option<f64>,
+    /// The planners' terms; those that contradict each other are refused.
+    pub lease_ms: Option<u64>,
+    pub loan_ms: Option<u64>,
+    pub tick_ms: Option<u64>,
+    /// How often a customer's main gateway changes, 1 or more, and the part of its requests there, 0 to 1.
+    pub moves_ms: Option<u64>,
+    pub home: Option<f64>,
+    /// The first planner is gone from, until.
+    pub planner_down_ms: Option<(u64, u64)>,
+    pub power_cut_ms: Option<u64>,
+    pub flood_ms: Option<(u64, u64)>,
+    pub crash_ms: Option<u64>,
+}
+
+/// Applies to the field what is there.
+fn put<T: Copy, U>(to: &mut U, from: Option<T>, how: impl Fn(T) -> U) {
+    if let Some(value) = from {
+        *to = how(value);
+    }
+}
+
+impl Change {
+    /// The world with the change.
+    ///
+    /// # Errors
+    /// What is out of range, in words.
+    pub fn apply(&self, spec: &mut Spec) -> Result<(), String> {
+        let ms = |n: u64| n.saturating_mul(MS);
+        put(&mut spec.gateways, self.gateways, |n| n);
+        put(&mut spec.servers, self.servers, |n| n);
+        put(&mut spec.planners, self.planners, |n| n);
+        put(&mut spec.customers, self.customers, |n| n);
+        put(&mut spec.rate, self.rate, |n| n);
+        put(&mut spec.seconds, self.seconds, |n| n);
+        put(&mut spec.fault_every, self.fault_every_ms, |n| (n > 0).then(|| ms(n)));
+        put(&mut spec.skew, self.skew, |n| n);
+        put(&mut spec.placement, self.placement, |n| n);
+        put(&mut spec.partner.0, self.partner_rate, |n| n);
+        put(&mut spec.partner.1, self.partner_depth, |n| n);
+        put(&mut spec.lease, self.lease_ms, ms);
+        put(&mut spec.loan, self.loan_ms, ms);
+        put(&mut spec.tick, self.tick_ms, ms);
+        put(&mut spec.moves, self.moves_ms, ms);
+        put(&mut spec.home, self.home, |n| n);
+        let pair = |(a, b): (u64, u64)| Some((ms(a), ms(b)));
+        put(&mut spec.planner_down, self.planner_down_ms, pair);
+        put(&mut spec.power_cut, self.power_cut_ms, |n| Some(ms(n)));
+        put(&mut spec.flood, self.flood_ms, pair);
+        put(&mut spec.crash, self.crash_ms, |n| Some(ms(n)));
+        check(spec)
+    }
+}
+
+fn check(spec: &Spec) -> Result<(), String> {
+    let within = |name: &str, value: f64, least: f64, most: f64| {
+        if (least..=most).contains(&value) {
+            return Ok(());
+        }
+        Err(format!("{name} is {value}: {least} to {most} is wanted"))
+    };
+    within("gateways", spec.gateways as f64, 1.0, 4096.0)?;
+    within("servers", spec.servers as f64, 1.0, 10_000.0)?;
+    within("planners", spec.planners as f64, 0.0, 16.0)?;
+    within("customers", spec.customers as f64, 1.0, 1e7)?;
+    within("rate", spec.rate, 1e-3, 1e6)?;
+    within("seconds", spec.seconds as f64, 1.0, 3600.0)?;
+    within("skew", spec.skew, 0.0, 1.0)?;
+    within("home", spec.home, 0.0, 1.0)?;
+    within("partner_rate", spec.partner.0, 1e-3, 1e6)?;
+    within("partner_depth", spec.partner.1, 1e-3, 1e6)?;
+    within("moves_ms", (spec.moves / MS) as f64, 1.0, 1e9)?;
+    let ordered = |span: Option<(Time, Time)>| span.is_none_or(|(from, until)| from <= until);
+    if !ordered(spec.planner_down) || !ordered(spec.flood) {
+        return Err("a span ends before it begins".into());
+    }
+    spec.terms().check()
+}
+
+/// One arm: its name, and what differs in it.
+#[derive(Clone, Debug, Deserialize)]
+struct Arm {
+    name: String,
+    #[serde(flatten)]
+    change: toml::Table,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    name: String,
+    world: String,
+    seeds: (u64, u64),
+    #[serde(default)]
+    base: toml::Table,
+    #[serde(default)]
+    sweep: BTreeMap<String, Vec<toml::Value>>,
+    #[serde(default)]
+    arm: Vec<Arm>,
+}
+
+/// One combination of an arm and the swept values.
+#[derive(Clone, Debug)]
+pub struct Cell {
+    pub arm: String,
+    /// The swept parameters by name, as they are written.
+    pub point: BTreeMap<String, String>,
+    pub spec: Spec,
+}
+
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    pub name: String,
+    pub seeds: (u64, u64),
+    pub cells: Vec<Cell>,
+}
+
+impl Experiment {
+    /// Reads an experiment's file.
+    ///
+    /// # Errors
+    /// One line on what is wrong with it.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let file: File = toml::from_str(text).map_err(|e| e.to_string().trim().replace('\n', " "))?;
+        let Some(world) = Spec::named(&file.world) else {
+            return Err(format!("no world is named {:?}; list prints them", file.world));
+        };
+        let (from, until) = file.seeds;
+        if from >= until {
+            return Err("seeds: from, and up to but without, is wanted".into());
+        }
+        let mut arms = file.arm;
+        if arms.is_empty() {
+            arms.push(Arm { name: "all".into(), change: toml::Table::new() });
+        }
+        let names: std::collections::BTreeSet<&str> = arms.iter().map(|a| a.name.as_str()).collect();
+        if names.len() < arms.len() {
+            return Err("two arms have one name".into());
+        }
+        let mut points = vec![toml::Table::new()];
+        for (name, values) in &file.sweep {
+            let with = |point: &toml::Table, value: &toml::Value| {
+                let mut point = point.clone();
+                point.insert(name.clone(), value.clone());
+                point
+            };
+            points =
+                points.iter().flat_map(|p| values.iter().map(|v| with(p, v)).collect::<Vec<_>>()).collect();
+        }
+        let runs = ((until - from) as usize).saturating_mul(points.len()).saturating_mul(arms.len());
+        if runs == 0 || runs > MOST_RUNS {
+            return Err(format!("{runs} runs: 1 to {MOST_RUNS} are wanted"));
+        }
+        let mut cells = Vec::new();
+        for arm in &arms {
+            for point in &points {
+                let mut change = file.base.clone();
+                change.extend(arm.change.clone());
+                change.extend(point.clone());
+                let of = |e: String| format!("arm {:?}: {e}", arm.name);
+                let change: Change =
+                    change.try_into().map_err(|e| of(e.to_string().trim().replace('\n', " ")))?;
+                let mut spec = world.clone();
+                change.apply(&mut spec).map_err(of)?;
+                let point = point.iter().map(|(k, v)| (k.clone(), v.to_string())).collect();
+                cells.push(Cell { arm: arm.name.clone(), point, spec });
+            }
+        }
+        Ok(Experiment { name: file.name, seeds: file.seeds, cells })
+    }
+
+    pub fn runs(&self) -> usize {
+        (self.seeds.1 - self.seeds.0) as usize * self.cells.len()
+    }
+
+    /// Plays all of it, so many runs side by side; `done` hears of each. Rows come in the order of cells and
+    /// seeds, whichever run was done first.
+    pub fn play(&self, jobs: usize, done: impl Fn() + Sync) -> Vec<Row> {
+        let seeds = (self.seeds.1 - self.seeds.0) as usize;
+        let (next, rows) = (AtomicUsize::new(0), Mutex::new(Vec::with_capacity(self.runs())));
+        std::thread::scope(|scope| {
+            for _ in 0..jobs.max(1) {
+                scope.spawn(|| loop {
+                    let n = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(cell) = self.cells.get(n / seeds) else { return };
+                    let seed = self.seeds.0 + (n % seeds) as u64;
+                    let outcome = play(&cell.spec, seed, false);
+                    let row = Row::new(&self.name, cell, seed, outcome, n % seeds == 0);
+                    rows.lock().unwrap_or_else(PoisonError::into_inner).push((n, row));
+                    done();
+                });
+            }
+        });
+        let mut rows = rows.into_inner().unwrap_or_else(PoisonError::into_inner);
+        rows.sort_by_key(|(n, _)| *n);
+        rows.into_iter().map(|(_, row)| row).collect()
+    }
+}
+
+/// One run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub experiment: String,
+    pub arm: String,
+    pub point: BTreeMap<String, String>,
+    pub seed: u64,
+    pub figures: BTreeMap<String, f64>,
+    /// The rule that broke, if one did.
+    pub broken: Option<String>,
+    pub digest: String,
+    /// By quantile, in milliseconds.
+    pub latency_ms: Vec<(f64, f64)>,
+    /// A line a second, of the first seed of each cell.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seconds: Vec<Second>,
+}
+
+/// A figure's name, what it is, and whether more of it is better.
+pub const FIGURES: [(&str, &str, bool); 11] = [
+    ("goodput", "worth answered within the aim, of what was asked inside the quotas", true),
+    ("in_aim", "tries answered within the aim, of all", true),
+    ("refused", "tries refused, of all", false),
+    ("refused_with_room", "tries refused though the quota had room, of all", false),
+    ("failed", "tries failed, of all", false),
+    ("attempts", "attempts for each try", false),
+    ("turned_away", "attempts that a full server turned away, for each try", false),
+    ("p50_ms", "median of the time from first try to answer", false),
+    ("p99_ms", "99th percentile of it", false),
+    ("load_spread", "the busiest server's work over the mean", false),
+    ("over_ceiling", "units beyond a hard ceiling, at most", false),
+];
+
+impl Row {
+    fn new(experiment: &str, cell: &Cell, seed: u64, outcome: Outcome, first: bool) -> Self {
+        let (s, record) = (&outcome.stats, outcome.record);
+        let of_tries = |n: u64| n as f64 / s.asked.max(1) as f64;
+        let values = [
+            if s.worth_asked > 0.0 { s.worth_served / s.worth_asked } else { 1.0 },
+            of_tries(s.in_aim),
+            of_tries(s.refused),
+            of_tries(s.refused_with_room),
+            of_tries(s.failed),
+            of_tries(s.attempts),
+            of_tries(s.turned_away),
+            record.quantile(0.5),
+            record.quantile(0.99),
+            record.spread(),
+            s.most_over,
+        ];
+        let figures = FIGURES.iter().zip(values).map(|((name, ..), v)| ((*name).to_string(), v)).collect();
+        Row {
+            experiment: experiment.into(),
+            arm: cell.arm.clone(),
+            point: cell.point.clone(),
+            seed,
+            figures,
+            broken: outcome.violation.map(|v| v.to_string()),
+            digest: outcome.digest,
+            latency_ms: QUANTILES.iter().map(|q| (*q, record.quantile(*q))).collect(),
+            seconds: if first { record.seconds } else { Vec::new() },
+        }
+    }
+}
+
+/// Rows as JSON lines.
+///
+/// # Errors
+/// The number of the line that can't be read, and why.
+pub fn read_rows(text: &str) -> Result<Vec<Row>, String> {
+    let lines = text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty());
+    lines.map(|(n, line)| serde_json::from_str(line).map_err(|e| format!("line {}: {e}", n + 1))).collect()
+}
+
+/// Rows as a table for other tools: arm, swept parameters, seed, figures, what broke.
+///
+/// # Errors
+/// What the writer says.
+pub fn write_csv(rows: &[Row], to: impl std::io::Write) -> Result<(), String> {
+    let mut table = csv::Writer::from_writer(to);
+    let Some(first) = rows.first() else { return Ok(()) };
+    let mut head = vec!["experiment", "arm"];
+    head.extend(first.point.keys().map(String::as_str));
+    head.push("seed");
+    head.extend(first.figures.keys().map(String::as_str));
+    head.push("broken");
+    let wrote = |done: csv::Result<()>| done.map_err(|e| e.to_string());
+    wrote(table.write_record(&head))?;
+    for row in rows {
+        let mut line = vec![row.experiment.clone(), row.arm.clone()];
+        line.extend(row.point.values().cloned());
+        line.push(row.seed.to_string());
+        line.extend(row.figures.values().map(f64::to_string));
+        line.push(row.broken.clone().unwrap_or_default());
+        wrote(table.write_record(&line))?;
+    }
+    table.flush().map_err(|e| e.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = r#"
+        name = "t"
+        world = "planners"
+        seeds = [3, 5]
+        base = { seconds = 2 }
+        sweep = { lease_ms = [200, 500], home = [0.5, 0.9] }
+        [[arm]]
+        name = "a"
+        [[arm]]
+        name = "b"
+        planner_down_ms = [4200, 4900]
+    "#;
+
+    #[test]
+    fn every_combination_is_played_for_every_arm_and_seed() {
+        let e = Experiment::read(TEXT).unwrap();
+        assert_eq!((e.cells.len(), e.runs()), (8, 16));
+        let rows = e.play(3, || {});
+        assert_eq!(rows.len(), 16);
+        assert_eq!(rows, e.play(1, || {}), "how many run side by side changes nothing");
+        let seen: std::collections::BTreeSet<_> = rows.iter().map(|r| (&r.arm, &r.point, r.seed)).collect();
+        assert_eq!(seen.len(), 16);
+        let text: String = rows.iter().map(|r| serde_json::to_string(r).unwrap() + "\n").collect();
+        assert_eq!(read_rows(&text).unwrap(), rows);
+        let mut csv = Vec::new();
+        write_csv(&rows, &mut csv).unwrap();
+        assert_eq!(String::from_utf8(csv).unwrap().lines().count(), 17);
+    }
+
+    #[test]
+    fn what_wont_do_is_one_line() {
+        let cases = [
+            (TEXT.replace("planners\"", "nowhere\""), "no world is named"),
+            (TEXT.replace("[3, 5]", "[5, 5]"), "seeds"),
+            (TEXT.replace("lease_ms", "leash_ms"), "leash_ms"),
+            (TEXT.replace("[200, 500]", "[1, 500]"), "a lease lives"),
+            (TEXT.replace("[200, 500]", "[]"), "0 runs"),
+            (TEXT.replace("\"b\"", "\"a\""), "two arms"),
+            (TEXT.replace("[4200, 4900]", "[4900, 4200]"), "ends before it begins"),
+            (TEXT.replace("[3, 5]", "[3, 5]\nextra = 1"), "extra"),
+            (TEXT.replace("0.9]", "1.9]"), "home is 1.9"),
+            (TEXT.replace("[3, 5]", "[0, 99999999999]"), "runs"),
+            ("name = ".into(), "TOML"),
+        ];
+        for (text, what) in cases {
+            let error = Experiment::read(&text).unwrap_err();
+            assert!(error.contains(what) && !error.contains('\n'), "{what}: {error}");
+        }
+        assert!(read_rows("{}").unwrap_err().starts_with("line 1: "));
+    }
+}
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -4,12 +4,20 @@
 #![forbid(unsafe_code)]
 
 pub mod chance;
+pub mod compare;
+pub mod days;
 pub mod defects;
+pub mod experiment;
 pub mod mind;
 pub mod observer;
+pub mod quota;
+pub mod record;
+pub mod report;
 pub mod servers;
 pub mod shrink;
 pub mod spec;
+pub mod statistics;
+pub mod story;
 pub mod trace;
 pub mod world;
 
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -4,11 +4,16 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use granite_sim::compare::{compare, Difference};
+use granite_sim::experiment::{read_rows, write_csv, Experiment, Row, FIGURES};
 use granite_sim::shrink::shrink;
+use granite_sim::story::Story;
 use granite_sim::world::play_cut;
-use granite_sim::{defects, play, spec, Spec, Stats, Violation};
+use granite_sim::{days, defects, play, report, spec, Spec, Stats, Violation};
+use indicatif::ProgressBar;
 use serde_json::json;
 use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -69,11 +74,74 @@
         /// The last so many lines of the story
         #[arg(long, default_value_t = 60)]
         lines: usize,
+        /// Write what is left as a story's file
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Plays a story's file and tells what happens; exit 1 if its rule breaks
+    Story {
+        file: PathBuf,
+        /// Without its defect
+        #[arg(long)]
+        mended: bool,
+        #[arg(long, default_value_t = 60)]
+        lines: usize,
+    },
+    /// Plays an experiment's file: rows as JSON lines and CSV in a folder
+    Run {
+        file: PathBuf,
+        /// Where the rows go; made if it is not there
+        #[arg(long)]
+        out: PathBuf,
+        /// How many run side by side; 0 for one a core
+        #[arg(long, default_value_t = 0)]
+        jobs: usize,
+        /// Draw no progress bar
+        #[arg(long)]
+        quiet: bool,
+    },
+    /// Makes report.html, which stands alone, and the plots as SVG from a folder of rows
+    Report { dir: PathBuf },
+    /// Compares two folders of rows run by run; exit 1 if the second is worse beyond the interval
+    Compare {
+        first: PathBuf,
+        second: PathBuf,
+        /// The arm of the first, and of the second, where there are several
+        #[arg(long)]
+        arm: Option<String>,
+        #[arg(long)]
+        second_arm: Option<String>,
+        /// Only these figures are judged
+        #[arg(long, value_delimiter = ',', default_value = "goodput")]
+        judge: Vec<String>,
+        /// By so much of the first's mean it may be worse all the same, 0 to 1
+        #[arg(long, default_value_t = 0.0)]
+        margin: f64,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Plays the same days with real processes on loopback and in virtual time; exit 1 if they differ by too much
+    Days {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// One day; else calm, crash, cold and flood
+        #[arg(long)]
+        day: Option<String>,
+        /// How long each real one plays, 10 to 600
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(10..=600))]
+        seconds: u64,
+        /// Have the simulated gateways do this wrong: the two must differ
+        #[arg(long)]
+        defect: Option<String>,
+        #[arg(long)]
+        json: bool,
     },
     /// Plays a world with the planners' placement and without it, over the same seeds
     Placement {
         #[arg(long, default_value = "0..20", value_parser = range)]
         seeds: (u64, u64),
+        #[arg(long, default_value = "skewed")]
+        world: String,
     },
 }
 
@@ -115,7 +183,7 @@
 
 fn explore(worlds: &[Spec], (from, to): (u64, u64), jobs: usize, stop_at_first: bool) -> Sum {
     let (next, sum) = (AtomicU64::new(from), Mutex::new(Sum::default()));
-    let jobs = if jobs > 0 { jobs } else { std::thread::available_parallelism().map_or(1, usize::from) };
+    let jobs = cores(jobs);
     std::thread::scope(|scope| {
         for _ in 0..jobs {
             scope.spawn(|| loop {
@@ -145,6 +213,146 @@
     sum
 }
 
+/// How many run side by side where nothing is said: one a core.
+fn cores(jobs: usize) -> usize {
+    if jobs > 0 {
+        return jobs;
+    }
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
+
+fn finish(done: Result<bool, String>) -> ExitCode {
+    match done {
+        Ok(good) => ExitCode::from(u8::from(!good)),
+        Err(what) => wrong(&what),
+    }
+}
+
+fn of(path: &Path) -> impl Fn(std::io::Error) -> String + '_ {
+    move |e| format!("{}: {e}", path.display())
+}
+
+fn run(file: &Path, out: &Path, jobs: usize, quiet: bool) -> Result<(), String> {
+    let text = std::fs::read_to_string(file).map_err(of(file))?;
+    let experiment = Experiment::read(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    std::fs::create_dir_all(out).map_err(of(out))?;
+    let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(experiment.runs() as u64) };
+    let rows = experiment.play(cores(jobs), || bar.inc(1));
+    bar.finish_and_clear();
+    let mut lines = String::new();
+    for row in &rows {
+        lines.push_str(&serde_json::to_string(row).map_err(|e| e.to_string())?);
+        lines.push('\n');
+    }
+    let (rows_file, table) = (out.join("rows.jsonl"), out.join("rows.csv"));
+    std::fs::write(&rows_file, lines).map_err(of(&rows_file))?;
+    write_csv(&rows, std::fs::File::create(&table).map_err(of(&table))?)?;
+    std::fs::write(out.join("experiment.toml"), text).map_err(of(out))?;
+    let broken = rows.iter().filter(|r| r.broken.is_some()).count();
+    say(&format!("{} runs, {broken} with a broken rule, in {}", rows.len(), out.display()));
+    Ok(())
+}
+
+fn rows(dir: &Path) -> Result<Vec<Row>, String> {
+    let file = dir.join("rows.jsonl");
+    let text = std::fs::read_to_string(&file).map_err(of(&file))?;
+    read_rows(&text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+/// The rows of a folder that belong to this arm, if one is named.
+fn read(dir: &Path, arm: Option<&String>) -> Result<Vec<Row>, String> {
+    let rows: Vec<Row> = rows(dir)?.into_iter().filter(|r| arm.is_none_or(|a| r.arm == *a)).collect();
+    if rows.is_empty() {
+        return Err(format!("{}: no row, or none of this arm", dir.display()));
+    }
+    Ok(rows)
+}
+
+fn report(dir: &Path) -> Result<(), String> {
+    let rows = rows(dir)?;
+    let plots = report::plots(&rows).map_err(|e| e.to_string())?;
+    for (name, svg) in &plots {
+        let file = dir.join(format!("{name}.svg"));
+        std::fs::write(&file, svg).map_err(of(&file))?;
+    }
+    let file = dir.join("report.html");
+    std::fs::write(&file, report::page(&rows, &plots)).map_err(of(&file))?;
+    say(&format!("{} with {} plots", file.display(), plots.len()));
+    Ok(())
+}
+
+/// Plays a day both ways; whether they agree.
+fn side_by_side(day: &str, seed: u64, seconds: u64, json: bool) -> Result<bool, String> {
+    let Some(spec) = Spec::named(day).filter(|_| days::DAYS.contains(&day)) else {
+        return Err(format!("no day is named {day:?}: {} are", days::DAYS.join(", ")));
+    };
+    let spec = Spec { seconds, ..spec };
+    let real = days::real(&spec, seed)?;
+    let simulated = days::simulated(&spec, seed..seed + 20);
+    let mut good = true;
+    let mut figures = serde_json::Map::new();
+    for ((name, r), (_, s)) in real.named().into_iter().zip(simulated.named()) {
+        let apart = (r - s).abs() > days::TOLERANCE;
+        good &= !apart;
+        let verdict = if apart { "  APART" } else { "" };
+        say(&format!("{day:6} {name:10} real {r:.3}  simulated {s:.3}{verdict}"));
+        figures.insert(name.into(), json!([r, s]));
+    }
+    if json {
+        say(&json!({ "day": day, "seed": seed, "figures": figures, "ok": good }).to_string());
+    }
+    Ok(good)
+}
+
+/// Plays a story; whether every rule held.
+fn story(file: &Path, mended: bool, lines: usize) -> Result<bool, String> {
+    let text = std::fs::read_to_string(file).map_err(of(file))?;
+    let story = Story::read(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    let defect = story.defect.as_deref().filter(|_| !mended);
+    if !defects::plant(defect) {
+        return Err(format!("{}: no defect has this name", file.display()));
+    }
+    let Some(outcome) = story.play(true) else { return Err("the world is gone".into()) };
+    let all = &outcome.story;
+    all[all.len().saturating_sub(lines)..].iter().for_each(|line| say(line));
+    match &outcome.violation {
+        Some(violation) => say(&format!("BROKEN: {violation}")),
+        None => say("every rule held"),
+    }
+    Ok(outcome.violation.is_none())
+}
+
+/// Prints the differences; whether none that is judged is worse.
+fn compared(
+    first: &[Row],
+    second: &[Row],
+    judge: &[String],
+    margin: f64,
+    json: bool,
+) -> Result<bool, String> {
+    if let Some(name) = judge.iter().find(|j| FIGURES.iter().all(|(figure, ..)| figure != j)) {
+        return Err(format!("no figure is named {name:?}"));
+    }
+    let (first, second): (Vec<_>, Vec<_>) = (first.iter().collect(), second.iter().collect());
+    let all = compare(&first, &second, margin)?;
+    let judged = |d: &Difference| judge.iter().any(|j| j == d.figure);
+    for d in &all {
+        let verdict = if d.worse && judged(d) { "  WORSE" } else { "" };
+        let (low, high) = (d.by.low, d.by.high);
+        say(&format!(
+            "{:18} {:10.4} {:10.4}  by {:+.4} [{low:+.4}, {high:+.4}]{verdict}",
+            d.figure, d.first, d.second, d.by.mean
+        ));
+    }
+    let good = all.iter().all(|d| !(d.worse && judged(d)));
+    if json {
+        let of = |d: &Difference| (d.figure.to_string(), json!([d.by.mean, d.by.low, d.by.high]));
+        let all: serde_json::Map<String, serde_json::Value> = all.iter().map(of).collect();
+        say(&json!({ "differences": all, "no_worse": good }).to_string());
+    }
+    Ok(good)
+}
+
 fn main() -> ExitCode {
     match Args::parse().command {
         Command::List => {
@@ -200,7 +408,8 @@
             }
             ExitCode::SUCCESS
         }
-        Command::Shrink { seed, world, defect, lines } => {
+        Command::Story { file, mended, lines } => finish(story(&file, mended, lines)),
+        Command::Shrink { seed, world, defect, lines, out } => {
             let Some(spec) = Spec::named(&world) else { return wrong("no world has this name") };
             if !defects::plant(defect.as_deref()) {
                 return wrong("no defect has this name");
@@ -216,11 +425,34 @@
                 "{} of {} customers and {} faults are left, {} tries, in {} plays",
                 small.customers_left, spec.customers, small.faults_left, outcome.stats.asked, small.played
             ));
+            if let Some(file) = out {
+                let story = Story::new(&small.spec, seed, &small.cuts, &small.violation, defect.as_deref());
+                let wrote = story.write().and_then(|text| std::fs::write(&file, text).map_err(of(&file)));
+                if let Err(what) = wrote {
+                    return wrong(&what);
+                }
+            }
             say(&format!("BROKEN: {}", small.violation));
             ExitCode::FAILURE
         }
-        Command::Placement { seeds } => {
-            let Some(with) = Spec::named("skewed") else { return wrong("the world is gone") };
+        Command::Run { file, out, jobs, quiet } => finish(run(&file, &out, jobs, quiet).map(|()| true)),
+        Command::Report { dir } => finish(report(&dir).map(|()| true)),
+        Command::Compare { first, second, arm, second_arm, judge, margin, json } => {
+            let second_arm = second_arm.as_ref().or(arm.as_ref());
+            let done = read(&first, arm.as_ref()).and_then(|a| Ok((a, read(&second, second_arm)?)));
+            finish(done.and_then(|(a, b)| compared(&a, &b, &judge, margin, json)))
+        }
+        Command::Days { seed, day, seconds, defect, json } => {
+            if !defects::plant(defect.as_deref()) {
+                return wrong("no defect has this name");
+            }
+            let names: Vec<&str> = day.as_deref().map_or(days::DAYS.to_vec(), |day| vec![day]);
+            finish(
+                names.iter().try_fold(true, |good, day| Ok(side_by_side(day, seed, seconds, json)? && good)),
+            )
+        }
+        Command::Placement { seeds, world } => {
+            let Some(with) = Spec::named(&world) else { return wrong("no world has this name") };
             let without = Spec { placement: false, ..with.clone() };
             let mut sums = [Stats::default(); 2];
             for seed in seeds.0..seeds.1 {
--- /dev/null
+++ b/crates/sim/src/record.rs
@@ -0,0 +1,78 @@
+//! What a run leaves behind beside its counts: latencies, work by server, and a line a second.
+
+use granite_interface::Time;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+/// Latencies are told up to a minute, in microseconds, to three digits.
+const LONGEST: u64 = 60_000_000;
+/// Where a distribution is written down.
+pub const QUANTILES: [f64; 15] =
+    [0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 0.95, 0.99, 0.999, 1.0];
+
+/// One second of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Second {
+    pub asked: u64,
+    pub served_in_aim: u64,
+    pub served_late: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// From a request's first try to its answer, of those served, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Work that each server did, in nanoseconds of a warm core.
+    pub work: Vec<f64>,
+    pub seconds: Vec<Second>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Record::new(0)
+    }
+}
+
+impl Record {
+    pub fn new(servers: usize) -> Self {
+        let latency = Histogram::new_with_max(LONGEST, 3).expect("these bounds are sound");
+        Record { latency, work: vec![0.0; servers], seconds: Vec::new() }
+    }
+
+    /// The second that this moment is in.
+    pub fn second(&mut self, now: Time) -> &mut Second {
+        let n = (now / 1_000_000_000) as usize;
+        if self.seconds.len() <= n {
+            self.seconds.resize(n + 1, Second::default());
+        }
+        &mut self.seconds[n]
+    }
+
+    pub fn served(&mut self, now: Time, took: Time, in_aim: bool) {
+        self.latency.saturating_record(took / 1000);
+        let second = self.second(now);
+        if in_aim {
+            second.served_in_aim += 1;
+        } else {
+            second.served_late += 1;
+        }
+    }
+
+    /// The busiest server's work over the mean of all; 0 if nothing was done.
+    pub fn spread(&self) -> f64 {
+        let sum: f64 = self.work.iter().sum();
+        let most = self.work.iter().fold(0.0, |a: f64, b| a.max(*b));
+        if sum > 0.0 {
+            most * self.work.len() as f64 / sum
+        } else {
+            0.0
+        }
+    }
+
+    /// A quantile of the latency, in milliseconds.
+    pub fn quantile(&self, q: f64) -> f64 {
+        self.latency.value_at_quantile(q) as f64 / 1000.0
+    }
+}
--- a/crates/sim/src/shrink.rs
+++ b/crates/sim/src/shrink.rs
@@ -3,7 +3,10 @@
 use crate::spec::Spec;
 use crate::world::play_cut;
 use crate::Violation;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A wait of four seconds is 31 ms then.
+const MOST_HALVINGS: u32 = 7;
 
 /// What is left out of a world. Each fault and each request has chance of its own, so that what is left is the same.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -11,6 +14,8 @@
     /// Faults by their number, from 0.
     pub faults: BTreeSet<u64>,
     pub customers: BTreeSet<usize>,
+    /// By how many halvings what a fault leads to comes sooner, by the fault's number.
+    pub sooner: BTreeMap<u64, u32>,
 }
 
 /// The smallest story that was found, and how often a world was played for it.
@@ -44,6 +49,7 @@
     small.take_out(seed, &all, |cuts, n| cuts.faults.extend([n]));
     let all: Vec<u64> = (0..small.spec.customers as u64).collect();
     small.take_out(seed, &all, |cuts, n| cuts.customers.extend([n as usize]));
+    small.hurry(seed, first.stats.faults);
     small.faults_left = first.stats.faults - small.cuts.faults.len() as u64;
     small.customers_left = small.spec.customers - small.cuts.customers.len();
     Some(small)
@@ -63,6 +69,19 @@
         }
     }
 
+    /// What the faults that are left lead to comes sooner, by halves, while the rule still breaks.
+    fn hurry(&mut self, seed: u64, faults: u64) {
+        for fault in (0..faults).filter(|n| !self.cuts.faults.contains(n)).collect::<Vec<_>>() {
+            for halvings in 1..=MOST_HALVINGS {
+                let mut cuts = self.cuts.clone();
+                cuts.sooner.insert(fault, halvings);
+                if !self.attempt(seed, self.spec.clone(), cuts) {
+                    break;
+                }
+            }
+        }
+    }
+
     /// Halves first, then smaller parts, down to one at a time (delta debugging, Zeller and Hildebrandt 2002).
     fn take_out(&mut self, seed: u64, all: &[u64], cut: fn(&mut Cuts, u64)) {
         let mut part = all.len().div_ceil(2);
--- a/crates/sim/src/spec.rs
+++ b/crates/sim/src/spec.rs
@@ -1,6 +1,7 @@
 //! What a world is made of. Named worlds are the usual ones; a seed draws the rest.
 
 use granite_interface::{Class, Effect, Group, Plan, Settings, Time};
+use granite_plan::{Allowance, Terms};
 
 pub const MS: Time = 1_000_000;
 
@@ -27,6 +28,21 @@
     pub mischief: bool,
     /// A partner's quota: units a second, and units. Its ceiling is 60 and 80.
     pub partner: (f64, f64),
+    /// A planner's lease, a loan and the time between two reports.
+    pub lease: Time,
+    pub loan: Time,
+    pub tick: Time,
+    /// How often the gateway changes that most of a customer's requests come through, and their part.
+    pub moves: Time,
+    pub home: f64,
+    /// The first planner is gone from the first of these to the second.
+    pub planner_down: Option<(Time, Time)>,
+    /// All servers stop at this moment and are back a second later, cold.
+    pub power_cut: Option<Time>,
+    /// The first partner asks for twice as much as all others, from the first of these to the second.
+    pub flood: Option<(Time, Time)>,
+    /// The first gateway dies at this moment and is back two seconds later.
+    pub crash: Option<Time>,
 }
 
 const CALM: Spec = Spec {
@@ -43,6 +59,15 @@
     placement: true,
     mischief: false,
     partner: (30.0, 60.0),
+    lease: 500 * MS,
+    loan: 1500 * MS,
+    tick: 50 * MS,
+    moves: 8000 * MS,
+    home: 0.8,
+    planner_down: None,
+    power_cut: None,
+    flood: None,
+    crash: None,
 };
 
 pub const ALL: &[Spec] = &[
@@ -103,6 +128,49 @@
         skew: 0.6,
         ..CALM
     },
+    Spec {
+        name: "front",
+        about: "sixty-four forwarders of which one has most of the requests",
+        gateways: 64,
+        servers: 16,
+        planners: 2,
+        customers: 2000,
+        rate: 330.0,
+        skew: 0.6,
+        ..CALM
+    },
+    Spec { name: "crash", about: "calm, but a gateway dies after 8 s", crash: Some(8000 * MS), ..CALM },
+    Spec {
+        name: "cold",
+        about: "calm, but all servers lose power after 8 s and start cold",
+        power_cut: Some(8000 * MS),
+        ..CALM
+    },
+    Spec {
+        name: "flood",
+        about: "calm, but a partner floods from 8 to 14 s",
+        flood: Some((8000 * MS, 14_000 * MS)),
+        ..CALM
+    },
+    Spec {
+        name: "ceiling",
+        about: "gateways that guess, few members with large quotas that ask for more than their hard ceiling",
+        customers: 8,
+        rate: 250.0,
+        partner: (150.0, 200.0),
+        ..CALM
+    },
+    Spec {
+        name: "large",
+        about: "sixty-four gateways, a thousand servers, 100,000 customers",
+        gateways: 64,
+        servers: 1000,
+        customers: 100_000,
+        rate: 6000.0,
+        seconds: 10,
+        fault_every: Some(300 * MS),
+        ..CALM
+    },
 ];
 
 impl Spec {
@@ -110,6 +178,21 @@
         ALL.iter().find(|s| s.name == name).cloned()
     }
 
+    /// What its planners and forwarders share.
+    pub fn terms(&self) -> Terms {
+        let settings = self.settings(0);
+        let allowance = |p: &Plan| Allowance {
+            quota_rate: p.rate,
+            quota_depth: p.depth,
+            ceiling_rate: p.ceiling_rate,
+            ceiling_depth: p.ceiling_burst,
+            slots: f64::from(p.parallel),
+        };
+        let plans = settings.plans.iter().map(allowance).collect();
+        let (lease, loan, tick) = (self.lease, self.loan, self.tick);
+        Terms { lease, loan, tick, attempt: 2500 * MS, ..Terms::new(self.gateways as u16, plans) }
+    }
+
     /// What every gateway of it is told at its start.
     pub fn settings(&self, me: usize) -> Settings {
         let class =
--- /dev/null
+++ b/crates/sim/src/statistics.rs
@@ -0,0 +1,63 @@
+//! Means with bootstrap intervals (Efron 1979: percentile method), and paired differences.
+
+use fastrand::Rng;
+
+/// How often a sample is drawn anew.
+const DRAWS: usize = 2000;
+/// The part of the draws inside an interval.
+const INSIDE: f64 = 0.95;
+
+/// A mean, and the interval that 95% of the redrawn means lie in.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    pub mean: f64,
+    pub low: f64,
+    pub high: f64,
+    /// How many values it is the mean of.
+    pub count: usize,
+}
+
+/// The mean of these values with its interval. The same values give the same interval.
+pub fn estimate(values: &[f64]) -> Estimate {
+    let count = values.len();
+    if count == 0 {
+        return Estimate::default();
+    }
+    let mean = |sum: f64| sum / count as f64;
+    let mut rng = Rng::with_seed(count as u64);
+    let mut draws: Vec<f64> =
+        (0..DRAWS).map(|_| mean((0..count).map(|_| values[rng.usize(0..count)]).sum())).collect();
+    draws.sort_by(f64::total_cmp);
+    let at = |part: f64| draws[((DRAWS - 1) as f64 * part).round() as usize];
+    let edge = (1.0 - INSIDE) / 2.0;
+    Estimate { mean: mean(values.iter().sum()), low: at(edge), high: at(1.0 - edge), count }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_interval_holds_the_mean_and_narrows_with_more_values() {
+        let few: Vec<f64> = (0..8).map(f64::from).collect();
+        let many: Vec<f64> = (0..800).map(|n| f64::from(n % 8)).collect();
+        let (a, b) = (estimate(&few), estimate(&many));
+        assert!((a.mean - 3.5).abs() < 1e-9 && a.low < 3.5 && a.high > 3.5);
+        assert!(b.high - b.low < (a.high - a.low) / 5.0);
+        assert_eq!(estimate(&few), a, "the same values give the same interval");
+        assert_eq!(estimate(&[]).count, 0);
+    }
+
+    /// One in twenty intervals of a known mean may miss it; far more would be a fault.
+    #[test]
+    fn intervals_cover_the_true_mean_about_as_often_as_they_say() {
+        let mut rng = Rng::with_seed(3);
+        let covers = (0..200)
+            .filter(|_| {
+                let e = estimate(&(0..40).map(|_| rng.f64()).collect::<Vec<_>>());
+                (e.low..=e.high).contains(&0.5)
+            })
+            .count();
+        assert!((176..=200).contains(&covers), "{covers} of 200");
+    }
+}
--- /dev/null
+++ b/crates/sim/src/story.rs
@@ -0,0 +1,114 @@
+//! A story that breaks a rule, as a file: what a shrunk seed leaves, to be played again and kept as a test.
+
+use crate::shrink::Cuts;
+use crate::spec::{Spec, MS};
+use crate::world::{play_cut, Outcome};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Story {
+    pub world: String,
+    pub seed: u64,
+    /// Until when requests come, 1 to 3600.
+    pub seconds: u64,
+    /// The rule that breaks, and when, in virtual milliseconds.
+    pub rule: String,
+    pub at_ms: f64,
+    /// The defect without which it holds, if one was planted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub defect: Option<String>,
+    #[serde(default)]
+    pub faults_left_out: BTreeSet<u64>,
+    #[serde(default)]
+    pub customers_left_out: BTreeSet<usize>,
+    /// By how many halvings what a fault leads to comes sooner, by the fault's number.
+    #[serde(default)]
+    pub sooner: BTreeMap<String, u32>,
+}
+
+impl Story {
+    /// What is left of a world after shrinking.
+    pub fn new(spec: &Spec, seed: u64, cuts: &Cuts, broken: &crate::Violation, defect: Option<&str>) -> Self {
+        Story {
+            world: spec.name.into(),
+            seed,
+            seconds: spec.seconds,
+            rule: broken.rule.into(),
+            at_ms: broken.at as f64 / MS as f64,
+            defect: defect.map(Into::into),
+            faults_left_out: cuts.faults.clone(),
+            customers_left_out: cuts.customers.clone(),
+            sooner: cuts.sooner.iter().map(|(n, by)| (n.to_string(), *by)).collect(),
+        }
+    }
+
+    /// Reads a story's file.
+    ///
+    /// # Errors
+    /// One line on what is wrong with it.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let story: Story = toml::from_str(text).map_err(|e| e.to_string().trim().replace('\n', " "))?;
+        if Spec::named(&story.world).is_none() {
+            return Err(format!("no world is named {:?}", story.world));
+        }
+        if !(1..=3600).contains(&story.seconds) {
+            return Err(format!("seconds is {}: 1 to 3600 is wanted", story.seconds));
+        }
+        if let Some(bad) = story.sooner.iter().find(|(n, by)| n.parse::<u64>().is_err() || **by > 20) {
+            return Err(format!("sooner: {} = {}: a fault's number and 0 to 20 are wanted", bad.0, bad.1));
+        }
+        Ok(story)
+    }
+
+    /// The file's text.
+    ///
+    /// # Errors
+    /// What the writer says.
+    pub fn write(&self) -> Result<String, String> {
+        toml::to_string(self).map_err(|e| e.to_string())
+    }
+
+    /// Plays it; the defect is the caller's to plant.
+    pub fn play(&self, tell: bool) -> Option<Outcome> {
+        let spec = Spec { seconds: self.seconds, ..Spec::named(&self.world)? };
+        let cuts = Cuts {
+            faults: self.faults_left_out.clone(),
+            customers: self.customers_left_out.clone(),
+            sooner: self.sooner.iter().filter_map(|(n, by)| Some((n.parse().ok()?, *by))).collect(),
+        };
+        Some(play_cut(&spec, self.seed, tell, &cuts))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_story_is_read_as_it_was_written_and_bad_ones_are_named() {
+        let story = Story {
+            world: "faults".into(),
+            seed: 4,
+            seconds: 9,
+            rule: "r".into(),
+            at_ms: 1.5,
+            defect: Some("d".into()),
+            faults_left_out: [1, 3].into(),
+            customers_left_out: [7].into(),
+            sooner: [("2".to_string(), 3)].into(),
+        };
+        let text = story.write().unwrap();
+        assert_eq!(Story::read(&text).unwrap(), story);
+        for (bad, what) in [
+            (text.replace("\"faults\"", "\"nowhere\""), "no world"),
+            (text.replace("seconds = 9", "seconds = 0"), "seconds is 0"),
+            (text.replace("2 = 3", "two = 3"), "sooner"),
+            (text.replace("seed", "sead"), "sead"),
+        ] {
+            let error = Story::read(&bad).unwrap_err();
+            assert!(error.contains(what) && !error.contains('\n'), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/world/planning.rs
@@ -0,0 +1,90 @@
+//! Discovery and planners: who is told what, and when.
+
+use super::*;
+
+impl World {
+    pub(super) fn entries(&self) -> Vec<(usize, Listed, Time)> {
+        self.servers.iter().enumerate().map(|(n, s)| (n, s.listed, s.born)).collect()
+    }
+
+    /// The list has changed: every gateway hears of it, late.
+    pub(super) fn publish(&mut self) {
+        self.rev += 1;
+        let (rev, entries) = (self.rev, self.entries());
+        for gateway in 0..self.processes.len() {
+            let life = self.processes[gateway].life;
+            let what = Inward::Told { rev, entries: entries.clone() };
+            let at = self.now + self.net.u64(200..2500) * MS;
+            self.at(at, Event::To { gateway, life, what });
+        }
+    }
+
+    pub(super) fn told(&mut self, gateway: usize, rev: u64, entries: Vec<(usize, Listed, Time)>) {
+        let p = &mut self.processes[gateway];
+        // A later one has overtaken it.
+        if rev <= p.rev {
+            return;
+        }
+        (p.rev, p.list) = (rev, entries);
+        for (n, listed, _) in &p.list {
+            self.observer.told(self.now, gateway, *n, *listed == Listed::Up);
+        }
+        let entries = list(p);
+        self.give(gateway, Input::List { scope: Scope::Full, rev, entries });
+    }
+
+    /// Whether a message gets through, and after how long.
+    pub(super) fn message(&mut self, open: bool) -> Option<Time> {
+        if !open || self.spec.fault_every.is_some() && self.net.u32(0..100) < 2 {
+            return None;
+        }
+        Some(match self.net.u32(0..100) {
+            0 if self.spec.fault_every.is_some() => self.net.u64(100..3000) * MS,
+            1..=5 if self.spec.fault_every.is_some() => self.net.u64(10..300) * MS,
+            _ => self.net.u64(200_000..3_000_000),
+        })
+    }
+
+    /// Now and then a message comes twice.
+    pub(super) fn copies(&mut self) -> usize {
+        1 + usize::from(self.spec.fault_every.is_some() && self.net.u32(0..100) < 2)
+    }
+
+    pub(super) fn report(&mut self, gateway: usize, planner: usize, report: Report) {
+        let open = self.links[gateway][planner].0;
+        for _ in 0..self.copies() {
+            if let Some(delay) = self.message(open) {
+                self.at(self.now + delay, Event::AtPlanner { planner, report: report.clone() });
+            }
+        }
+    }
+
+    pub(super) fn at_planner(&mut self, planner: usize, report: &Report) {
+        let p = &mut self.planners[planner];
+        if !p.up {
+            return;
+        }
+        if p.paused_until > self.now {
+            let (at, report) = (p.paused_until, report.clone());
+            return self.at(at, Event::AtPlanner { planner, report });
+        }
+        let clock = p.offset + (self.now as f64 * p.rate) as Time;
+        let answer = p.what.handle(clock, report);
+        if p.what.panics() > 0 {
+            self.observer.panicked(self.now, format!("planner {planner}"));
+        }
+        let Ok(mut grant) = answer else { return };
+        if !self.spec.placement {
+            grant.share = 1.0 / self.spec.gateways as f64;
+        }
+        let gateway = usize::from(report.seat);
+        let life = self.processes[gateway].life;
+        let open = self.links[gateway][planner].1;
+        for _ in 0..self.copies() {
+            if let Some(delay) = self.message(open) {
+                let what = Inward::Grant { planner, grant: grant.clone() };
+                self.at(self.now + delay, Event::To { gateway, life, what });
+            }
+        }
+    }
+}
--- a/crates/sim/tests/sim.rs
+++ b/crates/sim/tests/sim.rs
@@ -1,6 +1,7 @@
 //! The simulator holds the rules over a small set of seeds, sees what is planted, and does the same twice.
 
 use granite_sim::shrink::shrink;
+use granite_sim::story::Story;
 use granite_sim::world::play_cut;
 use granite_sim::{defects, play, Spec};
 use std::sync::{Mutex, PoisonError};
@@ -81,3 +82,41 @@
     assert!(again.stats.asked < first.stats.asked / 2, "{} tries", again.stats.asked);
     assert_eq!(shrink(&spec, seed).map(|s| s.violation), None, "without the defect nothing breaks");
 }
+
+/// Every story in `tests/stories` breaks its rule with its defect, and holds without it.
+#[test]
+fn stories_break_with_their_defect_and_hold_without() {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/stories");
+    let mut played = 0;
+    for file in std::fs::read_dir(folder).expect("the folder of stories") {
+        let path = file.expect("a file of it").path();
+        let text = std::fs::read_to_string(&path).expect("a story");
+        let story = Story::read(&text).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        assert!(defects::plant(story.defect.as_deref()));
+        let broken = story.play(false).and_then(|o| o.violation);
+        defects::plant(None);
+        let held = story.play(false).expect("its world").violation;
+        assert_eq!(broken.map(|v| v.rule), Some(story.rule.as_str()), "{}", path.display());
+        assert_eq!(held, None, "{} without its defect", path.display());
+        played += 1;
+    }
+    assert!(played >= 4, "{played} stories");
+}
+
+/// A planned day changes what is meant to, and no rule breaks.
+#[test]
+fn planned_days_hold_the_rules_and_leave_their_mark() {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    defects::plant(None);
+    let calm = play(&world("calm"), 3, false);
+    for name in ["crash", "cold", "flood"] {
+        let day = play(&world(name), 3, false);
+        assert_eq!(day.violation, None, "{name}");
+        assert_ne!(day.digest, calm.digest, "{name}");
+    }
+    let goodput = |o: &granite_sim::Outcome| o.stats.worth_served / o.stats.worth_asked;
+    let cold = play(&world("cold"), 3, false);
+    assert!(goodput(&cold) < goodput(&calm), "{} {}", goodput(&cold), goodput(&calm));
+    assert!(goodput(&calm) <= 1.0 && goodput(&calm) > 0.5, "{}", goodput(&calm));
+}
