Choice at constant cost: a large fleet is surveyed now and then and drawn from

Need: rooms, the fleet's mean of bad ends, warmth and the choice itself walked all servers for every request, so that CPU grew with the fleet. Change: what is known of the whole is gathered once a pump (Gateway::survey), for more than 32 servers every 50 ms or when the list changes; of those a request looks at 16 drawn ones and the cold one its draw opens, and at all of them once if none of the drawn has room.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 use crate::interface::*;
 use fastrand::Rng;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 /// The two resources: attempts in flight here, and units in flight here.
 const RESOURCES: usize = 2;
@@ -44,6 +45,11 @@
 const EVEN: f64 = 1.0;
 /// Under how much of the rooms open the back end counts as pressed.
 const PRESSED: f64 = 0.9;
+/// A fleet of so many servers is looked at whole for every request; of a larger one so many are drawn, and
+/// what is known of the whole is brought up to date so often.
+const FEW: usize = 32;
+const DRAWN: usize = 16;
+const REFRESH: Time = 50_000_000;
 const TIMER_PUMP: u64 = 0;
 const TIMER_ASK: u64 = 1;
 const TIMER_REQUESTS: u64 = 2;
@@ -145,6 +151,23 @@
     share_then: f64,
 }
 
+/// What is known of the whole fleet, so that one request need not look at every server.
+#[derive(Clone, Debug, Default)]
+struct Overview {
+    at: Time,
+    /// The list has changed since.
+    stale: bool,
+    /// Servers that take new work; of a large fleet the warm ones; and the cold ones, each with where the
+    /// part of all draws ends that opens it.
+    up: Arc<[Name]>,
+    warm: Vec<Name>,
+    cold: Vec<(f64, Name)>,
+    /// Their rooms together, each by its warmth.
+    room: f64,
+    /// The mean share of bad ends, by class and then by plan, each server counted by what is known of it.
+    pools: Vec<f64>,
+}
+
 #[derive(Clone, Debug)]
 pub struct Gateway {
     s: Settings,
@@ -152,6 +175,7 @@
     born: Time,
     now: Time,
     servers: BTreeMap<Name, Server>,
+    fleet: Overview,
     held: BTreeMap<RequestId, Held>,
     customers: BTreeMap<Name, Customer>,
     subs: [Sub; RESOURCES],
@@ -191,6 +215,7 @@
             born: now,
             now,
             servers: BTreeMap::new(),
+            fleet: Overview::default(),
             held: BTreeMap::new(),
             customers: BTreeMap::new(),
             subs: [sub(), sub()],
@@ -296,6 +321,58 @@
             (known.rating, known.since) = (n.rating, n.since);
         }
         self.servers.retain(|_, s| s.health != Health::Removed || s.own > 0);
+        self.fleet.stale = true;
+    }
+
+    /// Brings what is known of the whole up to date: always for a small fleet, now and then for a large one.
+    fn survey(&mut self) {
+        let now = self.now;
+        if self.servers.len() > FEW && !self.fleet.stale && now < self.fleet.at + REFRESH {
+            return;
+        }
+        let (memory, slots) = (self.memory(), self.s.classes.len() + self.s.plans.len());
+        let (large, known) = (self.servers.len() > FEW, (!self.fleet.stale).then(|| self.fleet.up.clone()));
+        let mut all = Overview { at: now, ..Overview::default() };
+        let mut up = Vec::new();
+        let (mut sums, mut place) = (vec![(0.0, 0.0); slots], 0.0);
+        for (name, s) in &self.servers {
+            let keep = (-secs(now - s.ended) / memory).exp();
+            for (sum, end) in sums.iter_mut().zip(&s.ends) {
+                let (ends, bad) = (keep * end.0, keep * end.1);
+                *sum = (sum.0 + ends / (ends + 1.0), sum.1 + bad / (ends + 1.0));
+            }
+            if s.health != Health::Up {
+                continue;
+            }
+            let warmth = self.warmth(s);
+            all.room += s.room * warmth;
+            place += warmth;
+            if known.is_none() {
+                up.push(name.clone());
+            }
+            if warmth < 1.0 {
+                all.cold.push((warmth, name.clone()));
+            } else if large {
+                all.warm.push(name.clone());
+            }
+        }
+        all.up = known.unwrap_or_else(|| up.into());
+        // Beyond the paper: slow start. A request's draw opens at most one cold server to it, each by its
+        // warmth: it gets its part of all gateways' traffic at most, far below the multiple at which it
+        // falls, and nothing need be remembered. Harms by under-using cold servers a little.
+        let mut end = 0.0;
+        for (part, _) in &mut all.cold {
+            end += *part / place;
+            *part = end;
+        }
+        all.pools = sums.into_iter().map(|(n, bad)| bad / (n + 1.0)).collect();
+        self.fleet = all;
+    }
+
+    /// The cold server that this draw opens, if it opens one.
+    fn opened(&self, draw: f64) -> Option<&Name> {
+        let cold = &self.fleet.cold;
+        cold.get(cold.partition_point(|(end, _)| *end <= draw)).map(|(_, name)| name)
     }
 
     // ---- Quotas ----
@@ -452,9 +529,7 @@
     // ---- The scheduler ----
 
     fn room(&self, res: usize) -> f64 {
-        let ready = self.servers.values().filter(|s| s.health == Health::Up);
-        let attempts: f64 = ready.map(|s| s.room * self.warmth(s)).sum();
-        self.open * attempts * if res == 0 { 1.0 } else { self.mean_units.max(1.0) }
+        self.open * self.fleet.room * if res == 0 { 1.0 } else { self.mean_units.max(1.0) }
     }
 
     /// The main scheduler: wakes the sub-scheduler of the most available resource, else the next.
@@ -462,6 +537,7 @@
         if self.subs.iter().all(|s| s.queues.iter().all(|q| q.is_empty())) {
             return;
         }
+        self.survey();
         // A quantum covers any request, so three rounds without a send mean that room lacks, not deficit.
         let (mut short, mut idle) = (false, 0);
         let rooms = [self.room(0), self.room(1)];
@@ -537,14 +613,22 @@
         let held = &self.held;
         self.subs[res].queues[plan].retain(|id| held.contains_key(id));
         let mut none = vec![false; self.s.classes.len()];
-        let cold = self.servers.values().any(|s| self.warmth(s) < 1.0);
+        let cold = !self.fleet.cold.is_empty();
+        let mut looked = vec![false; self.s.classes.len()];
         for place in 0..self.subs[res].queues[plan].len() {
             let id = self.subs[res].queues[plan][place];
             let (class, units) = (self.held[&id].class, self.held[&id].units);
             if none[class] || !fits(self, 1, units.min(self.quantum(1, plan))) || !self.may_go(id) {
                 continue;
             }
-            match self.choose(id) {
+            let found = match self.choose(id, false) {
+                // What few that were drawn had no room for, the rest may have; they are asked for once.
+                None if self.servers.len() > FEW && !std::mem::replace(&mut looked[class], true) => {
+                    self.choose(id, true)
+                }
+                found => found,
+            };
+            match found {
                 Some(server) => return Some((id, server, place)),
                 None => none[class] = !cold && self.held[&id].ran.is_none(),
             }
@@ -588,45 +672,41 @@
         (keep * s.ends[slot].1 + 0.5 * pool) / (keep * s.ends[slot].0 + 0.5)
     }
 
-    /// The fleet's mean share of bad ends in a slot, each server counted by what is known of it.
-    fn pool(&self, slot: usize) -> f64 {
-        let (n, bad) = self.servers.values().fold((0.0, 0.0), |(n, b), s| {
-            let keep = (-secs(self.now - s.ended) / self.memory()).exp();
-            let (ends, bad) = (keep * s.ends[slot].0, keep * s.ends[slot].1);
-            (n + ends / (ends + 1.0), b + bad / (ends + 1.0))
-        });
-        bad / (n + 1.0)
-    }
-
     /// How long ends are remembered, in seconds: a trouble lasts many aims.
     fn memory(&self) -> f64 {
         MEMORY * self.s.classes.iter().map(|c| secs(c.aim)).fold(0.0, f64::max)
     }
 
+    /// Those that one request looks at. Of a large fleet some are drawn, unless it is looked at whole, and
+    /// the cold one that its draw opens.
+    fn candidates(&mut self, draw: f64, whole: bool) -> Arc<[Name]> {
+        if whole || self.servers.len() <= FEW {
+            return self.fleet.up.clone();
+        }
+        let n = self.fleet.warm.len();
+        let (warm, rng) = (&self.fleet.warm, &mut self.rng);
+        let mut drawn: Vec<Name> = (0..DRAWN.min(n)).map(|_| warm[rng.usize(..n)].clone()).collect();
+        drawn.extend(self.opened(draw).cloned());
+        drawn.into()
+    }
+
     /// A server of the least expected wait, or nearly, among those that may take this request.
-    fn choose(&mut self, id: RequestId) -> Option<Name> {
+    fn choose(&mut self, id: RequestId, whole: bool) -> Option<Name> {
+        let candidates = self.candidates(self.held[&id].draw, whole);
         let h = &self.held[&id];
         let class = &self.s.classes[h.class];
         let classes = self.s.classes.len();
-        let (class_pool, plan_pool) = (self.pool(h.class), self.pool(classes + h.plan));
-        let up = || self.servers.iter().filter(|(_, s)| s.health == Health::Up);
-        let total: f64 = up().map(|(_, s)| self.warmth(s)).sum();
+        let (class_pool, plan_pool) = (self.fleet.pools[h.class], self.fleet.pools[classes + h.plan]);
+        let opened = self.opened(h.draw);
         // What a bad end costs, in usual answer times; twice if the request can't be repeated.
         let loss = if class.effect == Effect::Unsafe { 2.0 * LOSS } else { LOSS };
         let loss = loss * secs(class.aim) / self.usual[h.class].max(1e-9);
-        let mut place = 0.0;
         let mut found: Vec<(bool, f64, f64, &Name)> = Vec::new();
-        for (name, s) in up() {
+        for name in &*candidates {
+            let Some(s) = self.servers.get(name).filter(|s| s.health == Health::Up) else { continue };
             let warmth = self.warmth(s);
-            // Beyond the paper: slow start. A request's draw opens at most one cold server to it, each by its
-            // warmth: it gets its part of all gateways' traffic at most, far below the multiple at which it
-            // falls, and nothing need be remembered. Harms by under-using cold servers a little.
-            if warmth < 1.0 {
-                let opens = place..place + warmth / total;
-                place = opens.end;
-                if !opens.contains(&h.draw) {
-                    continue;
-                }
+            if warmth < 1.0 && opened != Some(name) {
+                continue;
             }
             if f64::from(s.own) + 1.0 > (s.room * warmth).max(1.0) {
                 continue;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -707,3 +707,68 @@
         out.iter().find_map(|a| if let Action::Reject { advice, .. } = a { Some(*advice) } else { None });
     assert!((1..=2 * SEC).contains(&advice.expect("refused")), "{out:?}");
 }
+
+/// A large fleet is not looked at whole for each request, and every server gets its part all the same.
+#[test]
+fn a_large_fleet_is_drawn_from_evenly() {
+    let mut rig = Rig::new(settings(), 400);
+    let mut count = std::collections::BTreeMap::<String, usize>::new();
+    let mut out_now = std::collections::VecDeque::new();
+    for i in 0..8000 {
+        rig.now += MS / 4;
+        if out_now.len() >= 600 {
+            let (id, server): (u64, String) = out_now.pop_front().expect("some are out");
+            rig.end_with(id, 0, &server, Ending::Pass, 150 * MS, None);
+        }
+        let (id, out) = rig.request(0, 0, &format!("c{i}"), 1.0);
+        let server = sent_to(&out).remove(0);
+        *count.entry(server.clone()).or_default() += 1;
+        out_now.push_back((id, server));
+    }
+    let most = *count.values().max().expect("some");
+    assert_eq!(count.len(), 400, "every one is used");
+    assert!(most <= 60, "{most} at one, 20 on average");
+}
+
+#[test]
+fn what_the_drawn_have_no_room_for_the_rest_of_a_large_fleet_takes() {
+    let mut rig = Rig::new(settings(), 100);
+    // A room of 6 at each.
+    let sent = (0..700).filter(|i| !sends(&rig.request(0, 0, &format!("c{i}"), 1.0).1).is_empty()).count();
+    assert!((590..=600).contains(&sent), "{sent} of 600 rooms are found");
+}
+
+/// All start cold together, as after a power cut: none gets more than a few times its part, at any time.
+#[test]
+fn a_large_cold_fleet_is_not_pushed_over() {
+    let mut rig = Rig::new(settings(), 0);
+    let cold = |i| Node { since: 99 * SEC, ..Rig::node(i, Health::Up) };
+    rig.tell(Event::Fleet { seq: 2, scope: Scope::Full, nodes: (0..300).map(cold).collect() });
+    let mut count = std::collections::BTreeMap::<String, usize>::new();
+    for i in 0..6000 {
+        rig.now += MS / 4;
+        let (id, out) = rig.request(0, 0, &format!("c{i}"), 1.0);
+        if let Some(server) = sent_to(&out).first() {
+            rig.end(id, 0, server, Ending::Pass);
+            *count.entry(server.clone()).or_default() += 1;
+        }
+    }
+    let (sum, most) = (count.values().sum::<usize>(), *count.values().max().expect("some"));
+    assert!(sum > 5900 && count.len() == 300, "{sum} at {}", count.len());
+    assert!(most <= 50, "{most} at one, 20 on average");
+}
+
+/// What is known of the whole is some time old in a large fleet; a drain counts at once all the same.
+#[test]
+fn nothing_goes_to_a_server_of_a_large_fleet_that_has_just_begun_to_drain() {
+    let mut rig = Rig::new(settings(), 60);
+    for i in 0..50 {
+        rig.request(0, 0, &format!("c{i}"), 1.0);
+    }
+    let nodes = (0..59).map(|i| Rig::node(i, Health::Draining)).collect();
+    rig.tell(Event::Fleet { seq: 2, scope: Scope::Changes, nodes });
+    for i in 0..5 {
+        let (_, out) = rig.request(0, 0, &format!("d{i}"), 1.0);
+        assert!(sent_to(&out).iter().all(|s| s == "s59"));
+    }
+}
