--- a/crates/sim/src/days.rs
+++ b/crates/sim/src/days.rs
@@ -48,7 +48,7 @@
             goodput: if s.worth_asked > 0.0 { s.worth_served / s.worth_asked } else { 1.0 },
             refused: share(s.refused),
             failed: share(s.failed),
-            attempts: share(s.attempts),
+            attempts: share(s.reached),
         }
     }
 
@@ -327,7 +327,7 @@
     }
 
     fn stats(&self) -> Stats {
-        Stats { attempts: self.books.attempts.load(Ordering::Relaxed), ..*lock(&self.counts) }
+        Stats { reached: self.books.attempts.load(Ordering::Relaxed), ..*lock(&self.counts) }
     }
 
     /// All first tries, drawn as the simulator draws them.
--- a/crates/sim/src/experiment.rs
+++ b/crates/sim/src/experiment.rs
@@ -56,6 +56,8 @@
     /// The planners' terms; those that contradict each other are refused.
     pub lease_ms: Option<u64>,
     pub loan_ms: Option<u64>,
+    /// A loan's life in leases, in place of loan_ms.
+    pub loan_leases: Option<u64>,
     pub tick_ms: Option<u64>,
     /// How often a customer's main gateway changes, 1 or more, and the part of its requests there, 0 to 1.
     pub moves_ms: Option<u64>,
@@ -94,6 +96,8 @@
         put(&mut spec.partner.1, self.partner_depth, |n| n);
         put(&mut spec.lease, self.lease_ms, ms);
         put(&mut spec.loan, self.loan_ms, ms);
+        let lease = spec.lease;
+        put(&mut spec.loan, self.loan_leases, |n| lease.saturating_mul(n));
         put(&mut spec.tick, self.tick_ms, ms);
         put(&mut spec.moves, self.moves_ms, ms);
         put(&mut spec.home, self.home, |n| n);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -43,6 +43,8 @@
     pub refused: u64,
     pub failed: u64,
     pub attempts: u64,
+    /// Attempts that reached a server.
+    pub reached: u64,
     /// Attempts that a full server turned away.
     pub turned_away: u64,
     pub faults: u64,
@@ -269,7 +271,6 @@
     jobs: u64,
     counts: Stats,
     queued: f64,
-    reached: u64,
     net: Rng,
     load: Rng,
     chance: Rng,
@@ -359,7 +360,6 @@
             jobs: 0,
             counts: Stats::default(),
             queued: 0.0,
-            reached: 0,
             net: stream(seed, "network"),
             load: stream(seed, "load"),
             chance: stream(seed, "faults"),
@@ -389,7 +389,7 @@
     }
 
     fn stats(&self) -> Stats {
-        Stats { queue: self.queued / self.reached.max(1) as f64, ..self.counts }
+        Stats { queue: self.queued / self.counts.reached.max(1) as f64, ..self.counts }
     }
 
     fn end(&self) -> Time {
--- a/crates/sim/src/world/backends.rs
+++ b/crates/sim/src/world/backends.rs
@@ -15,7 +15,7 @@
             return self.back(&job, Ending::Cut, 0, Facts::default());
         }
         self.queued += s.load() as f64 / s.cores() as f64;
-        self.reached += 1;
+        self.counts.reached += 1;
         match s.mood {
             Mood::Silent => return,
             Mood::FailsFast(part) if self.work.f64() < part => {
