Routes and pools: a table in the operators' file, a part of the module for each pool

Need: the program knew one path and one pool; a member with two kinds of work could not send them to different servers. Change: [[pool]] (by zone, model, group) and [[route]] (host, prefix, method, class, headers, split, rewrite); the front asks the table once, and the request keeps pool and path; the module has queues, counters and rooms for each pool, one account of a customer, and cold servers shared by pools get their part once. An empty pool is refused at once with advice, a path without a route is 404, a table that won't do names both lines. Off: one pool, /api as before.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -204,6 +204,7 @@
             units: r.units,
             spread: r.spread,
             repeat: r.repeat,
+            pool: r.pool,
             allowance: Allowance::Unknown,
         };
         self.events.extend(self.admission.consider(now, request, None).map(Event::Request));
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -22,6 +22,8 @@
     pub spread: u32,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// Which pool's servers may take it; its place in the settings.
+    pub pool: usize,
 }
 
 /// What an attempt's end tells beside its ending.
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -84,6 +84,8 @@
     pub zone: u32,
     pub me: u32,
     pub gateways: u32,
+    /// How many pools there are, 1 to 32.
+    pub pools: usize,
     pub classes: Vec<Class>,
     pub plans: Vec<Plan>,
     /// Whether discovery must be asked, and how often at least while no subscription stands.
@@ -116,6 +118,7 @@
             zone: 0,
             me: 0,
             gateways: 1,
+            pools: 1,
             classes: Vec::new(),
             plans: Vec::new(),
             subscribe: false,
@@ -151,6 +154,8 @@
 #[derive(Clone, Debug)]
 pub struct Node {
     pub name: Name,
+    /// Pools that it belongs to, a bit each from the lowest on.
+    pub pools: u32,
     pub zone: u32,
     pub cell: u32,
     pub health: Health,
@@ -161,7 +166,7 @@
 
 impl Node {
     pub fn new(name: &str, health: Health) -> Self {
-        Node { name: name.into(), zone: 0, cell: 0, health, rating: 1.0, since: 0 }
+        Node { name: name.into(), pools: u32::MAX, zone: 0, cell: 0, health, rating: 1.0, since: 0 }
     }
 }
 
@@ -200,13 +205,15 @@
     pub spread: u32,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// Which pool's servers may take it.
+    pub pool: usize,
     pub allowance: Allowance,
 }
 
 impl Request {
     pub fn new(id: RequestId, class: usize, plan: usize, customer: &str, deadline: Time, units: f64) -> Self {
         let (customer, allowance) = (customer.into(), Allowance::Unknown);
-        Request { id, class, plan, customer, deadline, units, spread: 1, repeat: false, allowance }
+        Request { id, class, plan, customer, deadline, units, spread: 1, repeat: false, pool: 0, allowance }
     }
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -13,6 +13,7 @@
 #![forbid(unsafe_code)]
 
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -20,6 +21,9 @@
 use std::time::Duration;
 use toml::Spanned;
 
+/// The most pools.
+pub const MOST_POOLS: usize = 32;
+
 /// What the operators want, with the defaults where they say nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Operator {
@@ -30,6 +34,41 @@
     pub forwarder: Option<Forwarder>,
     /// `log.format`, "plain" or "json", default plain: words, or one JSON object a line with fields.
     pub log: LogFormat,
+    /// `[[pool]]`: absent, all servers are one pool.
+    pub pools: Vec<Pool>,
+    /// `[[route]]`: absent, `/api` goes to the first pool.
+    pub routes: Vec<Route>,
+}
+
+/// `[[pool]]`: servers that belong together, up to 32 pools. A server may be in several, or in none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// `name`: what routes call it.
+    pub name: String,
+    /// `zone`, `model`, `group`: servers with one of these; absent, any.
+    pub zones: Vec<String>,
+    pub models: Vec<String>,
+    pub groups: Vec<u32>,
+}
+
+/// `[[route]]`: requests of one kind, and whose they are (docs/design/route.md has the precedence).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Route {
+    /// Where it stands in the file.
+    pub line: usize,
+    /// `host`: a name, or `*.` and a name; absent, any.
+    pub host: Option<String>,
+    /// `prefix`, default `/`: of the path, by whole segments.
+    pub prefix: String,
+    /// `method`, `class`: one of these; absent, any.
+    pub methods: Vec<String>,
+    pub classes: Vec<String>,
+    /// `header`: all of these, with these values.
+    pub headers: Vec<(String, String)>,
+    /// `pool`, or `split`: pools by name with their weights, 0 to 1000000.
+    pub split: Vec<(String, u32)>,
+    /// `rewrite`: what the prefix becomes on the way to a server.
+    pub rewrite: Option<String>,
 }
 
 /// How the log is written.
@@ -135,6 +174,36 @@
     planner: Option<PlannerTable>,
     forwarder: Option<ForwarderTable>,
     log: LogTable,
+    pool: Vec<Spanned<PoolTable>>,
+    route: Vec<Spanned<RouteTable>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PoolTable {
+    name: String,
+    #[serde(default)]
+    zone: Vec<String>,
+    #[serde(default)]
+    model: Vec<String>,
+    #[serde(default)]
+    group: Vec<u32>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RouteTable {
+    host: Option<String>,
+    prefix: Option<String>,
+    #[serde(default)]
+    method: Vec<String>,
+    #[serde(default)]
+    class: Vec<String>,
+    #[serde(default)]
+    header: BTreeMap<String, String>,
+    pool: Option<String>,
+    split: Option<BTreeMap<String, u32>>,
+    rewrite: Option<String>,
 }
 
 #[derive(Deserialize, Default)]
@@ -190,6 +259,7 @@
         trouble(text, e.span().map_or(0, |s| s.start), what)
     })?;
     let allowances = allowances(text, file.allowances)?;
+    let pools = pools(text, file.pool)?;
     let table = file.lifecycle;
     let default = Lifecycle::default();
     let ms = |value: Option<Spanned<i64>>, range, default| milliseconds(text, value, range, default);
@@ -203,6 +273,48 @@
         forwarder: file.forwarder.map(|t| forwarder(text, t, &allowances)).transpose()?,
         allowances,
         log: file.log.format,
+        routes: file.route.into_iter().map(|t| route(text, t, &pools)).collect::<Result<_, _>>()?,
+        pools,
+    })
+}
+
+fn pools(text: &str, tables: Vec<Spanned<PoolTable>>) -> Result<Vec<Pool>, Trouble> {
+    let mut pools: Vec<Pool> = Vec::new();
+    for table in tables {
+        let at = table.span().start;
+        let t = table.into_inner();
+        if pools.len() == MOST_POOLS {
+            return Err(trouble(text, at, format!("more than {MOST_POOLS} pools")));
+        }
+        if pools.iter().any(|p| p.name == t.name) {
+            return Err(trouble(text, at, format!("two pools are named {:?}", t.name)));
+        }
+        pools.push(Pool { name: t.name, zones: t.zone, models: t.model, groups: t.group });
+    }
+    Ok(pools)
+}
+
+fn route(text: &str, table: Spanned<RouteTable>, pools: &[Pool]) -> Result<Route, Trouble> {
+    let at = table.span().start;
+    let t = table.into_inner();
+    let wrong = |what: String| Err(trouble(text, at, what));
+    let split = match (t.pool, t.split) {
+        (Some(pool), None) => vec![(pool, 1)],
+        (None, Some(split)) => split.into_iter().collect(),
+        _ => return wrong("either pool or split is wanted".into()),
+    };
+    if let Some((name, _)) = split.iter().find(|(name, _)| pools.iter().all(|p| p.name != *name)) {
+        return wrong(format!("no pool is named {name:?}"));
+    }
+    Ok(Route {
+        line: text.get(..at).unwrap_or(text).matches('\n').count() + 1,
+        host: t.host,
+        prefix: t.prefix.unwrap_or_else(|| "/".into()),
+        methods: t.method,
+        classes: t.class,
+        headers: t.header.into_iter().collect(),
+        split,
+        rewrite: t.rewrite,
     })
 }
 
@@ -336,6 +448,23 @@
         assert!(wrong("[allowances]\ntick_ms = 100\nlease_ms = 200\n").contains("300 to 10000 is wanted"));
     }
 
+    #[test]
+    fn pools_and_routes_are_read_with_their_lines() {
+        let text = "[[pool]]\nname = \"pricing\"\ngroup = [1, 2]\n[[pool]]\nname = \"booking\"\n\
+                    [[route]]\nprefix = \"/api\"\nclass = [\"quote\"]\npool = \"pricing\"\n\
+                    [[route]]\nheader = { x-kind = \"b\" }\nsplit = { pricing = 1, booking = 99 }\n";
+        let read = read(text).unwrap();
+        assert_eq!(read.pools.iter().map(|p| p.name.as_str()).collect::<Vec<_>>(), ["pricing", "booking"]);
+        assert_eq!(read.pools[0].groups, [1, 2]);
+        assert_eq!(read.routes.iter().map(|r| r.line).collect::<Vec<_>>(), [6, 10]);
+        assert_eq!(read.routes[1].split, [("booking".to_string(), 99), ("pricing".to_string(), 1)]);
+        assert_eq!((read.routes[1].prefix.as_str(), read.routes[0].classes.len()), ("/", 1));
+        assert!(wrong(&text.replace("pool = \"pricing\"", "pool = \"price\"")).contains("no pool is named"));
+        assert!(wrong(&text.replace("pool = \"pricing\"\n", "")).contains("either pool or split"));
+        assert!(wrong(&text.replace("name = \"booking\"", "name = \"pricing\"")).contains("two pools"));
+        assert!(wrong("[[route]]\nprefix = 3\n").starts_with("2: "));
+    }
+
     #[test]
     fn the_log_is_plain_or_json() {
         assert_eq!(read("[log]\nformat = \"json\"\n").unwrap().log, LogFormat::Json);
--- a/crates/rig/src/planners.rs
+++ b/crates/rig/src/planners.rs
@@ -110,7 +110,7 @@
 }
 
 /// Files that are gone with it.
-pub(crate) struct Files(pub Vec<PathBuf>);
+pub struct Files(pub Vec<PathBuf>);
 
 impl Files {
     pub fn add(&mut self, name: &str, text: &str, mode: u32) -> Result<PathBuf, String> {
--- a/crates/sim/src/world/clients.rs
+++ b/crates/sim/src/world/clients.rs
@@ -77,6 +77,7 @@
             units: ask.units,
             spread: self.spec.gateways.min(3) as u32,
             repeat: ask.tries > 0,
+            pool: 0,
         };
         let (customer, units) = (ask.customer, ask.units);
         self.trace.tell(now, || {
--- a/src/bin/granitehub-adapter/wire.rs
+++ b/src/bin/granitehub-adapter/wire.rs
@@ -123,6 +123,7 @@
             units: m.number_or(7, "size_units", 1.0)?,
             spread: m.number_or(8, "entry_points", 1.0)?.max(1.0) as u32,
             repeat: m.whole_or(10, "attrs", 0)? & 2 != 0,
+            pool: 0,
             allowance: Allowance::Unknown,
         }),
         "CancelledByClient" => Event::ClientGone { id: m.id(2)? },
@@ -167,6 +168,7 @@
     };
     Ok(Node {
         name: e.text(0, "backend")?.into(),
+        pools: 1,
         zone: e.whole_or(1, "hall", 0)? as u32,
         cell: e.whole_or(3, "pod", 0)? as u32,
         health,
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -9,6 +9,7 @@
 use crate::backends::{Backends, Note, Outcome, Outgoing, Served};
 use crate::discovery::News;
 use crate::list::{List, State, Target};
+use crate::routes::Routes;
 use attempt::Attempt;
 use clock::Clock;
 use granite_engine::{Engine, Entry, Error, Facts, Figures, Final, Input, Notice, Output, Reply, Step};
@@ -74,6 +75,7 @@
     /// The longest that the loop came late to a timer, since the last status line.
     latest: Cell<Duration>,
     zones: Vec<String>,
+    pub routes: Routes,
     pub classes: Vec<(String, Effect, Duration)>,
     pub plans: Vec<String>,
     pub gateways: u32,
@@ -85,6 +87,7 @@
         s: Settings,
         seed: u64,
         zones: Vec<String>,
+        routes: Routes,
         figures: &Lifecycle,
         backends: Rc<Backends>,
     ) -> Result<Rc<Self>, String> {
@@ -108,6 +111,7 @@
             backends,
             latest: Cell::default(),
             zones,
+            routes,
             classes,
             plans,
             gateways,
@@ -148,7 +152,8 @@
         let replaced = self.backends.update(scope, &list.targets);
         let placed = |t: Target| {
             let place = t.endpoint.parse().ok().filter(|_| t.state == State::Ready);
-            (t.node(&self.zones), place)
+            let pools = self.routes.of(&t);
+            (t.node(&self.zones, pools), place)
         };
         let mut entries: Vec<Entry> = list.targets.into_iter().map(placed).collect();
         entries.extend(replaced.iter().map(|name| (Node::new(name, Health::Removed), None)));
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -204,13 +204,15 @@
             // Bodies come with a length. A coding beside one may hide a second request in the body, and hyper
             // drops the length then, so what has both can't be told from what has one.
             _ if request.headers().contains_key(TRANSFER_ENCODING) => plain(StatusCode::LENGTH_REQUIRED, ""),
-            "/api" => self.api(request, client, limit).await.unwrap_or_else(|status| plain(status, "")),
             "/ready" if request.method() != Method::GET => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
             "/ready" if self.draining.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
             "/ready" if !self.driver.can_serve() => {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "no backend is ready\n")
             }
             "/ready" => plain(StatusCode::OK, "ready\n"),
+            path if self.driver.routes.may_match(path) => {
+                self.api(request, client, limit).await.unwrap_or_else(|status| plain(status, ""))
+            }
             _ => plain(StatusCode::NOT_FOUND, ""),
         };
         // Behind these nothing is read: where the request ends is in doubt, or far off.
@@ -237,7 +239,7 @@
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         // Before the body: what is refused by its head takes no memory.
-        let mut incoming = self.parse(head, arrived).ok_or(StatusCode::BAD_REQUEST)?;
+        let mut incoming = self.parse(head, arrived)?;
         let body = timeout_at(limit, read(body)).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
         if incoming.outgoing.method == Method::GET && !body.is_empty() {
             return Err(StatusCode::BAD_REQUEST);
--- a/src/bin/granitethread/fronts/http1/request.rs
+++ b/src/bin/granitethread/fronts/http1/request.rs
@@ -8,15 +8,27 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming as IncomingBody};
 use hyper::header::{HeaderMap, CONTENT_TYPE, HOST};
+use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
 use std::time::Duration;
 use tokio::time::Instant;
 
 impl Server {
-    /// Reads a request's headers; None if one is missing or malformed, a figure is out of the range that the
-    /// settings allow, or the method does not fit the class. The module relies on it: one wild figure would
-    /// spoil its averages for everybody.
-    pub(super) fn parse(&self, head: hyper::http::request::Parts, arrived: Instant) -> Option<Incoming> {
+    /// Reads a request's head: 400 if a header is missing or malformed or a figure out of its range, 404 if no
+    /// route takes it.
+    pub(super) fn parse(&self, head: Parts, arrived: Instant) -> Result<Incoming, StatusCode> {
+        let mut request = self.figures(&head).ok_or(StatusCode::BAD_REQUEST)?;
+        let place = self.driver.routes.place(&head, request.class, &request.customer);
+        let place = place.ok_or(StatusCode::NOT_FOUND)?;
+        request.pool = place.pool;
+        let outgoing = outgoing(head, place.uri).ok_or(StatusCode::BAD_REQUEST)?;
+        Ok(Incoming { arrived, request, outgoing })
+    }
+
+    /// None if a header is missing or malformed, a figure is out of the range that the settings allow, or the
+    /// method does not fit the class. The module relies on it: one wild figure would spoil its averages for
+    /// everybody.
+    fn figures(&self, head: &Parts) -> Option<granite_engine::Incoming> {
         let h = &head.headers;
         let class_name = text(h, "request-class")?;
         let class = self.driver.classes.iter().position(|(name, ..)| name == class_name)?;
@@ -45,32 +57,34 @@
         if !(units > 0.0 && units <= most && (1..=gateways).contains(&spread) && first < gateways) {
             return None;
         }
-        Some(Incoming {
-            arrived,
-            request: granite_engine::Incoming {
-                id: hex(text(h, "request-id")?)?,
-                class,
-                plan,
-                customer: account.into(),
-                timeout: wait.min(longest).as_nanos() as granitehub::Time,
-                units,
-                spread,
-                repeat: h.get("client-retry").is_some_and(|v| v == "1"),
-            },
-            outgoing: Outgoing {
-                request_id: h.get("request-id")?.clone(),
-                idempotency_key: h.get("idempotency-key").cloned(),
-                content_type: h.get(CONTENT_TYPE).cloned(),
-                host: h.get(HOST)?.clone(),
-                method: head.method,
-                // Backends are asked for a path, also if this client thinks that it talks to a proxy.
-                uri: Uri::from(head.uri.into_parts().path_and_query?),
-                body: Bytes::new(),
-            },
+        Some(granite_engine::Incoming {
+            id: hex(text(h, "request-id")?)?,
+            class,
+            plan,
+            customer: account.into(),
+            timeout: wait.min(longest).as_nanos() as granitehub::Time,
+            units,
+            spread,
+            repeat: h.get("client-retry").is_some_and(|v| v == "1"),
+            pool: 0,
         })
     }
 }
 
+/// The request as it goes on, its body yet to come.
+fn outgoing(head: Parts, uri: Uri) -> Option<Outgoing> {
+    let h = &head.headers;
+    Some(Outgoing {
+        request_id: h.get("request-id")?.clone(),
+        idempotency_key: h.get("idempotency-key").cloned(),
+        content_type: h.get(CONTENT_TYPE).cloned(),
+        host: h.get(HOST)?.clone(),
+        method: head.method,
+        uri,
+        body: Bytes::new(),
+    })
+}
+
 /// A header that comes once.
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let mut all = headers.get_all(name).iter();
--- a/src/bin/granitethread/list.rs
+++ b/src/bin/granitethread/list.rs
@@ -20,6 +20,8 @@
     #[serde(default)]
     pub az: String,
     #[serde(default)]
+    pub model: String,
+    #[serde(default)]
     pub pod_group: u32,
     pub state: State,
     #[serde(default = "one")]
@@ -41,10 +43,11 @@
 
 impl Target {
     /// As the module knows it. A zone's number is its place in the settings.
-    pub fn node(self, zones: &[String]) -> Node {
+    pub fn node(self, zones: &[String], pools: u32) -> Node {
         let t = self;
         let zone = zones.iter().position(|z| *z == t.az).unwrap_or(zones.len());
         Node {
+            pools,
             name: t.uid.into(),
             zone: zone as u32,
             cell: t.pod_group,
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -9,6 +9,7 @@
 mod fronts;
 mod list;
 mod log;
+mod routes;
 
 use backends::Backends;
 use clap::{Parser, Subcommand};
@@ -98,15 +99,22 @@
     if let Some(planner) = &operator.planner {
         return allowance::planner::run(planner, &operator.allowances, &config.settings, stop).await;
     }
-    let settings = config.settings.clone();
+    let routes = routes::Routes::new(&operator, &config.settings)?;
+    let settings = granitehub::Settings { pools: routes.pools(), ..config.settings };
     let backends = Backends::new(&backends::Limits {
         sockets: config.backend_sockets,
-        most_units: config.settings.most_units,
+        most_units: settings.most_units,
         connect_timeout: config.connect_timeout,
         keepalive: config.keepalive,
     });
-    let driver =
-        Driver::new(config.settings, config.seed, config.zones, &operator.lifecycle, backends.clone())?;
+    let driver = Driver::new(
+        settings.clone(),
+        config.seed,
+        config.zones,
+        routes,
+        &operator.lifecycle,
+        backends.clone(),
+    )?;
     if let Some(forwarder) = &operator.forwarder {
         let now = driver.time(tokio::time::Instant::now());
         let setup = allowance::forwarder::prepare(forwarder, &operator.allowances, &settings, now)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// The two resources: attempts in flight here, and units in flight here.
+/// The two resources of each pool: attempts in flight here, and units in flight here.
 const RESOURCES: usize = 2;
 /// A server's room at its start, in attempts of all gateways together; "a few" for each.
 const FIRST_ROOM: f64 = 12.0;
@@ -66,6 +66,7 @@
 #[derive(Clone, Debug)]
 struct Held {
     class: usize,
+    pool: usize,
     plan: usize,
     customer: Name,
     deadline: Time,
@@ -104,6 +105,7 @@
 
 #[derive(Clone, Debug)]
 struct Server {
+    pools: u32,
     zone: u32,
     cell: u32,
     health: Health,
@@ -157,15 +159,22 @@
     at: Time,
     /// The list has changed since.
     stale: bool,
+    /// The mean share of bad ends, by class and then by plan, each server counted by what is known of it.
+    bad: Vec<f64>,
+    pools: Vec<Pool>,
+}
+
+/// The same of one pool.
+#[derive(Clone, Debug, Default)]
+struct Pool {
     /// Servers that take new work; of a large fleet the warm ones; and the cold ones, each with where the
     /// part of all draws ends that opens it.
     up: Arc<[Name]>,
     warm: Vec<Name>,
     cold: Vec<(f64, Name)>,
-    /// Their rooms together, each by its warmth.
+    /// Their rooms and their warmth together.
     room: f64,
-    /// The mean share of bad ends, by class and then by plan, each server counted by what is known of it.
-    pools: Vec<f64>,
+    warmth: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -178,7 +187,8 @@
     fleet: Overview,
     held: BTreeMap<RequestId, Held>,
     customers: BTreeMap<Name, Customer>,
-    subs: [Sub; RESOURCES],
+    /// Two for each pool, so that a flood of one is not noticed in another.
+    subs: Vec<Sub>,
     timers: BTreeMap<u64, RequestId>,
     next_timer: u64,
     pumping: bool,
@@ -218,7 +228,7 @@
             fleet: Overview::default(),
             held: BTreeMap::new(),
             customers: BTreeMap::new(),
-            subs: [sub(), sub()],
+            subs: (0..RESOURCES * s.pools.max(1)).map(|_| sub()).collect(),
             timers: BTreeMap::new(),
             next_timer: TIMER_REQUESTS,
             pumping: false,
@@ -296,6 +306,7 @@
         let (now, slots) = (self.now, self.s.classes.len() + self.s.plans.len());
         for n in nodes {
             let fresh = Server {
+                pools: n.pools,
                 zone: n.zone,
                 cell: n.cell,
                 health: n.health,
@@ -317,7 +328,7 @@
                 (known.room, known.slow) = (fresh_room, 1.0);
                 known.ends = vec![(0.0, 0.0); slots];
             }
-            (known.zone, known.cell, known.health) = (n.zone, n.cell, n.health);
+            (known.pools, known.zone, known.cell, known.health) = (n.pools, n.zone, n.cell, n.health);
             (known.rating, known.since) = (n.rating, n.since);
         }
         self.servers.retain(|_, s| s.health != Health::Removed || s.own > 0);
@@ -331,10 +342,12 @@
             return;
         }
         let (memory, slots) = (self.memory(), self.s.classes.len() + self.s.plans.len());
-        let (large, known) = (self.servers.len() > FEW, (!self.fleet.stale).then(|| self.fleet.up.clone()));
+        let large = self.servers.len() > FEW;
         let mut all = Overview { at: now, ..Overview::default() };
-        let mut up = Vec::new();
-        let (mut sums, mut place) = (vec![(0.0, 0.0); slots], 0.0);
+        let known = if self.fleet.stale { Vec::new() } else { std::mem::take(&mut self.fleet.pools) };
+        let mut ups = vec![Vec::new(); self.s.pools.max(1)];
+        all.pools.resize(ups.len(), Pool::default());
+        let mut sums = vec![(0.0, 0.0); slots];
         for (name, s) in &self.servers {
             let keep = (-secs(now - s.ended) / memory).exp();
             for (sum, end) in sums.iter_mut().zip(&s.ends) {
@@ -345,33 +358,39 @@
                 continue;
             }
             let warmth = self.warmth(s);
-            all.room += s.room * warmth;
-            place += warmth;
-            if known.is_none() {
-                up.push(name.clone());
-            }
-            if warmth < 1.0 {
-                all.cold.push((warmth, name.clone()));
-            } else if large {
-                all.warm.push(name.clone());
+            for (n, pool) in all.pools.iter_mut().enumerate().filter(|(n, _)| s.pools & (1 << n) != 0) {
+                pool.room += s.room * warmth;
+                pool.warmth += warmth;
+                if known.is_empty() {
+                    ups[n].push(name.clone());
+                }
+                if warmth < 1.0 {
+                    // What all pools together send it is its part of them.
+                    pool.cold
+                        .push((warmth / f64::from(s.pools.count_ones()).min(ups.len() as f64), name.clone()));
+                } else if large {
+                    pool.warm.push(name.clone());
+                }
             }
         }
-        all.up = known.unwrap_or_else(|| up.into());
         // Beyond the paper: slow start. A request's draw opens at most one cold server to it, each by its
         // warmth: it gets its part of all gateways' traffic at most, far below the multiple at which it
         // falls, and nothing need be remembered. Harms by under-using cold servers a little.
-        let mut end = 0.0;
-        for (part, _) in &mut all.cold {
-            end += *part / place;
-            *part = end;
+        for (n, pool) in all.pools.iter_mut().enumerate() {
+            pool.up = known.get(n).map_or_else(|| std::mem::take(&mut ups[n]).into(), |k| k.up.clone());
+            let mut end = 0.0;
+            for (part, _) in &mut pool.cold {
+                end += *part / pool.warmth;
+                *part = end;
+            }
         }
-        all.pools = sums.into_iter().map(|(n, bad)| bad / (n + 1.0)).collect();
+        all.bad = sums.into_iter().map(|(n, bad)| bad / (n + 1.0)).collect();
         self.fleet = all;
     }
 
     /// The cold server that this draw opens, if it opens one.
-    fn opened(&self, draw: f64) -> Option<&Name> {
-        let cold = &self.fleet.cold;
+    fn opened(&self, pool: usize, draw: f64) -> Option<&Name> {
+        let cold = &self.fleet.pools[pool].cold;
         cold.get(cold.partition_point(|(end, _)| *end <= draw)).map(|(_, name)| name)
     }
 
@@ -473,9 +492,21 @@
     }
 
     fn admit(&mut self, r: Request, out: &mut Vec<Action>) {
-        if r.class >= self.s.classes.len() || r.plan >= self.s.plans.len() || self.held.contains_key(&r.id) {
+        if r.class >= self.s.classes.len()
+            || r.plan >= self.s.plans.len()
+            || r.pool >= self.s.pools.max(1)
+            || self.held.contains_key(&r.id)
+        {
             return;
         }
+        // Beyond the paper: nobody waits for a pool that has no server.
+        if self.s.pools > 1 {
+            self.survey();
+            if self.fleet.pools[r.pool].up.is_empty() {
+                out.push(Action::Reject { id: r.id, advice: self.s.max_retry_after });
+                return;
+            }
+        }
         // A lease's word goes before the own guess.
         let refused = match r.allowance {
             Allowance::Unknown => (!self.within_quota(&r)).then_some(0),
@@ -497,6 +528,7 @@
         self.timer(r.id, decided, out);
         let held = Held {
             class: r.class,
+            pool: r.pool,
             plan: r.plan,
             customer: r.customer,
             deadline: r.deadline,
@@ -512,7 +544,7 @@
             tried: Vec::new(),
         };
         self.held.insert(r.id, held);
-        let res = self.dominant(r.units);
+        let res = self.dominant(r.pool, r.units);
         self.subs[res].queues[r.plan].push_back(r.id);
     }
 
@@ -522,14 +554,14 @@
         out.push(Action::Timer { token: self.next_timer, at });
     }
 
-    fn dominant(&self, units: f64) -> usize {
-        usize::from(units > self.mean_units)
+    fn dominant(&self, pool: usize, units: f64) -> usize {
+        RESOURCES * pool + usize::from(units > self.mean_units)
     }
 
     // ---- The scheduler ----
 
-    fn room(&self, res: usize) -> f64 {
-        self.open * self.fleet.room * if res == 0 { 1.0 } else { self.mean_units.max(1.0) }
+    fn room(&self, pool: usize, kind: usize) -> f64 {
+        self.open * self.fleet.pools[pool].room * if kind == 0 { 1.0 } else { self.mean_units.max(1.0) }
     }
 
     /// The main scheduler: wakes the sub-scheduler of the most available resource, else the next.
@@ -538,16 +570,31 @@
             return;
         }
         self.survey();
+        (0..self.s.pools.max(1)).for_each(|pool| self.pump_pool(pool, out));
+        let waiting = self.subs.iter().any(|s| s.queues.iter().any(|q| !q.is_empty()));
+        if waiting && !self.pumping {
+            // What holds the queue may ease with time alone: budgets, ceilings, ejections.
+            self.pumping = true;
+            let at = self.now + (self.s.fall / 50).max(self.s.tick);
+            out.push(Action::Timer { token: TIMER_PUMP, at });
+        }
+    }
+
+    fn pump_pool(&mut self, pool: usize, out: &mut Vec<Action>) {
+        let base = RESOURCES * pool;
+        if self.subs[base..base + RESOURCES].iter().all(|s| s.queues.iter().all(|q| q.is_empty())) {
+            return;
+        }
         // A quantum covers any request, so three rounds without a send mean that room lacks, not deficit.
         let (mut short, mut idle) = (false, 0);
-        let rooms = [self.room(0), self.room(1)];
+        let rooms = [self.room(pool, 0), self.room(pool, 1)];
         while idle < 3 {
-            let share = |res: usize| 1.0 - self.subs[res].in_flight / rooms[res].max(1e-9);
+            let share = |kind: usize| 1.0 - self.subs[base + kind].in_flight / rooms[kind].max(1e-9);
             let (a, u) = (share(0), share(1));
             let first = if a == u { self.rng.usize(..RESOURCES) } else { usize::from(u > a) };
             idle += 1;
-            for res in [first, 1 - first] {
-                if let Some((id, server)) = self.pick(res, rooms, &mut short) {
+            for kind in [first, 1 - first] {
+                if let Some((id, server)) = self.pick(base + kind, rooms, &mut short) {
                     self.send(id, server, out);
                     (short, idle) = (false, 0);
                     break;
@@ -557,13 +604,6 @@
                 break;
             }
         }
-        let waiting = self.subs.iter().any(|s| s.queues.iter().any(|q| !q.is_empty()));
-        if waiting && !self.pumping {
-            // What holds the queue may ease with time alone: budgets, ceilings, ejections.
-            self.pumping = true;
-            let at = self.now + (self.s.fall / 50).max(self.s.tick);
-            out.push(Action::Timer { token: TIMER_PUMP, at });
-        }
     }
 
     /// One sub-scheduler's turn: the head under its pointer goes if every availability counter and every
@@ -574,8 +614,9 @@
             let plan = self.subs[res].pointer;
             if let Some((id, server, place)) = self.head(res, plan, rooms) {
                 let cost = [1.0, self.held[&id].units.min(self.quantum(1, plan))];
-                if (0..RESOURCES).all(|r| self.subs[r].deficit[plan] >= cost[r]) {
-                    (0..RESOURCES).for_each(|r| self.subs[r].deficit[plan] -= cost[r]);
+                let both = self.subs.chunks_exact_mut(RESOURCES).nth(res / RESOURCES).expect("a pool's");
+                if both.iter().zip(cost).all(|(s, cost)| s.deficit[plan] >= cost) {
+                    both.iter_mut().zip(cost).for_each(|(s, cost)| s.deficit[plan] -= cost);
                     self.subs[res].queues[plan].remove(place);
                     return Some((id, server));
                 }
@@ -585,7 +626,7 @@
             // A wrap that found no plan short leaves the counters: else they would fill while room lacks.
             if self.subs[res].pointer == 0 && *short {
                 for p in 0..plans {
-                    let quantum = self.quantum(res, p);
+                    let quantum = self.quantum(res % RESOURCES, p);
                     let d = &mut self.subs[res].deficit[p];
                     *d = (*d + quantum).min(2.0 * quantum);
                 }
@@ -603,9 +644,10 @@
     /// The first request of a queue that every availability counter covers and that may be sent now, where,
     /// and its place. The cheap checks come first, and a class that finds no server is asked for once.
     fn head(&mut self, res: usize, plan: usize, rooms: [f64; 2]) -> Option<(RequestId, Name, usize)> {
-        let fits = |g: &Self, r: usize, cost: f64| {
-            let used = g.subs[r].in_flight;
-            used == 0.0 || used + cost <= rooms[r]
+        let pool = res / RESOURCES;
+        let fits = |g: &Self, kind: usize, cost: f64| {
+            let used = g.subs[RESOURCES * pool + kind].in_flight;
+            used == 0.0 || used + cost <= rooms[kind]
         };
         if !fits(self, 0, 1.0) {
             return None;
@@ -613,7 +655,7 @@
         let held = &self.held;
         self.subs[res].queues[plan].retain(|id| held.contains_key(id));
         let mut none = vec![false; self.s.classes.len()];
-        let cold = !self.fleet.cold.is_empty();
+        let cold = !self.fleet.pools[pool].cold.is_empty();
         let mut looked = vec![false; self.s.classes.len()];
         for place in 0..self.subs[res].queues[plan].len() {
             let id = self.subs[res].queues[plan][place];
@@ -679,25 +721,26 @@
 
     /// Those that one request looks at. Of a large fleet some are drawn, unless it is looked at whole, and
     /// the cold one that its draw opens.
-    fn candidates(&mut self, draw: f64, whole: bool) -> Arc<[Name]> {
+    fn candidates(&mut self, pool: usize, draw: f64, whole: bool) -> Arc<[Name]> {
         if whole || self.servers.len() <= FEW {
-            return self.fleet.up.clone();
+            return self.fleet.pools[pool].up.clone();
         }
-        let n = self.fleet.warm.len();
-        let (warm, rng) = (&self.fleet.warm, &mut self.rng);
+        let (warm, rng) = (&self.fleet.pools[pool].warm, &mut self.rng);
+        let n = warm.len();
         let mut drawn: Vec<Name> = (0..DRAWN.min(n)).map(|_| warm[rng.usize(..n)].clone()).collect();
-        drawn.extend(self.opened(draw).cloned());
+        drawn.extend(self.opened(pool, draw).cloned());
         drawn.into()
     }
 
     /// A server of the least expected wait, or nearly, among those that may take this request.
     fn choose(&mut self, id: RequestId, whole: bool) -> Option<Name> {
-        let candidates = self.candidates(self.held[&id].draw, whole);
+        let (pool, draw) = (self.held[&id].pool, self.held[&id].draw);
+        let candidates = self.candidates(pool, draw, whole);
         let h = &self.held[&id];
         let class = &self.s.classes[h.class];
         let classes = self.s.classes.len();
-        let (class_pool, plan_pool) = (self.fleet.pools[h.class], self.fleet.pools[classes + h.plan]);
-        let opened = self.opened(h.draw);
+        let (class_pool, plan_pool) = (self.fleet.bad[h.class], self.fleet.bad[classes + h.plan]);
+        let opened = self.opened(pool, draw);
         // What a bad end costs, in usual answer times; twice if the request can't be repeated.
         let loss = if class.effect == Effect::Unsafe { 2.0 * LOSS } else { LOSS };
         let loss = loss * secs(class.aim) / self.usual[h.class].max(1e-9);
@@ -771,8 +814,9 @@
         }
         h.out = Some(Out { server: server.clone(), at: now, attempt: h.sends, cancelled: false });
         h.sends += 1;
-        self.subs[0].in_flight += 1.0;
-        self.subs[1].in_flight += h.units;
+        let base = RESOURCES * h.pool;
+        self.subs[base].in_flight += 1.0;
+        self.subs[base + 1].in_flight += h.units;
         self.sent_rate = self.sent_rate * (-secs(now - self.sent_at) / memory).exp() + 1.0 / memory;
         self.sent_at = now;
         out.push(Action::Send { id, server, not_past });
@@ -802,10 +846,10 @@
         }
         h.tried.push(o.server.clone());
         h.draw = self.rng.f64();
-        let plan = h.plan;
+        let (plan, base) = (h.plan, RESOURCES * h.pool);
         let done = e.last || e.ending == Ending::Pass || h.streaming || h.gone;
-        self.subs[0].in_flight -= 1.0;
-        self.subs[1].in_flight = (self.subs[1].in_flight - units).max(0.0);
+        self.subs[base].in_flight -= 1.0;
+        self.subs[base + 1].in_flight = (self.subs[base + 1].in_flight - units).max(0.0);
         self.answer(&o, class, plan, &e);
         self.settle(&customer, units, &e);
         if done {
@@ -814,7 +858,7 @@
             if !never {
                 self.retries -= 1.0;
             }
-            let (res, plan) = (self.dominant(units), self.held[&e.id].plan);
+            let (res, plan) = (self.dominant(self.held[&e.id].pool, units), self.held[&e.id].plan);
             self.subs[res].queues[plan].push_front(e.id);
         } else {
             self.finish(e.id, out);
@@ -918,7 +962,8 @@
     /// pace of the attempts that are out, to end as many as wait before it.
     fn relief(&self) -> Time {
         let waiting: usize = self.subs.iter().flat_map(|s| &s.queues).map(VecDeque::len).sum();
-        let pace = self.subs[0].in_flight.max(1.0) / self.hold.max(secs(self.s.tick));
+        let out: f64 = self.subs.iter().step_by(RESOURCES).map(|s| s.in_flight).sum();
+        let pace = out.max(1.0) / self.hold.max(secs(self.s.tick));
         if self.s.retry_after {
             nanos((waiting + 1) as f64 / pace).min(self.s.max_retry_after)
         } else {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,6 +126,7 @@
         zone: env.az,
         me: env.me,
         gateways: env.siblings,
+        pools: 1,
         classes,
         plans: plans.collect(),
         subscribe,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -772,3 +772,87 @@
         assert!(sent_to(&out).iter().all(|s| s == "s59"));
     }
 }
+
+/// Two pools: pricing on servers 0 to 3, booking on 4 to 7; 8 and 9 are in both.
+fn two_pools() -> Rig {
+    let mut rig = Rig::new(Settings { pools: 2, ..settings() }, 0);
+    let pools = |i| {
+        if i < 4 {
+            1
+        } else if i < 8 {
+            2
+        } else {
+            3
+        }
+    };
+    let nodes = (0..10).map(|i| Node { pools: pools(i), ..Rig::node(i, Health::Up) }).collect();
+    rig.tell(Event::Fleet { seq: 2, scope: Scope::Full, nodes });
+    rig
+}
+
+fn ask_pool(rig: &mut Rig, pool: usize, customer: &str) -> (u64, Vec<Action>) {
+    let (id, deadline) = (rig.next, rig.now + 4 * SEC);
+    rig.next += 1;
+    (id, rig.tell(Event::Request(Request { pool, ..Request::new(id, 0, 0, customer, deadline, 1.0) })))
+}
+
+#[test]
+fn a_request_goes_to_servers_of_its_pool_only() {
+    let mut rig = two_pools();
+    for i in 0..60 {
+        for (pool, wanted) in
+            [(0, ["s0", "s1", "s2", "s3", "s8", "s9"]), (1, ["s4", "s5", "s6", "s7", "s8", "s9"])]
+        {
+            let (id, out) = ask_pool(&mut rig, pool, &format!("c{i}-{pool}"));
+            let server = sent_to(&out).remove(0);
+            assert!(wanted.contains(&server.as_str()), "pool {pool}: {server}");
+            rig.end(id, 0, &server, Ending::Pass);
+        }
+    }
+    assert!(ask_pool(&mut rig, 2, "c").1.is_empty(), "a pool that is not there is ignored");
+}
+
+#[test]
+fn a_flood_of_one_pool_is_not_noticed_in_the_other() {
+    let mut rig = two_pools();
+    for i in 0..500 {
+        ask_pool(&mut rig, 0, &format!("f{i}"));
+    }
+    // The servers that both have are full by now; the four others are booking's alone.
+    for i in 0..20 {
+        let (_, out) = ask_pool(&mut rig, 1, &format!("c{i}"));
+        assert_eq!(sends(&out).len(), 1, "request {i}: {out:?}");
+    }
+}
+
+#[test]
+fn a_customer_is_charged_once_whatever_pools_its_requests_go_to() {
+    let mut rig = two_pools();
+    let passed = (0..80).filter(|i| !sends(&ask_pool(&mut rig, i % 2, "a").1).is_empty()).count();
+    assert!((18..=45).contains(&passed), "{passed} of 80 with a burst of 20");
+}
+
+#[test]
+fn an_empty_pool_is_refused_at_once_with_advice() {
+    let s = Settings { pools: 2, max_retry_after: SEC, retry_after: true, ..settings() };
+    let mut rig = Rig::new(s, 0);
+    let nodes = vec![Node { pools: 1, ..Rig::node(0, Health::Up) }];
+    rig.tell(Event::Fleet { seq: 2, scope: Scope::Full, nodes });
+    let (id, out) = ask_pool(&mut rig, 1, "a");
+    assert_eq!(out, [Action::Reject { id, advice: SEC }]);
+    assert_eq!(sends(&ask_pool(&mut rig, 0, "a").1).len(), 1);
+}
+
+/// A drain of a server that two pools share is a drain in both.
+#[test]
+fn a_drain_counts_in_every_pool() {
+    let mut rig = two_pools();
+    let nodes = (0..8).map(|i| Node { pools: 3, ..Rig::node(i, Health::Draining) }).collect();
+    rig.tell(Event::Fleet { seq: 3, scope: Scope::Changes, nodes });
+    for i in 0..10 {
+        for pool in 0..2 {
+            let servers = sent_to(&ask_pool(&mut rig, pool, &format!("c{i}-{pool}")).1);
+            assert!(servers.iter().all(|s| s == "s8" || s == "s9"), "{servers:?}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/routes.rs
@@ -0,0 +1,83 @@
+//! Routes and pools on loopback sockets, as the operators write them.
+
+use granite_rig::peers::{ask, Backend, Client, Discovery};
+use granite_rig::planners::Files;
+use granite_rig::program::{Program, EXAMPLE};
+use std::net::SocketAddr;
+use std::path::Path;
+
+const FILE: &str = r#"
+[[pool]]
+name = "pricing"
+group = [1]
+[[pool]]
+name = "booking"
+group = [2]
+[[pool]]
+name = "nobody"
+group = [9]
+[[route]]
+prefix = "/v2/api"
+rewrite = "/api"
+class = ["quote"]
+pool = "pricing"
+[[route]]
+prefix = "/api"
+pool = "booking"
+[[route]]
+prefix = "/empty"
+pool = "nobody"
+"#;
+
+fn target(uid: &str, address: SocketAddr, group: u32) -> String {
+    format!(r#"{{"uid":"{uid}","endpoint":"{address}","az":"hall","pod_group":{group},"state":"Ready"}}"#)
+}
+
+fn start(file: &str, files: &mut Files, discovery: &Discovery) -> Program {
+    let operator = files.add("routes.toml", file, 0o600).expect("a file");
+    let config = EXAMPLE.replace("workshop", "basic");
+    let program = Path::new(env!("CARGO_BIN_EXE_granitethread"));
+    let started = Program::start_as(program, &config, discovery.address, Some(&operator)).expect("it starts");
+    // The second call is the watch: the list is in.
+    discovery.called(2);
+    started
+}
+
+#[test]
+fn each_route_reaches_its_own_pool_with_its_path() {
+    let (pricing, booking) = (Backend::good(), Backend::good());
+    let targets = [target("s-1", pricing.address, 1), target("s-2", booking.address, 2)].join(",");
+    let discovery = Discovery::new(format!(r#"{{"rev":1,"all":true,"targets":[{targets}]}}"#));
+    let mut files = Files(Vec::new());
+    let gateway = start(FILE, &mut files, &discovery);
+    let mut client = Client::connect(gateway.address);
+    let mut say = |class, path: &str| client.ask(&ask(class).text().replace("/api?x=1", path));
+
+    assert_eq!(say("quote", "/v2/api/list?x=1").status(), 200);
+    assert!(pricing.next().start.starts_with("GET /api/list?x=1 "), "the prefix is rewritten, the rest kept");
+    assert_eq!(say("quote", "/api/v2?y=%2F").status(), 200);
+    assert!(booking.next().start.starts_with("GET /api/v2?y=%2F "), "what is not rewritten is unchanged");
+    assert_eq!(say("confirm", "/v2/api").status(), 404, "its class has no route there");
+    assert_eq!(say("quote", "/apis").status(), 404);
+    let empty = say("quote", "/empty");
+    assert!(matches!(empty.status(), 429 | 503) && empty.header("retry-after").is_some(), "{empty:?}");
+    assert!(pricing.untouched() && booking.untouched());
+    assert_eq!(
+        client.ask("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").status(),
+        200,
+        "it has no route to be hidden by"
+    );
+}
+
+/// A conflict is one line with both places, and nothing starts.
+#[test]
+fn a_table_that_wont_do_names_both_lines() {
+    let mut files = Files(Vec::new());
+    let both = format!("{FILE}[[route]]\nprefix = \"/api/\"\npool = \"pricing\"\n");
+    let operator = files.add("routes.toml", &both, 0o600).expect("a file");
+    let discovery = Discovery::silent();
+    let program = Path::new(env!("CARGO_BIN_EXE_granitethread"));
+    let error =
+        Program::start_as(program, EXAMPLE, discovery.address, Some(&operator)).err().expect("it won't do");
+    assert!(error.contains("line 22: a request can match this route and that of line 16"), "{error}");
+}
