Events are handed to the module at once; a stated gap only where operators want one

Need: what happened was handed over a fixed tick apart, so that an answer took 3 ms with 8 connections where a bare pass-through takes 0.14. Change: the engine's gap between two calls is a figure of its own, 0 by default, [lifecycle] gap_us; what comes while the loop works is the next batch.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -33,11 +33,15 @@
     pub module_grace: Time,
     /// So long before servers forget a key its last repeat is written.
     pub key_margin: Time,
+    /// Between two calls of the module, at the least: what comes in between is handed over together. 0: what finds
+    /// the loop idle is handed over at once, and what comes while it works is the next batch.
+    pub gap: Time,
 }
 
 pub struct Engine<M> {
     settings: Settings,
     way_back: Time,
+    gap: Time,
     module: M,
     make: Make<M>,
     lives: Lives,
@@ -81,6 +85,7 @@
             module: make(seed, now)?,
             make,
             way_back: figures.way_back,
+            gap: figures.gap,
             lives: Lives::new(limits),
             admission: Admission::default(),
             nodes: BTreeMap::new(),
@@ -125,7 +130,7 @@
         std::mem::take(&mut self.counts)
     }
 
-    /// When the module may next be called: a tick after the last time.
+    /// When the module may next be called: the stated gap after the last time.
     pub fn earliest(&self) -> Time {
         self.earliest
     }
@@ -341,7 +346,7 @@
 
     /// What is due is done, and the module hears what has happened.
     fn wake(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.earliest = now + self.settings.tick;
+        self.earliest = now + self.gap;
         while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
             if let Some(Reverse((_, token))) = self.timers.pop() {
                 self.events.push(Event::Timer { token });
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -137,12 +137,14 @@
     pub module_grace: Duration,
     /// `key_margin_ms`, 0 to 1000, default 20: so long before servers forget a key its last repeat is written.
     pub key_margin: Duration,
+    /// `gap_us`, 0 to 10000, default 0: between two calls of the decision module, at the least; 0 is at once.
+    pub gap: Duration,
 }
 
 impl Default for Lifecycle {
     fn default() -> Self {
         let ms = Duration::from_millis;
-        Lifecycle { way_back: ms(20), module_grace: ms(5), key_margin: ms(20) }
+        Lifecycle { way_back: ms(20), module_grace: ms(5), key_margin: ms(20), gap: Duration::ZERO }
     }
 }
 
@@ -246,6 +248,7 @@
     way_back_ms: Option<Spanned<i64>>,
     module_grace_ms: Option<Spanned<i64>>,
     key_margin_ms: Option<Spanned<i64>>,
+    gap_us: Option<Spanned<i64>>,
 }
 
 /// Reads the text of a file.
@@ -268,6 +271,7 @@
             way_back: ms(table.way_back_ms, 1..=500, default.way_back)?,
             module_grace: ms(table.module_grace_ms, 0..=50, default.module_grace)?,
             key_margin: ms(table.key_margin_ms, 0..=1000, default.key_margin)?,
+            gap: Duration::from_micros(number(text, table.gap_us, 0..=10_000, 0)?.unsigned_abs()),
         },
         planner: file.planner.map(|t| planner(text, t)).transpose()?,
         forwarder: file.forwarder.map(|t| forwarder(text, t, &allowances)).transpose()?,
@@ -420,7 +424,7 @@
         assert_eq!(
             wrong("# a file\n[lifecycle]\nway_back = 3\n"),
             "3: lifecycle.way_back: unknown field `way_back`, expected one of `way_back_ms`, \
-             `module_grace_ms`, `key_margin_ms`"
+             `module_grace_ms`, `key_margin_ms`, `gap_us`"
         );
         assert_eq!(
             wrong("[lifecycle]\nkey_margin_ms = \"20\"\n"),
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -25,7 +25,8 @@
 use granitehub::Gateway;
 use std::collections::BTreeMap;
 
-const FIGURES: Figures = Figures { way_back: 20 * MS, module_grace: 5 * MS, key_margin: 20 * MS };
+const FIGURES: Figures =
+    Figures { way_back: 20 * MS, module_grace: 5 * MS, key_margin: 20 * MS, gap: 2 * MS };
 /// Where clocks stand at the start, at the least.
 const EPOCH: Time = 1_000_000_000 * MS;
 /// After the last request all is over within so long: the longest deadline, and the way of what is still out.
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -98,6 +98,7 @@
             way_back: nanos(figures.way_back),
             module_grace: nanos(figures.module_grace),
             key_margin: nanos(figures.key_margin),
+            gap: nanos(figures.gap),
         };
         let classes = s.classes.iter();
         let classes = classes.map(|c| (c.name.clone(), c.effect, Duration::from_nanos(c.deadline))).collect();
@@ -310,7 +311,7 @@
 
     // ---- The loop ----
 
-    /// Hands the module what has happened, a tick apart at least.
+    /// Hands the module what has happened: at once, or the stated gap apart.
     pub async fn run(self: &Rc<Self>) -> Infallible {
         let mut status = Instant::now() + STATUS_EVERY;
         loop {
