Calls to discovery are spread by the fleet's size and backed off; changes are asked for

Ruled out: that discovery is down (with watches begun 0 to 10 s apart all stand from 5.5 s on, 0 to 20 s apart from 3.9 s on, so it is our own load); that repeats alone are too many (backing off to 3 s, then to 12.8 s: still no watch stands). A call costs the service some 51 ms; the hundred whole lists of the common start make a backlog of 5 s, a call that waits 2 s fails and is worked off all the same.

At fault: discovery.rs, the whole list asked for at once at the start though the configuration holds one, and sleep(PAUSE) after a failure. Now: crates/background, a pace by the service's kind; where it is shared, first calls lie within 80 ms for each gateway and failures double that up to ask_within, drawn from the seed; the watch begins at the revision that is held. An agent on the own machine is asked as before, with jitter.

--- /dev/null
+++ b/crates/background/src/pace.rs
@@ -0,0 +1,75 @@
+//! How far apart one gateway's calls to a service lie that others call too.
+//!
+//! A shared service serves calls in turn. One that has waited too long fails, and yet is worked off: once the
+//! backlog is as long as the time that a call may wait, every call fails and every repeat keeps the backlog up. So
+//! it is not enough to back off after a failure: the *first* calls after a common start make the backlog. They are
+//! spread over a window that grows with the number of gateways, and repeats over windows that double.
+
+use fastrand::Rng;
+use std::time::Duration;
+
+/// Of a shared service's time a call may take so much, if all gateways call once within the window.
+const CALL: Duration = Duration::from_millis(80);
+/// Between two calls to a service that nobody else calls.
+const LEAST: Duration = Duration::from_millis(100);
+/// An agent on the own machine is asked this often at the least: what it holds counts as told.
+const LOCAL_MOST: Duration = Duration::from_millis(200);
+
+/// Who answers the calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// An agent on this gateway's machine, which serves nobody else.
+    Local,
+    /// One service for so many gateways, of which each is to call once in `within` at the least.
+    Shared { gateways: u32, within: Duration },
+}
+
+/// The pace of one gateway's calls to one service.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    /// Over how long a first call is spread, a first repeat, and any repeat.
+    first: Duration,
+    least: Duration,
+    most: Duration,
+    failures: u32,
+    rng: Rng,
+}
+
+impl Pace {
+    /// `seed`: another one for each gateway and each start.
+    pub fn new(service: Service, seed: u64) -> Self {
+        let (first, least, most) = match service {
+            Service::Local => (Duration::ZERO, LEAST, LOCAL_MOST),
+            Service::Shared { gateways, within } => {
+                // What all gateways ask for in `within` must also leave room for repeats.
+                let window = CALL.saturating_mul(gateways.saturating_sub(1)).min(within * 4 / 5);
+                (window, window.max(LEAST), within.max(LEAST))
+            }
+        };
+        Pace { first, least, most, failures: 0, rng: Rng::with_seed(seed) }
+    }
+
+    /// The same for calls to another service of the kind.
+    #[must_use]
+    pub fn fork(&mut self) -> Self {
+        Pace { failures: 0, rng: self.rng.fork(), ..*self }
+    }
+
+    /// How long to wait before the first call.
+    pub fn first(&mut self) -> Duration {
+        self.first.mul_f64(self.rng.f64())
+    }
+
+    /// A call failed: how long to wait before the next. The windows double up to the longest; the upper half of
+    /// each is drawn from, so that no repeat comes at once.
+    pub fn failed(&mut self) -> Duration {
+        let window = self.least.saturating_mul(1 << self.failures.min(16)).min(self.most);
+        self.failures = self.failures.saturating_add(1);
+        window.mul_f64(0.5 + self.rng.f64() / 2.0)
+    }
+
+    /// A call was answered: the next failure is a first one.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+}
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::list::List;
 use bytes::Bytes;
+use granite_background::Pace;
 use granitehub::Scope;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,7 +17,7 @@
 const WAIT: Duration = Duration::from_secs(20);
 /// Past this an answer that may not wait is not coming.
 const SILENCE: Duration = Duration::from_secs(2);
-/// Between a failure and the next call: under the 200 ms after which a watch counts as given up.
+/// Before the next call where nothing is new: under the 200 ms after which a watch counts as given up.
 const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST: usize = 4 << 20;
 
@@ -29,11 +30,12 @@
 
 type Connection = SendRequest<Empty<Bytes>>;
 
-/// Asks for the whole list once, then for what changed since. Whatever fails, the old list stands and the
-/// next call comes on a new connection.
-pub async fn watch(address: SocketAddr, tell: impl Fn(News)) {
-    let mut rev = None;
+/// Asks for what changed since the list that is held, or for the whole list if none is, and so on. Whatever fails,
+/// the old list stands and the next call comes on a new connection, when the pace allows.
+pub async fn watch(address: SocketAddr, held: Option<u64>, mut pace: Pace, tell: impl Fn(News)) {
+    let mut rev = held;
     let mut connection = None;
+    sleep(pace.first()).await;
     loop {
         match call(address, &mut connection, rev).await {
             // Changes apply to a list that is held, and only forwards.
@@ -42,14 +44,19 @@
                 if rev.replace(list.rev) == Some(list.rev) {
                     sleep(PAUSE).await;
                 }
+                pace.answered();
                 let scope = if list.all { Scope::Full } else { Scope::Changes };
                 tell(News::List(scope, list));
             }
-            Ok(_) => rev = None,
+            // It runs back: another service answers. The whole list is wanted, and it is dear.
+            Ok(_) => {
+                rev = None;
+                sleep(pace.failed()).await;
+            }
             Err(what) => {
                 tell(News::Failed(what));
                 connection = None;
-                sleep(PAUSE).await;
+                sleep(pace.failed()).await;
             }
         }
     }
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -15,11 +15,13 @@
 use clap::{Parser, Subcommand};
 use driver::Driver;
 use fronts::http1;
+use granite_background::{Pace, Service};
 use granite_operator::{LogFormat, Operator};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::spawn_local;
 use tracing::{error, info, warn};
@@ -121,6 +123,13 @@
         let setup = allowance::forwarder::prepare(forwarder, &operator.allowances, &settings, now)?;
         spawn_local(allowance::forwarder::run(setup, driver.clone()));
     }
+    let service = if settings.subscribe {
+        Service::Shared { gateways: settings.gateways, within: Duration::from_nanos(settings.ask_within) }
+    } else {
+        Service::Local
+    };
+    // A shared service is asked for no more than what changed since: the whole list costs it work for each line.
+    let held = config.known.as_ref().filter(|_| settings.subscribe).map(|known| known.rev);
     if let Some(known) = config.known {
         driver.cached(known);
     }
@@ -129,7 +138,8 @@
         info!(%address, "listening on {address}");
     }
     let server = Rc::new(http1::Server::new(driver.clone(), backends.clone(), config.client_sockets));
-    spawn_local(follow(config.discovery, hup, driver.clone()));
+    let pace = Pace::new(service, config.seed);
+    spawn_local(follow(config.discovery, held, pace, hup, driver.clone()));
     spawn_local(backends.reap());
     let driver = spawn_local(async move { driver.run().await });
     tokio::select! {
@@ -140,18 +150,19 @@
 
 /// Watches discovery where the configuration says it is, also after a new one. The watch that waits at the
 /// old address is dropped at once: what that has yet to tell would come too late.
-async fn follow(address: SocketAddr, mut hup: Signal, driver: Rc<Driver>) {
-    let begin = |address| {
+async fn follow(address: SocketAddr, held: Option<u64>, mut pace: Pace, mut hup: Signal, driver: Rc<Driver>) {
+    let mut begin = |address, held| {
         let driver = driver.clone();
-        spawn_local(discovery::watch(address, move |news| driver.news(news)))
+        spawn_local(discovery::watch(address, held, pace.fork(), move |news| driver.news(news)))
     };
-    let mut watch = begin(address);
+    let mut watch = begin(address, held);
     while hup.recv().await.is_some() {
         match config::reload() {
             Ok(address) => {
                 info!(%address, "new configuration: discovery at {address}");
                 watch.abort();
-                watch = begin(address);
+                // Revisions of another service say nothing here.
+                watch = begin(address, None);
             }
             Err(what) => warn!(cause = what, "new configuration refused, the old one stands: {what}"),
         }
