Among many gateways each keeps to a part of the fleet that warms and fails visibly

At fault: decide.rs, candidates(): 16 drawn anew from the whole fleet for each request. Fleets with few gateways decide as before. Where the subset has no room the rest is looked at once.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,7 @@
 
 use crate::interface::*;
 use fastrand::Rng;
+use granite_route::subset::{self, Subset};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -50,6 +51,10 @@
 const FEW: usize = 32;
 const DRAWN: usize = 16;
 const REFRESH: Time = 50_000_000;
+/// Among many gateways each keeps to a part of the fleet: so many warm and sound servers at the least, and
+/// enough that each server is kept by so many gateways.
+const KEPT: usize = 12;
+const COVER: u32 = 8;
 const TIMER_PUMP: u64 = 0;
 const TIMER_ASK: u64 = 1;
 const TIMER_REQUESTS: u64 = 2;
@@ -167,9 +172,11 @@
 /// The same of one pool.
 #[derive(Clone, Debug, Default)]
 struct Pool {
-    /// Servers that take new work; of a large fleet the warm ones; and the cold ones, each with where the
-    /// part of all draws ends that opens it.
+    /// Servers that take new work, and those of them that this gateway keeps to.
+    all: Arc<[Name]>,
     up: Arc<[Name]>,
+    /// Of a large fleet the warm ones; and the cold ones, each with where the part of all draws ends that
+    /// opens it.
     warm: Vec<Name>,
     cold: Vec<(f64, Name)>,
     /// Their rooms and their warmth together.
@@ -208,6 +215,8 @@
     others: f64,
     /// This gateway's part of all work: an even one, unless a planner says otherwise.
     part: f64,
+    /// How many servers there are for each that this gateway keeps to: so much more of each is its.
+    thin: f64,
 }
 
 impl Gateway {
@@ -243,6 +252,7 @@
             open: 1.0,
             rng,
             part: 1.0 / f64::from(s.gateways.max(1)),
+            thin: 1.0,
             s,
         })
     }
@@ -278,7 +288,8 @@
         let part = if share > 0.0 && share <= 1.0 { share } else { return };
         let by = (part / self.part).clamp(0.5, 2.0);
         self.part *= by;
-        self.servers.values_mut().for_each(|s| s.room = (s.room * by).max(self.part));
+        let least = self.part * self.thin;
+        self.servers.values_mut().for_each(|s| s.room = (s.room * by).max(least));
     }
 
     // ---- The list of servers ----
@@ -302,7 +313,9 @@
                 s.health = Health::Removed;
             }
         }
-        let fresh_room = FIRST_ROOM * self.part;
+        let count = if scope == Scope::Changes { self.servers.len() } else { nodes.len() };
+        self.thin = count.max(1) as f64 / self.kept(count.max(1)) as f64;
+        let fresh_room = FIRST_ROOM * self.part * self.thin;
         let (now, slots) = (self.now, self.s.classes.len() + self.s.plans.len());
         for n in nodes {
             let fresh = Server {
@@ -342,52 +355,89 @@
             return;
         }
         let (memory, slots) = (self.memory(), self.s.classes.len() + self.s.plans.len());
-        let large = self.servers.len() > FEW;
         let mut all = Overview { at: now, ..Overview::default() };
-        let known = if self.fleet.stale { Vec::new() } else { std::mem::take(&mut self.fleet.pools) };
-        let mut ups = vec![Vec::new(); self.s.pools.max(1)];
-        all.pools.resize(ups.len(), Pool::default());
+        if self.fleet.stale {
+            self.fleet.pools = (0..self.s.pools.max(1)).map(|n| self.pool(n)).collect();
+        }
+        all.pools = std::mem::take(&mut self.fleet.pools);
         let mut sums = vec![(0.0, 0.0); slots];
-        for (name, s) in &self.servers {
+        for s in self.servers.values() {
             let keep = (-secs(now - s.ended) / memory).exp();
             for (sum, end) in sums.iter_mut().zip(&s.ends) {
                 let (ends, bad) = (keep * end.0, keep * end.1);
                 *sum = (sum.0 + ends / (ends + 1.0), sum.1 + bad / (ends + 1.0));
             }
-            if s.health != Health::Up {
-                continue;
-            }
-            let warmth = self.warmth(s);
-            for (n, pool) in all.pools.iter_mut().enumerate().filter(|(n, _)| s.pools & (1 << n) != 0) {
-                pool.room += s.room * warmth;
-                pool.warmth += warmth;
-                if known.is_empty() {
-                    ups[n].push(name.clone());
-                }
-                if warmth < 1.0 {
-                    // What all pools together send it is its part of them.
-                    pool.cold
-                        .push((warmth / f64::from(s.pools.count_ones()).min(ups.len() as f64), name.clone()));
-                } else if large {
-                    pool.warm.push(name.clone());
-                }
-            }
+        }
+        all.bad = sums.into_iter().map(|(n, bad)| bad / (n + 1.0)).collect();
+        for pool in &mut all.pools {
+            self.keep(pool, &all.bad);
         }
         // Beyond the paper: slow start. A request's draw opens at most one cold server to it, each by its
         // warmth: it gets its part of all gateways' traffic at most, far below the multiple at which it
         // falls, and nothing need be remembered. Harms by under-using cold servers a little.
-        for (n, pool) in all.pools.iter_mut().enumerate() {
-            pool.up = known.get(n).map_or_else(|| std::mem::take(&mut ups[n]).into(), |k| k.up.clone());
+        for pool in &mut all.pools {
             let mut end = 0.0;
             for (part, _) in &mut pool.cold {
                 end += *part / pool.warmth;
                 *part = end;
             }
         }
-        all.bad = sums.into_iter().map(|(n, bad)| bad / (n + 1.0)).collect();
         self.fleet = all;
     }
 
+    /// How many of so many servers this gateway keeps to. Beyond the paper: among a hundred gateways each
+    /// would see any one server so seldom that it never learnt of it in time, and open a connection for nearly
+    /// every request. Harms where a gateway's few are worse than the rest and it can't tell.
+    fn kept(&self, servers: usize) -> usize {
+        subset::size(servers, self.s.gateways, COVER, KEPT)
+    }
+
+    /// A pool's servers that take new work, in the order in which this gateway would keep to them.
+    fn pool(&self, n: usize) -> Pool {
+        let up = self.servers.iter().filter(|(_, s)| s.health == Health::Up && s.pools & (1 << n) != 0);
+        let up: Vec<Name> = up.map(|(name, _)| name.clone()).collect();
+        let kept = self.kept(up.len());
+        let all: Arc<[Name]> = if kept < up.len() {
+            Subset::new(&up, self.s.me, self.s.gateways, up.len()).kept().into()
+        } else {
+            up.into()
+        };
+        Pool { up: all.clone(), all, ..Pool::default() }
+    }
+
+    /// Brings a pool up to date: of its servers as many are kept as have the warmth and soundness of the
+    /// number wanted, so that neither a cold start nor a failure of many leaves a gateway to few.
+    fn keep(&self, pool: &mut Pool, bad: &[f64]) {
+        let (want, large) = (self.kept(pool.all.len()), pool.all.len() > FEW);
+        let whole = want >= pool.all.len();
+        (pool.room, pool.warmth) = (0.0, 0.0);
+        pool.warm.clear();
+        pool.cold.clear();
+        let (mut kept, mut sound) = (0, 0.0);
+        for name in &*pool.all {
+            if !whole && sound >= want as f64 {
+                break;
+            }
+            kept += 1;
+            let Some(s) = self.servers.get(name) else { continue };
+            let warmth = self.warmth(s);
+            let worst = (0..bad.len()).map(|slot| self.bad(s, slot, bad[slot])).fold(0.0, f64::max);
+            sound += warmth * (1.0 - worst).max(0.0);
+            pool.room += s.room * warmth;
+            pool.warmth += warmth;
+            if warmth < 1.0 {
+                // What all pools together send it is its part of them.
+                let pools = f64::from(s.pools.count_ones()).min(self.s.pools.max(1) as f64);
+                pool.cold.push((warmth / pools, name.clone()));
+            } else if large {
+                pool.warm.push(name.clone());
+            }
+        }
+        if !whole && kept != pool.up.len() {
+            pool.up = pool.all[..kept].into();
+        }
+    }
+
     /// The cold server that this draw opens, if it opens one.
     fn opened(&self, pool: usize, draw: f64) -> Option<&Name> {
         let cold = &self.fleet.pools[pool].cold;
@@ -657,6 +707,8 @@
         let mut none = vec![false; self.s.classes.len()];
         let cold = !self.fleet.pools[pool].cold.is_empty();
         let mut looked = vec![false; self.s.classes.len()];
+        let all = self.fleet.pools[pool].all.len();
+        let some = all > FEW || all > self.fleet.pools[pool].up.len();
         for place in 0..self.subs[res].queues[plan].len() {
             let id = self.subs[res].queues[plan][place];
             let (class, units) = (self.held[&id].class, self.held[&id].units);
@@ -665,9 +717,7 @@
             }
             let found = match self.choose(id, false) {
                 // What few that were drawn had no room for, the rest may have; they are asked for once.
-                None if self.servers.len() > FEW && !std::mem::replace(&mut looked[class], true) => {
-                    self.choose(id, true)
-                }
+                None if some && !std::mem::replace(&mut looked[class], true) => self.choose(id, true),
                 found => found,
             };
             match found {
@@ -722,7 +772,10 @@
     /// Those that one request looks at. Of a large fleet some are drawn, unless it is looked at whole, and
     /// the cold one that its draw opens.
     fn candidates(&mut self, pool: usize, draw: f64, whole: bool) -> Arc<[Name]> {
-        if whole || self.servers.len() <= FEW {
+        if whole {
+            return self.fleet.pools[pool].all.clone();
+        }
+        if self.fleet.pools[pool].up.len() <= FEW {
             return self.fleet.pools[pool].up.clone();
         }
         let (warm, rng) = (&self.fleet.pools[pool].warm, &mut self.rng);
@@ -885,7 +938,8 @@
         if pass {
             self.usual[class] += (took.min(aim) - usual) * GAIN / 4.0;
         }
-        let (memory, classes, least) = (self.memory(), self.s.classes.len(), self.part);
+        let (memory, classes) = (self.memory(), self.s.classes.len());
+        let least = self.part * self.thin;
         let Some(s) = self.servers.get_mut(&o.server) else { return };
         s.own = s.own.saturating_sub(1);
         s.heard = now;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -610,7 +610,7 @@
 fn many_gateways_do_not_pick_the_same_server() {
     let mut hits = std::collections::BTreeMap::new();
     for seed in 0..200 {
-        let s = Settings { gateways: 200, ..settings() };
+        let s = Settings { me: seed as u32, gateways: 200, ..settings() };
         let mut g = Gateway::new(s, seed, 100 * SEC).expect("settings in range");
         let mut out = Vec::new();
         let nodes = (0..20).map(|i| Rig::node(i, Health::Up)).collect();
