--- a/src/decide.rs
+++ b/src/decide.rs
@@ -386,8 +386,8 @@
     }
 
     /// How many of so many servers this gateway keeps to. Beyond the paper: among a hundred gateways each
-    /// would see any one server so seldom that it never learnt of it in time, and open a connection for nearly
-    /// every request. Harms where a gateway's few are worse than the rest and it can't tell.
+    /// would see any one server so seldom that it never learnt of it in time, and open a connection for
+    /// nearly every request. Harms where a gateway's few are worse than the rest and it can't tell.
     fn kept(&self, servers: usize) -> usize {
         subset::size(servers, self.s.gateways, COVER, KEPT)
     }
