Cold servers get their part by warmth from all gateways, not what warm ones leave

Ruled out: the list (entries had come 2 to 5 s before), rooms (1 at each server, 0 to 1 in use), the budget for cold servers (what they got is a tenth of it).

At fault: choose(), wait = load * slow / (warmth * rating). The draw that opens a cold server has weighed it by its warmth already; weighed again, it lies behind every warm server that looks idle here, and to one of a hundred gateways some warm one always looks idle. Now an opened cold server is weighed as any other and taken if it is near the best. Its share is its warmth's part of what all gateways send: a third of the multiple at which it falls.

The test fails before (0 of what a warm server gets).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -830,7 +830,8 @@
             // What was learnt of a pace fades while the server is not used, or it would never be again.
             let quiet = if s.own > 0 { 0.0 } else { silent / 16.0 };
             let slow = 1.0 + (s.slow - 1.0) * (-quiet).exp();
-            let wait = load * slow * hung * far / (warmth * s.rating).max(1e-9);
+            // The draw has weighed a cold server by its warmth already.
+            let wait = load * slow * hung * far / s.rating.max(1e-9);
             let bad = self.bad(s, h.class, class_pool) + self.bad(s, classes + h.plan, plan_pool);
             found.push((again, wait + loss * bad, wait, name));
         }
@@ -840,6 +841,11 @@
         // gateways would follow one report, or one name, to the same server.
         let width = NEAR * wait * (1.0 - 2.0 / f64::from(self.s.gateways)).max(0.0);
         found.retain(|f| f.0 == again && f.1 <= least + width);
+        // A cold server that the draw opens gets its part if it is near the best: among many gateways some
+        // warm one always seems idle, and the cold would get nothing while the warm drown.
+        if let Some(cold) = opened.filter(|cold| found.iter().any(|f| f.3 == *cold)) {
+            return Some(cold.clone());
+        }
         let one = self.rng.usize(..found.len());
         Some(found[one].3.clone())
     }
--- a/tests/vast.rs
+++ b/tests/vast.rs
@@ -117,6 +117,28 @@
     assert!(used.len() > 18, "kept to {} cold servers", used.len());
 }
 
+/// After a release most servers are cold. They get their part at once, by warmth: not nothing while the warm ones
+/// drown, and not more than twice it, far from what pushes them over.
+#[test]
+fn cold_servers_get_their_part_from_a_hundred_gateways_at_once() {
+    let node = |i: usize| Node {
+        // Warmth 0.52 to 0.64 for two in three, over the time that the test lasts.
+        since: if i % 3 == 0 { 0 } else { 96 * SEC },
+        ..Node::new(&format!("s{i}"), Health::Up)
+    };
+    let (mut cold, mut warm) = (0.0, 0.0);
+    for me in 0..GATEWAYS {
+        let mut rig = Rig::new(me, (0..60).map(node).collect());
+        for server in (0..6).flat_map(|_| rig.request(&mut |_| Ending::Pass)) {
+            let n: usize = server[1..].parse().expect("a number");
+            *(if n % 3 == 0 { &mut warm } else { &mut cold }) += 1.0;
+        }
+    }
+    let (each_cold, each_warm) = (cold / 40.0, warm / 20.0);
+    let part = each_cold / each_warm;
+    assert!((0.35..0.9).contains(&part), "a cold server gets {part} of what a warm one does");
+}
+
 /// Few gateways see each server often enough: they use all of them.
 #[test]
 fn few_gateways_use_the_whole_fleet() {
