--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,7 +53,7 @@
 const REFRESH: Time = 50_000_000;
 /// Among many gateways each keeps to a part of the fleet: so many warm and sound servers at the least, and
 /// enough that each server is kept by so many gateways.
-const KEPT: usize = 12;
+const KEPT: usize = 8;
 const COVER: u32 = 8;
 const TIMER_PUMP: u64 = 0;
 const TIMER_ASK: u64 = 1;
@@ -389,7 +389,10 @@
     /// would see any one server so seldom that it never learnt of it in time, and open a connection for
     /// nearly every request. Harms where a gateway's few are worse than the rest and it can't tell.
     fn kept(&self, servers: usize) -> usize {
-        subset::size(servers, self.s.gateways, COVER, KEPT)
+        // More than half of them is no part worth keeping to.
+        Some(subset::size(servers, self.s.gateways, COVER, KEPT))
+            .filter(|n| 2 * n <= servers)
+            .unwrap_or(servers)
     }
 
     /// A pool's servers that take new work, in the order in which this gateway would keep to them.
