--- a/src/decide.rs
+++ b/src/decide.rs
@@ -424,8 +424,10 @@
             kept += 1;
             let Some(s) = self.servers.get(name) else { continue };
             let warmth = self.warmth(s);
-            let worst = (0..bad.len()).map(|slot| self.bad(s, slot, bad[slot])).fold(0.0, f64::max);
-            sound += warmth * (1.0 - worst).max(0.0);
+            if !whole {
+                let worst = (0..bad.len()).map(|slot| self.bad(s, slot, bad[slot])).fold(0.0, f64::max);
+                sound += warmth * (1.0 - worst).max(0.0);
+            }
             pool.room += s.room * warmth;
             pool.warmth += warmth;
             if warmth < 1.0 {
