Test: a list whose servers are all down, and up again

Every request of a gateway of a hundred ends after three attempts at the most, and the fleet is used again at the first attempt once it answers.

--- a/tests/vast.rs
+++ b/tests/vast.rs
@@ -108,6 +108,19 @@
     assert!(failed <= 4, "{failed} of {} attempts went to servers that are down", later.len());
 }
 
+/// A list whose servers are all down: every request is refused after three attempts at the most, and once they are
+/// up again they are used again at once.
+#[test]
+fn with_all_servers_bad_requests_end_and_the_fleet_is_found_again() {
+    let mut rig = Rig::new(3, servers(60));
+    for _ in 0..100 {
+        let went = rig.request(&mut |_| Ending::NoRoute);
+        assert!((1..=3).contains(&went.len()), "{} attempts", went.len());
+    }
+    let served = (0..20).filter(|_| rig.request(&mut |_| Ending::Pass).len() == 1).count();
+    assert_eq!(served, 20, "served at the first attempt once the servers are up again");
+}
+
 /// After a zone came back cold a gateway that keeps to cold servers alone would send each of them a full part.
 #[test]
 fn among_cold_servers_a_gateway_keeps_to_more_of_them() {
