A discovery that answers at once with nothing new is backed off from; the pace decides

Cause, read as a maintainer would: discovery.rs, a part with sockets, held a figure of its own, 100 ms before the next call where nothing is new. Safe for one gateway; a hundred before a shared service that does not hold calls would make a thousand calls a second, with no failure to back off from.

Change: Pace::unchanged() decides. After most of the wait the watch goes on in 100 ms, under the 200 ms after which it counts as given up; sooner it is as a failure. An agent on the own machine is asked within 200 ms as before.

--- a/crates/background/src/pace.rs
+++ b/crates/background/src/pace.rs
@@ -12,6 +12,8 @@
 const CALL: Duration = Duration::from_millis(80);
 /// Between two calls to a service that nobody else calls.
 const LEAST: Duration = Duration::from_millis(100);
+/// From the end of one wait to the next: a watch counts as given up after 200 ms.
+const NEXT: Duration = Duration::from_millis(100);
 /// An agent on the own machine is asked this often at the least: what it holds counts as told.
 const LOCAL_MOST: Duration = Duration::from_millis(200);
 
@@ -68,8 +70,19 @@
         window.mul_f64(0.5 + self.rng.f64() / 2.0)
     }
 
-    /// A call was answered: the next failure is a first one.
+    /// A call was answered with news: the next failure is a first one.
     pub fn answered(&mut self) {
         self.failures = 0;
     }
+
+    /// A call that might wait so long was answered after `took` with nothing new: how long to wait before the next.
+    /// After most of the wait the watch goes on. Sooner, the service does not hold calls as it should, and to be
+    /// called again at once by all gateways is as much work to it as failures are.
+    pub fn unchanged(&mut self, took: Duration, wait: Duration) -> Duration {
+        if took < wait / 2 {
+            return self.failed();
+        }
+        self.answered();
+        NEXT
+    }
 }
--- a/crates/background/tests/pace.rs
+++ b/crates/background/tests/pace.rs
@@ -106,3 +106,16 @@
     let mut pace = Pace::new(Service::Shared { gateways: 1, within: WITHIN }, 3);
     assert_eq!(pace.first(), Duration::ZERO);
 }
+
+/// A shared service that answers every watch at once would be called ten times a second by each gateway.
+#[test]
+fn a_service_that_does_not_hold_calls_is_called_ever_more_seldom() {
+    let mut pace = Pace::new(Service::Shared { gateways: GATEWAYS, within: WITHIN }, 5);
+    let wait = Duration::from_secs(20);
+    let pauses: Vec<Duration> = (0..5).map(|_| pace.unchanged(Duration::from_millis(2), wait)).collect();
+    assert!(pauses.iter().all(|p| *p >= Duration::from_secs(4)), "{pauses:?}");
+    let next = pace.unchanged(wait, wait);
+    assert!(next < Duration::from_millis(200), "a watch that waited goes on: {next:?}");
+    let mut own = Pace::new(Service::Local, 5);
+    assert!((0..50).all(|_| own.unchanged(Duration::ZERO, wait) <= Duration::from_millis(200)));
+}
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -11,14 +11,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(20);
 /// Past this an answer that may not wait is not coming.
 const SILENCE: Duration = Duration::from_secs(2);
-/// Before the next call where nothing is new: under the 200 ms after which a watch counts as given up.
-const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST: usize = 4 << 20;
 
 /// What the watch has to tell.
@@ -37,14 +35,15 @@
     let mut connection = None;
     sleep(pace.first()).await;
     loop {
+        let began = Instant::now();
         match call(address, &mut connection, rev).await {
             // Changes apply to a list that is held, and only forwards.
             Ok(list) if list.all || rev.is_some_and(|r| list.rev >= r) => {
-                // An agent that answers at once with nothing new must not keep the loop busy.
                 if rev.replace(list.rev) == Some(list.rev) {
-                    sleep(PAUSE).await;
+                    sleep(pace.unchanged(began.elapsed(), WAIT)).await;
+                } else {
+                    pace.answered();
                 }
-                pace.answered();
                 let scope = if list.all { Scope::Full } else { Scope::Changes };
                 tell(News::List(scope, list));
             }
