A second address with figures, maintenance by hand, upgrades on an inherited socket

Change: crates/maintenance lays bans over discovery's list at the one place where lists enter the engine; crates/handover says which of two processes may hold what; crates/inherit takes the socket by its number; admin/ is the second address. The engine counts by class, from 0. A close for a handover lets who has yet to ask do so once.

--- a/crates/check/src/world.rs
+++ b/crates/check/src/world.rs
@@ -210,7 +210,7 @@
                         a.stopped = true;
                     }
                 }
-                Order::Answer { id, answer } => {
+                Order::Answer { id, answer, .. } => {
                     let Some(n) = s.latest(id) else { continue };
                     s.note(Broken::SecondAnswer, s.asked[n].end == Asked::Answered);
                     s.note(Broken::AnswerAfterLeave, s.asked[n].end == Asked::Left);
@@ -389,6 +389,7 @@
                 s.to_come += 1;
                 let deadline = s.now + self.time(DEADLINE);
                 let arrival = Arrival {
+                    class: 0,
                     id,
                     effect: self.effect,
                     group: self.group,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,15 +8,15 @@
 mod words;
 
 pub use granite_lifecycle::{Final, Listed, Reply, Step};
-pub use words::{Counts, Entry, Error, Facts, Incoming, Input, Notice, Output};
+pub use words::{Calls, Counts, Entry, Error, Facts, Incoming, Input, Notice, Output, Totals};
 
 use admission::Admission;
 use granite_forward::{Account, Mode};
 use granite_interface::{
-    Action, Allowance, AttemptEnd, Event, Health, Module, Name, Node, Request, RequestId, Scope, Settings,
-    Time,
+    Action, Allowance, AttemptEnd, Event, Health, Module, Name, Request, RequestId, Scope, Settings, Time,
 };
 use granite_lifecycle::{self as lifecycle, Arrival, Limits, Lives, Order, Told};
+use granite_maintenance::{Bans, NeverListed};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -46,8 +46,10 @@
     make: Make<M>,
     lives: Lives,
     admission: Admission,
-    /// The list of servers as it stands, for a module that begins anew.
-    nodes: BTreeMap<Name, Node>,
+    /// Discovery's list as it stands.
+    nodes: BTreeMap<Name, Entry>,
+    /// Laid over it wherever it goes on.
+    bans: Bans,
     list_lost: bool,
     /// What the module has yet to hear, and no sooner than when.
     events: Vec<Event>,
@@ -56,6 +58,9 @@
     /// The part of all work that the module was told last.
     placed: f64,
     counts: Counts,
+    /// Since the start, by class; and attempts written whole.
+    calls: Vec<Calls>,
+    attempts: u64,
     /// Empty between calls: kept for their room.
     orders: Vec<Order>,
     actions: Vec<Action>,
@@ -89,12 +94,15 @@
             lives: Lives::new(limits),
             admission: Admission::default(),
             nodes: BTreeMap::new(),
+            bans: Bans::default(),
             list_lost: false,
             events: Vec::new(),
             earliest: now,
             timers: BinaryHeap::new(),
             placed: 1.0 / f64::from(settings.gateways.max(1)),
             counts: Counts::default(),
+            calls: vec![Calls::default(); settings.classes.len()],
+            attempts: 0,
             orders: Vec::new(),
             actions: Vec::new(),
             settings,
@@ -126,6 +134,20 @@
         self.admission.mode()
     }
 
+    /// What it has done since it began, and how it stands.
+    pub fn totals(&self) -> Totals {
+        let avoided = self.module.avoided();
+        let down = |(node, _): &&Entry| {
+            node.health != Health::Up || self.bans.is_out(&node.name) || avoided.contains(&node.name)
+        };
+        Totals {
+            calls: self.calls.clone(),
+            attempts: self.attempts,
+            listed: self.nodes.len(),
+            down: self.nodes.values().filter(down).count(),
+        }
+    }
+
     pub fn take_counts(&mut self) -> Counts {
         std::mem::take(&mut self.counts)
     }
@@ -155,10 +177,12 @@
         match input {
             Input::Received(incoming) => return self.received(now, incoming, out),
             Input::Left { id } => {
-                let heard = self.events.len();
+                let (heard, class) = (self.events.len(), self.lives.get(id).map(|l| l.class()));
                 self.feed(now, lifecycle::Input::Left { id }, Facts::default(), out)?;
                 // It went without its answer; else the two have crossed.
-                self.counts.failed += u64::from(self.events.len() > heard);
+                if let Some(class) = class.filter(|_| self.events.len() > heard) {
+                    self.count(class, Final::Failed { late: false });
+                }
             }
             Input::Connected { id, attempt } => {
                 self.feed(now, lifecycle::Input::Connected { id, attempt }, Facts::default(), out)?;
@@ -166,7 +190,8 @@
             // Nothing is ordered on such news.
             Input::Progress { id, attempt, step } => {
                 let input = lifecycle::Input::Progress { id, attempt, step };
-                return self.lives.handle(now, input, &mut self.orders);
+                self.lives.handle(now, input, &mut self.orders)?;
+                self.attempts += u64::from(step == Step::Written);
             }
             Input::Ended { id, attempt, ending, reply, facts } => {
                 let input = lifecycle::Input::Ended { id, attempt, ending, reply };
@@ -195,10 +220,11 @@
 
     fn received(&mut self, now: Time, r: Incoming, out: &mut Vec<Output>) -> Result<(), Error> {
         let classes = &self.settings.classes;
-        let class = &classes.get(r.class).unwrap_or(&classes[0]);
+        let number = if r.class < classes.len() { r.class } else { 0 };
+        let class = &classes[number];
         let deadline = now + r.timeout - self.way_back.min(r.timeout / 10);
         let (effect, group, key_ttl) = (class.effect, class.group, class.key_ttl);
-        let arrival = Arrival { id: r.id, effect, group, key_ttl, deadline };
+        let arrival = Arrival { id: r.id, class: number, effect, group, key_ttl, deadline };
         self.feed(now, lifecycle::Input::Received(arrival), Facts::default(), out)?;
         let request = Request {
             id: r.id,
@@ -264,13 +290,8 @@
                 Order::Write { id, attempt } => out.push(Output::Write { id, attempt }),
                 Order::Withhold { id, attempt } => out.push(Output::Withhold { id, attempt }),
                 Order::Abort { id, attempt } => out.push(Output::Abort { id, attempt }),
-                Order::Answer { id, answer } => {
-                    let count = match answer {
-                        Final::Served => &mut self.counts.served,
-                        Final::Refused { .. } => &mut self.counts.refused,
-                        Final::Turned | Final::Failed { .. } => &mut self.counts.failed,
-                    };
-                    *count += 1;
+                Order::Answer { id, class, answer } => {
+                    self.count(class, answer);
                     out.push(Output::Answer { id, answer });
                     self.over(now, id, out);
                 }
@@ -281,6 +302,16 @@
         done
     }
 
+    /// The one place where answers count.
+    fn count(&mut self, class: usize, answer: Final) {
+        let Some(calls) = self.calls.get_mut(class) else { return };
+        *match answer {
+            Final::Served => &mut calls.served,
+            Final::Refused { .. } => &mut calls.refused,
+            Final::Turned | Final::Failed { .. } => &mut calls.failed,
+        } += 1;
+    }
+
     /// Lets go of a request whose life is over.
     fn over(&mut self, now: Time, id: RequestId, out: &mut Vec<Output>) {
         if self.lives.get(id).is_none() {
@@ -321,6 +352,23 @@
         if scope != Scope::Cached && std::mem::take(&mut self.list_lost) {
             out.push(Output::Notice(Notice::ListBack { rev }));
         }
+        if scope != Scope::Changes {
+            self.nodes.clear();
+        }
+        self.bans.listed(entries.iter().map(|(n, _)| &n.name));
+        self.nodes.extend(entries.iter().map(|e| (e.0.name.clone(), e.clone())));
+        self.nodes.retain(|_, (n, _)| n.health != Health::Removed);
+        let nodes = &self.nodes;
+        self.bans.sweep(|name| nodes.contains_key(name));
+        self.tell_list(now, scope, rev, entries);
+    }
+
+    /// Entries of the list go on, under the bans: the one way by which lives and module hear of servers.
+    fn tell_list(&mut self, now: Time, scope: Scope, seq: u64, mut entries: Vec<Entry>) {
+        for (node, place) in &mut entries {
+            self.bans.lay_over(node);
+            *place = place.filter(|_| node.health == Health::Up);
+        }
         let servers = entries.iter().map(|(n, place)| Listed {
             name: n.name.clone(),
             zone: n.zone,
@@ -328,18 +376,53 @@
             place: *place,
             gone: n.health == Health::Removed,
         });
-        let whole = scope != Scope::Changes;
         // Before the module hears of it: an attempt on its way asks for the leave to write.
-        let input = lifecycle::Input::Fleet { whole, servers: servers.collect() };
+        let input = lifecycle::Input::Fleet { whole: scope != Scope::Changes, servers: servers.collect() };
         let done = self.lives.handle(now, input, &mut self.orders);
         debug_assert!(done.is_ok() && self.orders.is_empty(), "a list orders nothing");
-        if whole {
-            self.nodes.clear();
+        let nodes = entries.into_iter().map(|(n, _)| n).collect();
+        self.events.push(Event::Fleet { seq, scope, nodes });
+    }
+
+    // ---- Maintenance by hand ----
+
+    /// Nothing new goes to this server from here on, whatever discovery says, until it is put back.
+    ///
+    /// # Errors
+    /// If no list has ever named it.
+    pub fn take_out(&mut self, now: Time, target: &str) -> Result<bool, NeverListed> {
+        let new = self.bans.enter(now, target)?;
+        self.tell_again(now, &[target.into()]);
+        Ok(new)
+    }
+
+    /// Puts a server back. It counts as just started.
+    ///
+    /// # Errors
+    /// If no list has ever named it.
+    pub fn put_back(&mut self, now: Time, target: &str) -> Result<bool, NeverListed> {
+        let was_out = self.bans.exit(now, target)?;
+        self.tell_again(now, &[target.into()]);
+        Ok(was_out)
+    }
+
+    /// Servers that are out by hand, and since when.
+    pub fn bans(&self) -> BTreeMap<Name, Time> {
+        self.bans.out().map(|(name, since)| (name.clone(), since)).collect()
+    }
+
+    /// Takes over the bans that another process of this gateway holds. How many that changes.
+    pub fn adopt_bans(&mut self, now: Time, all: &BTreeMap<Name, Time>) -> usize {
+        let changed = self.bans.adopt(now, all);
+        self.tell_again(now, &changed);
+        changed.len()
+    }
+
+    fn tell_again(&mut self, now: Time, names: &[Name]) {
+        let entries: Vec<Entry> = names.iter().filter_map(|n| self.nodes.get(n).cloned()).collect();
+        if !entries.is_empty() {
+            self.tell_list(now, Scope::Changes, 0, entries);
         }
-        let nodes: Vec<Node> = entries.into_iter().map(|(n, _)| n).collect();
-        self.nodes.extend(nodes.iter().map(|n| (n.name.clone(), n.clone())));
-        self.nodes.retain(|_, n| n.health != Health::Removed);
-        self.events.push(Event::Fleet { seq: rev, scope, nodes });
     }
 
     // ---- Time ----
@@ -392,9 +475,10 @@
 
     /// The module kept silent: what is overdue is answered all the same, and nothing more goes out for it.
     fn overdue(&mut self, now: Time, out: &mut Vec<Output>) {
-        let before = self.counts.refused + self.counts.failed;
+        let unserved = |calls: &[Calls]| calls.iter().map(|c| c.refused + c.failed).sum::<u64>();
+        let before = unserved(&self.calls);
         self.order(now, lifecycle::Input::Tick, out);
-        self.counts.overdue += self.counts.refused + self.counts.failed - before;
+        self.counts.overdue += unserved(&self.calls) - before;
     }
 
     /// The module panicked, and what it holds can't be trusted: as after a restart, a new one begins with the
@@ -406,7 +490,7 @@
         self.module = module;
         self.order(now, lifecycle::Input::Panicked, out);
         self.timers.clear();
-        let nodes = self.nodes.values().cloned().collect();
-        self.events.push(Event::Fleet { seq: 0, scope: Scope::Cached, nodes });
+        let entries = self.nodes.values().cloned().collect();
+        self.tell_list(now, Scope::Cached, 0, entries);
     }
 }
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -119,12 +119,29 @@
 /// An input without a meaning in the present state. Nothing has changed.
 pub type Error = granite_lifecycle::Wrong;
 
-/// Counts since they were last taken.
+/// Final answers, and clients that went without theirs (failed).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
+pub struct Calls {
     pub served: u64,
     pub refused: u64,
     pub failed: u64,
+}
+
+/// What a gateway has done since it began, and how it stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// By class, in the settings' order.
+    pub calls: Vec<Calls>,
+    /// Attempts whose last byte went out.
+    pub attempts: u64,
+    /// Servers in the list; those of them that get nothing new, by hand, by the list or by the module's choice.
+    pub listed: usize,
+    pub down: usize,
+}
+
+/// Counts since they were last taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
     /// Answered here because the module had not by the deadline; also in one of the others.
     pub overdue: u64,
     /// Calls to the module.
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -1,6 +1,6 @@
 //! A whole gateway as a value, with the real module and with one that a test plays.
 
-use granite_engine::{Engine, Facts, Figures, Final, Incoming, Input, Notice, Output, Reply, Step};
+use granite_engine::{Calls, Engine, Facts, Figures, Final, Incoming, Input, Notice, Output, Reply, Step};
 use granite_interface::{Action, Event, Module, RequestId};
 use granitehub::{Class, Effect, Ending, Gateway, Group, Health, Node, Plan, Scope, Settings, Time};
 use std::cell::RefCell;
@@ -103,8 +103,9 @@
     engine.give(START + 21 * MS, Input::Wake);
     assert!(engine.is_idle() && engine.next_due().is_none());
     assert!(matches!(module.heard.borrow().last(), Some(Event::AttemptEnd(end)) if end.last));
-    let counts = engine.take_counts();
-    assert_eq!((counts.served, counts.refused, counts.failed, counts.batches), (1, 0, 0, 2));
+    let totals = engine.totals();
+    assert_eq!(totals.calls[0], Calls { served: 1, refused: 0, failed: 0 });
+    assert_eq!((totals.attempts, engine.take_counts().batches), (1, 2));
 }
 
 /// The real module ignores a class that it does not know and says nothing: the answer comes all the same, when
@@ -183,7 +184,7 @@
     engine.give(START + 4 * MS, Input::Left { id: 1 });
     engine.give(START + 5 * MS, Input::Wake);
     let gone = module.heard.borrow().iter().filter(|e| matches!(e, Event::ClientGone { id: 1 })).count();
-    assert_eq!((gone, engine.take_counts().failed), (1, 1));
+    assert_eq!((gone, engine.totals().calls[0].failed), (1, 1));
     let out = engine.give(START + 9 * MS, ended(Ending::Pass, Reply::Good));
     assert!(!out.iter().any(|o| matches!(o, Output::Answer { .. })), "nobody waits: {out:?}");
     engine.give(START + 10 * MS, Input::Wake);
--- a/crates/forward/examples/growth.rs
+++ b/crates/forward/examples/growth.rs
@@ -50,7 +50,7 @@
             for (seat, (account, here, there)) in fleet.iter_mut().enumerate() {
                 let started = Instant::now();
                 for n in 0..ACTIVE {
-                    if (n + seat) % usize::from(seats) < THROUGH && (n + step as usize) % 4 == 0 {
+                    if (n + seat) % usize::from(seats) < THROUGH && (n + step as usize).is_multiple_of(4) {
                         let customer = &names[(first + n) % CUSTOMERS];
                         account.spend(now, customer, 0, 1.0, false);
                         account.done(customer, 0.0);
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -310,4 +310,9 @@
 pub trait Module {
     /// Takes what happened by `now` and appends what to do about it.
     fn handle(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>);
+
+    /// Servers that take new work by the list and that it avoids now by its own choice.
+    fn avoided(&self) -> Vec<Name> {
+        Vec::new()
+    }
 }
--- a/crates/lifecycle/src/connection.rs
+++ b/crates/lifecycle/src/connection.rs
@@ -3,8 +3,8 @@
 //!
 //! | state | bytes of the next head | the head | the body | the answer | all of it written | `Close` |
 //! | --- | --- | --- | --- | --- | --- | --- |
-//! | `Idle` | `Head` | `Body` | - | - | - | `Shut` |
-//! | `Head` | stays | `Body` | - | - | - | `Shut` |
+//! | `Idle` | `Head` | `Body` | - | - | - | `Shut`; handover: stays, if it has yet to ask |
+//! | `Head` | stays | `Body` | - | - | - | `Shut`; handover: stays |
 //! | `Body` | stays | - | `InHand` | `Answering` | stays | drain: `Finish`; room: `Shut`, or `Finish` while an answer before it is not written |
 //! | `InHand` | stays | - | - | `Answering` | stays | `Finish` |
 //! | `Answering` | stays | `Body` | - | - | `Idle` | `Finish`; room, after [`STUCK`]: `Shut` |
@@ -35,6 +35,8 @@
 pub enum Close {
     /// The gateway ends: what has been taken is answered first.
     Drain,
+    /// Another process takes over: who has yet to ask, or is at it, may.
+    Handover,
     /// Its place is wanted for another.
     Room,
 }
@@ -166,6 +168,10 @@
                 self.unwritten = false;
                 Order::None
             }
+            (Idle | Head, Input::Close(Close::Handover)) if !self.asked || self.state == Head => {
+                self.closing = true;
+                Order::None
+            }
             (Idle | Head, Input::Close(_)) => self.shut(),
             (Body, Input::Close(Close::Room)) if !self.unwritten || planted!(NextHidesAnswer) => self.shut(),
             (Answering, Input::Close(Close::Room)) if self.stuck(now) => self.shut(),
@@ -252,6 +258,22 @@
         }
     }
 
+    #[test]
+    fn a_handover_lets_who_has_yet_to_ask_do_so_once() {
+        use Input::*;
+        let early: [&[Input]; 3] = [&[], &[Bytes], &[Bytes, Head, Taken, Reply, Flushed, Bytes]];
+        for inputs in early {
+            let mut c = after(inputs);
+            assert_eq!(c.handle(9, Input::Close(super::Close::Handover)), Ok(Order::None));
+            for next in [Bytes, Head, Taken] {
+                assert_eq!(c.handle(9, next), Ok(Order::None));
+            }
+            assert_eq!(c.handle(9, Reply), Ok(Order::Answer { close: true }));
+        }
+        let mut idle = after(&[Bytes, Head, Taken, Reply, Flushed]);
+        assert_eq!(idle.handle(9, Input::Close(super::Close::Handover)), Ok(Order::Shut));
+    }
+
     #[test]
     fn room_is_made_by_who_never_asked_then_by_who_idles_then_by_who_does_not_read() {
         use Input::*;
--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -234,16 +234,16 @@
         life.late |= overdue;
         match std::mem::replace(&mut life.phase, Phase::Held) {
             Phase::Held => {
-                let answer = life.give_up(refuse, advice);
+                let (answer, class) = (life.give_up(refuse, advice), life.arrival.class);
                 self.forget(id);
-                out.push(Order::Answer { id, answer });
+                out.push(Order::Answer { id, class, answer });
             }
             Phase::Out(mut attempt) => {
                 if attempt.may_have_run() && !planted!(OutNotCounted) {
                     life.ran.get_or_insert(attempt.ran());
                 }
-                let answer = life.give_up(refuse, advice);
-                out.push(Order::Answer { id, answer });
+                let (answer, class) = (life.give_up(refuse, advice), life.arrival.class);
+                out.push(Order::Answer { id, class, answer });
                 if !planted!(NoAbortOnAnswer) {
                     abort(id, &mut attempt, out);
                 }
@@ -354,13 +354,14 @@
             life.ran.get_or_insert(a.ran());
         }
         life.late = ending == Ending::Late;
+        let class = life.arrival.class;
         let answer = match reply {
             Reply::None => None,
             Reply::Good => Some(Final::Served),
             Reply::Turned => Some(Final::Turned),
         };
         if let Some(answer) = answer.filter(|_| awaited) {
-            out.push(Order::Answer { id, answer });
+            out.push(Order::Answer { id, class, answer });
         }
         let last = !awaited || answer.is_some();
         if last && (awaited || !planted!(AnsweredNeverForgotten)) {
@@ -385,6 +386,10 @@
 }
 
 impl Life {
+    pub fn class(&self) -> usize {
+        self.arrival.class
+    }
+
     /// Whether another attempt at this server keeps the rule on effects: nothing that must not run twice goes
     /// out where it may.
     fn may_repeat(&self, now: Time, zone: u32, cell: u32, limits: Limits) -> bool {
--- a/crates/lifecycle/src/words.rs
+++ b/crates/lifecycle/src/words.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Arrival {
     pub id: RequestId,
+    /// Whose kind it is: handed back with the answer, and of no other meaning here.
+    pub class: usize,
     /// What a second run of it does.
     pub effect: Effect,
     /// Which servers drop the repeats of a keyed request, and for how long from the first on.
@@ -154,6 +156,7 @@
     },
     Answer {
         id: RequestId,
+        class: usize,
         answer: Final,
     },
     Tell(Told),
--- a/crates/lifecycle/tests/hard_cases.rs
+++ b/crates/lifecycle/tests/hard_cases.rs
@@ -23,7 +23,7 @@
 }
 
 fn arrival(effect: Effect) -> Arrival {
-    Arrival { id: ID, effect, group: Group::Cell, key_ttl: 50, deadline: DEADLINE }
+    Arrival { id: ID, class: 0, effect, group: Group::Cell, key_ttl: 50, deadline: DEADLINE }
 }
 
 impl Story {
--- a/crates/rig/src/planners.rs
+++ b/crates/rig/src/planners.rs
@@ -307,7 +307,7 @@
                 let planners: Vec<String> = gates[n].iter().map(|g| format!("\"{}\"", g.address)).collect();
                 let (seats, seat) = (seats.unwrap_or(SEATS), if seats.is_some() { 0 } else { n });
                 // In the middle of a roll-out: some speak the earlier version.
-                let version = if (n as u64 + seed) % 3 == 0 { 1 } else { 2 };
+                let version = if (n as u64 + seed).is_multiple_of(3) { 1 } else { 2 };
                 let text = format!(
                     "[allowances]\nseats = {seats}\nversion = {version}\n[forwarder]\nseat = {seat}\nplanners = [{}]\nkey_file = \"{}\"\n",
                     planners.join(", "),
--- a/crates/route/benches/route.rs
+++ b/crates/route/benches/route.rs
@@ -8,7 +8,7 @@
 fn table(n: usize) -> Table {
     let route = |i: usize| Route {
         line: i + 1,
-        host: (i % 3 > 0).then(|| format!("h{}.example", i % 50)),
+        host: (!i.is_multiple_of(3)).then(|| format!("h{}.example", i % 50)),
         prefix: format!("/api/v{}/kind-{}", i % 7, i),
         split: Split::all(0),
         ..Route::default()
--- a/crates/sim/src/spec.rs
+++ b/crates/sim/src/spec.rs
@@ -254,5 +254,5 @@
 
 /// Which plan a customer is on: one in four is a partner.
 pub fn plan_of(customer: usize) -> usize {
-    usize::from(customer % 4 == 0)
+    usize::from(customer.is_multiple_of(4))
 }
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -1,5 +1,6 @@
 //! What a gateway is told at its start: the file that `LB_CONFIG` names.
 
+use crate::admin::CALLERS;
 use crate::list::List;
 use granitehub::{settings, Settings};
 use serde::Deserialize;
@@ -15,6 +16,8 @@
 
 pub struct Config {
     pub listen: SocketAddr,
+    /// The second address, for the operators; none, and nothing listens.
+    pub operator: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub known: Option<List>,
@@ -32,6 +35,8 @@
 struct File {
     listen: String,
     discovery: String,
+    #[serde(default)]
+    operator: Option<String>,
     seed: String,
     limits: Limits,
     #[serde(default)]
@@ -94,7 +99,12 @@
     }
     // A held request needs a client's connection for as long as it waits and a backend's only while an
     // attempt is out, and clients keep idle ones.
-    let backend_sockets = (sockets - RESERVED) * 2 / 5;
+    let operator = match word("LB_OPERATOR").or(file.operator) {
+        None => None,
+        Some(text) => Some(address(None, "operator", text)?),
+    };
+    let reserved = RESERVED + operator.map_or(0, |_| CALLERS);
+    let backend_sockets = (sockets - reserved) * 2 / 5;
     Ok(Config {
         listen: address(word("LB_LISTEN"), "listen", file.listen)?,
         discovery: address(word("LB_DISCOVERY"), "discovery", file.discovery)?,
@@ -105,7 +115,8 @@
         zones: extra.dcs,
         connect_timeout: Duration::from_nanos(extra.limits.connect_timeout),
         keepalive: Duration::from_nanos(extra.limits.keepalive),
-        client_sockets: sockets - RESERVED - backend_sockets,
+        client_sockets: sockets - reserved - backend_sockets,
+        operator,
         backend_sockets,
     })
 }
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -12,14 +12,17 @@
 use crate::routes::Routes;
 use attempt::Attempt;
 use clock::Clock;
-use granite_engine::{Engine, Entry, Error, Facts, Figures, Final, Input, Notice, Output, Reply, Step};
+use granite_engine::{
+    Calls, Engine, Entry, Error, Facts, Figures, Final, Input, Notice, Output, Reply, Step, Totals,
+};
 use granite_forward::{Account, Mode};
+use granite_maintenance::NeverListed;
 use granite_operator::Lifecycle;
 use granite_plan::message::{Grant, Report};
-use granitehub::{Effect, Ending, Gateway, Health, Node, RequestId, Scope, Settings, Time};
+use granitehub::{Effect, Ending, Gateway, Health, Name, Node, RequestId, Scope, Settings, Time};
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -72,6 +75,8 @@
     wake: Notify,
     backends: Rc<Backends>,
     clock: Clock,
+    /// Final answers up to the last status line.
+    said: Cell<Calls>,
     /// The longest that the loop came late to a timer, since the last status line.
     latest: Cell<Duration>,
     zones: Vec<String>,
@@ -111,6 +116,7 @@
             wake: Notify::new(),
             backends,
             latest: Cell::default(),
+            said: Cell::default(),
             zones,
             routes,
             classes,
@@ -162,6 +168,41 @@
         self.take(&mut self.state.borrow_mut(), Instant::now(), input, Brought::default());
     }
 
+    // ---- Maintenance by hand, figures ----
+
+    /// Has the engine do something that the module is to hear of.
+    fn with_engine<T>(&self, act: impl FnOnce(&mut Engine<Gateway>, Time) -> T) -> T {
+        let mut state = self.state.borrow_mut();
+        let done = act(&mut state.engine, self.clock.time(Instant::now()));
+        if state.engine.wants_wake() {
+            self.wake.notify_one();
+        }
+        done
+    }
+
+    pub fn take_out(&self, target: &str) -> Result<bool, NeverListed> {
+        self.with_engine(|engine, now| engine.take_out(now, target))
+    }
+
+    pub fn put_back(&self, target: &str) -> Result<bool, NeverListed> {
+        self.with_engine(|engine, now| engine.put_back(now, target))
+    }
+
+    pub fn bans(&self) -> BTreeMap<Name, Time> {
+        self.state.borrow().engine.bans()
+    }
+
+    /// What another process of this gateway has banned counts here.
+    pub fn adopt_bans(&self, bans: &BTreeMap<Name, Time>) {
+        if self.with_engine(|engine, now| engine.adopt_bans(now, bans)) > 0 {
+            info!(out = bans.len(), "handover: {} backends are out by hand", bans.len());
+        }
+    }
+
+    pub fn totals(&self) -> Totals {
+        self.state.borrow().engine.totals()
+    }
+
     // ---- Requests ----
 
     /// Takes in a request. None if the life of one with its id is not over.
@@ -342,22 +383,28 @@
     fn status(&self) {
         let mut state = self.state.borrow_mut();
         let c = state.engine.take_counts();
+        let mut sum = Calls::default();
+        for of in state.engine.totals().calls {
+            sum.served += of.served;
+            sum.refused += of.refused;
+            sum.failed += of.failed;
+        }
+        let said = self.said.replace(sum);
+        let (served, refused, failed) =
+            (sum.served - said.served, sum.refused - said.refused, sum.failed - said.failed);
         let (connects, latest) = (self.backends.connects.take(), self.latest.take().as_millis());
-        if c.served + c.refused + c.failed > 0 {
+        if served + refused + failed > 0 {
             info!(
-                served = c.served,
-                refused = c.refused,
-                failed = c.failed,
+                served,
+                refused,
+                failed,
                 overdue = c.overdue,
                 held = state.engine.held(),
                 connects,
                 batches = c.batches,
                 late_ms = latest as u64,
-                "served {}, refused {}, failed {} ({} overdue), held {}; new connections {connects}, \
-                 batches {}, loop late by {latest} ms at most",
-                c.served,
-                c.refused,
-                c.failed,
+                "served {served}, refused {refused}, failed {failed} ({} overdue), held {}; \
+                 new connections {connects}, batches {}, loop late by {latest} ms at most",
                 c.overdue,
                 state.engine.held(),
                 c.batches
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -5,9 +5,10 @@
 
 use crate::backends::{Backends, MAX_BODY};
 use crate::driver::{Answer, Driver};
+use crate::handover::Link;
 use bytes::Bytes;
 use client::{Client, Told, Watched};
-use granite_lifecycle::connection::{self, Input, Order};
+use granite_lifecycle::connection::{self, Input, Order, State};
 use granite_lifecycle::{Close, Connection};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming as IncomingBody};
@@ -56,6 +57,8 @@
     driver: Rc<Driver>,
     backends: Rc<Backends>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    link: Rc<Link>,
+    /// The most clients of one gateway; this process may have its role's part.
     budget: usize,
     draining: Cell<bool>,
     left: Notify,
@@ -73,9 +76,23 @@
 }
 
 impl Server {
-    pub fn new(driver: Rc<Driver>, backends: Rc<Backends>, budget: usize) -> Self {
+    pub fn new(driver: Rc<Driver>, backends: Rc<Backends>, link: Rc<Link>, budget: usize) -> Self {
         let (clients, draining, left) = Default::default();
-        Server { driver, backends, clients, budget, draining, left }
+        Server { driver, backends, clients, link, budget, draining, left }
+    }
+
+    /// Whether new clients are served.
+    pub fn takes_clients(&self) -> bool {
+        !self.draining.get() && self.driver.can_serve()
+    }
+
+    /// Requests that were taken and whose answer is not written yet.
+    pub fn in_flight(&self) -> usize {
+        let open = |c: &&Rc<Client>| {
+            let life = c.life.get();
+            life.state() == State::InHand || life.state() == State::Answering && life.unwritten()
+        };
+        self.clients.borrow().values().filter(open).count()
     }
 
     /// Serves until `stop`, then through the drain; returns when nothing is held.
@@ -92,20 +109,13 @@
         self.draining.set(true);
         info!("draining");
         let started = Instant::now();
-        // At once, not at the end of the window: a request that crosses the close comes again on a new
-        // connection, and must find the listener open.
-        self.close_all();
-        let mut window = pin!(sleep_until(started + WINDOW));
-        loop {
-            tokio::select! {
-                () = &mut window => break,
-                () = self.admit(&listener, &mut next) => {}
-            }
+        self.link.told();
+        if self.link.is_shared() {
+            self.hand_over(started).await;
+        } else {
+            self.close_the_door(listener, &mut next, started).await;
         }
-        // What waits in the listener's queue would be reset with it.
-        while timeout(Duration::ZERO, self.admit(&listener, &mut next)).await.is_ok() {}
-        drop(listener);
-        self.close_all();
+        self.close_all(Close::Drain);
         let mut last = pin!(sleep_until(started + LONGEST_DRAIN));
         while !self.clients.borrow().is_empty() {
             tokio::select! {
@@ -117,9 +127,36 @@
         info!(ms, "drained in {ms} ms");
     }
 
+    /// Another process accepts from the same socket: new connections are its. Who has one here and has yet to
+    /// ask, or is in the middle of it, gets the time to.
+    async fn hand_over(&self, started: Instant) {
+        let most = self.link.role().part(self.budget);
+        self.close_all(Close::Handover);
+        while self.clients.borrow().len() > most && self.close_spare() == Some(Duration::ZERO) {
+            self.left.notified().await;
+        }
+        sleep_until(started + WINDOW).await;
+    }
+
+    /// Nobody else listens here: clients that still come are served, then the socket goes.
+    async fn close_the_door(self: &Rc<Self>, listener: TcpListener, next: &mut u64, started: Instant) {
+        // At once, not at the end of the window: a request that crosses the close comes again on a new
+        // connection, and must find the listener open.
+        self.close_all(Close::Drain);
+        let mut window = pin!(sleep_until(started + WINDOW));
+        loop {
+            tokio::select! {
+                () = &mut window => break,
+                () = self.admit(&listener, next) => {}
+            }
+        }
+        // What waits in the listener's queue would be reset with it.
+        while timeout(Duration::ZERO, self.admit(&listener, next)).await.is_ok() {}
+    }
+
     /// Accepts one client within the descriptor budget.
     async fn admit(self: &Rc<Self>, listener: &TcpListener, next: &mut u64) {
-        while self.clients.borrow().len() >= self.budget {
+        while self.clients.borrow().len() >= self.link.role().part(self.budget) {
             match self.close_spare() {
                 // What it has sent may not have been looked at yet.
                 Some(wait) if !wait.is_zero() => drop(timeout(wait, self.left.notified()).await),
@@ -145,8 +182,8 @@
     }
 
     /// Has every client's connection close, once it is owed nothing.
-    fn close_all(&self) {
-        self.clients.borrow().values().for_each(|c| c.close(Close::Drain));
+    fn close_all(&self, why: Close) {
+        self.clients.borrow().values().for_each(|c| c.close(why));
     }
 
     /// Has the client close that can best be spared. None if every client is owed an answer; else how long to
@@ -182,17 +219,20 @@
                 service,
             );
         let mut connection = pin!(connection);
-        tokio::select! {
-            // First, so that a request which has arrived is read before a close.
-            biased;
-            // Errors are the client's: it left, or sent what is no HTTP.
-            _ = connection.as_mut() => return,
-            () = client.close.notified() => {}
-        }
-        let why = client.wanted.get().unwrap_or(Close::Drain);
-        if client.handle(Input::Close(why)) == Order::Finish {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+        loop {
+            tokio::select! {
+                // First, so that a request which has arrived is read before a close.
+                biased;
+                // Errors are the client's: it left, or sent what is no HTTP.
+                _ = connection.as_mut() => return,
+                () = client.close.notified() => {}
+            }
+            let why = client.wanted.get().unwrap_or(Close::Drain);
+            match client.handle(Input::Close(why)) {
+                Order::Finish => connection.as_mut().graceful_shutdown(),
+                Order::None if client.life.get().state() != State::Closed => {}
+                _ => return,
+            }
         }
     }
 
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -1,27 +1,32 @@
 //! granitethread: one gateway on real sockets around the decision module.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod allowance;
 mod backends;
 mod config;
 mod discovery;
 mod driver;
 mod fronts;
+mod handover;
 mod list;
 mod log;
 mod routes;
 
+use admin::Admin;
 use backends::Backends;
 use clap::{Parser, Subcommand};
 use driver::Driver;
 use fronts::http1;
 use granite_background::{Pace, Service};
 use granite_operator::{LogFormat, Operator};
+use handover::Link;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::spawn_local;
 use tracing::{error, info, warn};
@@ -133,11 +138,27 @@
     if let Some(known) = config.known {
         driver.cached(known);
     }
-    let listener = http1::listen(config.listen)?;
+    let inherited = std::env::var("LB_INHERITED_FD").ok();
+    let listener = match &inherited {
+        None => http1::listen(config.listen)?,
+        Some(number) => inherit(number).map_err(|e| format!("LB_INHERITED_FD is {number:?}: {e}"))?,
+    };
+    // Only what is inherited is shared with a process that comes after.
+    let link = Link::new(inherited.and(std::env::var_os("TMPDIR")).map(PathBuf::from));
+    let second = config.operator.map(http1::listen).transpose()?;
     if let Ok(address) = listener.local_addr() {
         info!(%address, "listening on {address}");
     }
-    let server = Rc::new(http1::Server::new(driver.clone(), backends.clone(), config.client_sockets));
+    let server = http1::Server::new(driver.clone(), backends.clone(), link.clone(), config.client_sockets);
+    let server = Rc::new(server);
+    if let Some(listener) = second {
+        if let Ok(address) = listener.local_addr() {
+            info!(%address, "operators' calls on {address}");
+        }
+        let (driver, server, link) = (driver.clone(), server.clone(), link.clone());
+        spawn_local(Rc::new(Admin { driver, server, link }).serve(listener));
+    }
+    spawn_local(link.follow(driver.clone()));
     let pace = Pace::new(service, config.seed);
     spawn_local(follow(config.discovery, held, pace, hup, driver.clone()));
     spawn_local(backends.reap());
@@ -148,6 +169,13 @@
     }
 }
 
+/// The listening socket that whoever started this process left open for it.
+fn inherit(number: &str) -> Result<TcpListener, String> {
+    let listener = granite_inherit::listener(number)?;
+    listener.set_nonblocking(true).map_err(|e| e.to_string())?;
+    TcpListener::from_std(listener).map_err(|e| e.to_string())
+}
+
 /// Watches discovery where the configuration says it is, also after a new one. The watch that waits at the
 /// old address is dropped at once: what that has yet to tell would come too late.
 async fn follow(address: SocketAddr, held: Option<u64>, mut pace: Pace, mut hup: Signal, driver: Rc<Driver>) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,9 @@
 const SPAN: f64 = 8.0;
 /// The part of a cap on attempts out at once that is in use at best, when they come by chance.
 const OPEN_USE: f64 = 0.3;
+/// From which expected share of bad ends on a server is told as avoided: a bad end costs `LOSS` aims, so that
+/// half of it outweighs any usual wait.
+const AVOIDED: f64 = 0.5;
 /// What a bad end costs beside a wait of one aim.
 const LOSS: f64 = 2.0;
 /// What an own request tells of the demand beside one that the meter tells of: the even part that it is
@@ -770,6 +773,16 @@
         (keep * s.ends[slot].1 + 0.5 * pool) / (keep * s.ends[slot].0 + 0.5)
     }
 
+    /// Servers that are up and of which so much goes wrong for some class or plan that another is chosen.
+    pub fn avoided(&self) -> Vec<Name> {
+        let worst = |s: &Server| {
+            let slots = self.fleet.bad.iter().enumerate();
+            slots.map(|(slot, pool)| self.bad(s, slot, *pool)).fold(0.0, f64::max)
+        };
+        let up = self.servers.iter().filter(|(_, s)| s.health == Health::Up && worst(s) >= AVOIDED);
+        up.map(|(name, _)| name.clone()).collect()
+    }
+
     /// How long ends are remembered, in seconds: a trouble lasts many aims.
     fn memory(&self) -> f64 {
         MEMORY * self.s.classes.iter().map(|c| secs(c.aim)).fold(0.0, f64::max)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,10 @@
     fn handle(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>) {
         Gateway::handle(self, now, events, out);
     }
+
+    fn avoided(&self) -> Vec<Name> {
+        Gateway::avoided(self)
+    }
 }
 
 /// The README's example, compiled and run.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,10 @@
-//! The real program among the rig's scripted neighbours.
+//! The real program among the rig's scripted neighbours. Each test program uses a part of it.
+#![allow(dead_code)]
 
 pub use granite_rig::peers::*;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::Ordering;
@@ -35,6 +37,10 @@
     pub known: Option<String>,
     /// In place of any free port.
     pub listen: Option<SocketAddr>,
+    /// Whether it listens for operators' calls.
+    pub operator: bool,
+    /// A socket that it inherits, and the folder that all its processes share.
+    pub inherited: Option<(TcpListener, PathBuf)>,
     /// Whether discovery is an agent of its own (`automatic`) or must be asked (`subscribe`).
     pub mode: &'static str,
 }
@@ -48,6 +54,8 @@
             ulimit: None,
             known: None,
             listen: None,
+            operator: false,
+            inherited: None,
             mode: "automatic",
         }
     }
@@ -69,6 +77,8 @@
 pub struct Gateway {
     pub child: Child,
     pub address: SocketAddr,
+    /// The second address, or the first again.
+    pub operator: SocketAddr,
     config: PathBuf,
     /// Lines of its log.
     log: Receiver<String>,
@@ -107,15 +117,33 @@
         if let Some(address) = setup.listen {
             command.env("LB_LISTEN", address.to_string());
         }
+        command.env_remove("LB_INHERITED_FD").env_remove("LB_OPERATOR");
+        if setup.operator {
+            command.env("LB_OPERATOR", "127.0.0.1:0");
+        }
+        if let Some((socket, folder)) = setup.inherited {
+            command.env("LB_INHERITED_FD", "0").env("TMPDIR", folder);
+            command.stdin(Stdio::from(OwnedFd::from(socket)));
+        }
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the gateway starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
-        let mut first = String::new();
-        log.read_line(&mut first).expect("a line");
-        let address = first.trim().strip_prefix("listening on ").unwrap_or_else(|| panic!("{first}"));
-        let address = address.parse().expect("an address");
+        let mut told = |before: &str| -> SocketAddr {
+            let mut line = String::new();
+            log.read_line(&mut line).expect("a line");
+            let address = line.trim().strip_prefix(before).unwrap_or_else(|| panic!("{line}"));
+            address.parse().expect("an address")
+        };
+        let address = told("listening on ");
+        let operator = if setup.operator { told("operators' calls on ") } else { address };
         let (line, lines) = channel();
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(line.send(l))));
-        Gateway { child, address, config, log: lines }
+        Gateway { child, address, operator, config, log: lines }
+    }
+
+    /// An operator's call.
+    pub fn call(&self, start: &str, body: &str) -> Message {
+        let text = format!("{start} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        Client::connect(self.operator).ask(&text)
     }
 
     pub fn client(&self) -> Client {
--- a/tests/vast.rs
+++ b/tests/vast.rs
@@ -136,7 +136,7 @@
 fn cold_servers_get_their_part_from_a_hundred_gateways_at_once() {
     let node = |i: usize| Node {
         // Warmth 0.52 to 0.64 for two in three, over the time that the test lasts.
-        since: if i % 3 == 0 { 0 } else { 96 * SEC },
+        since: if i.is_multiple_of(3) { 0 } else { 96 * SEC },
         ..Node::new(&format!("s{i}"), Health::Up)
     };
     let (mut cold, mut warm) = (0.0, 0.0);
@@ -144,7 +144,7 @@
         let mut rig = Rig::new(me, (0..60).map(node).collect());
         for server in (0..6).flat_map(|_| rig.request(&mut |_| Ending::Pass)) {
             let n: usize = server[1..].parse().expect("a number");
-            *(if n % 3 == 0 { &mut warm } else { &mut cold }) += 1.0;
+            *(if n.is_multiple_of(3) { &mut warm } else { &mut cold }) += 1.0;
         }
     }
     let (each_cold, each_warm) = (cold / 40.0, warm / 20.0);
