Bodies and answers of any size: long answers are passed on as they come

Ruled out: backends (9 errors in all) and the client limit (62 of 1,024 descriptors). Lines: mod.rs (411, BODY_TIME over all of a body), attempt.rs (MAX_BODY, one fixed time for an answer).

The life has a phase Streaming; the checker explores it and the handover's close. A request's time counts from its last byte: it counted from its head.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -193,6 +193,9 @@
                 self.lives.handle(now, input, &mut self.orders)?;
                 self.attempts += u64::from(step == Step::Written);
             }
+            Input::Begun { id, attempt, facts } => {
+                self.feed(now, lifecycle::Input::Begun { id, attempt }, facts, out)?;
+            }
             Input::Ended { id, attempt, ending, reply, facts } => {
                 let input = lifecycle::Input::Ended { id, attempt, ending, reply };
                 self.feed(now, input, facts, out)?;
@@ -279,6 +282,7 @@
         facts: Facts,
         out: &mut Vec<Output>,
     ) -> Result<(), Error> {
+        let begun = matches!(input, lifecycle::Input::Begun { .. });
         let mut orders = std::mem::take(&mut self.orders);
         let done = self.lives.handle(now, input, &mut orders);
         for order in orders.drain(..) {
@@ -291,10 +295,17 @@
                 Order::Withhold { id, attempt } => out.push(Output::Withhold { id, attempt }),
                 Order::Abort { id, attempt } => out.push(Output::Abort { id, attempt }),
                 Order::Answer { id, class, answer } => {
-                    self.count(class, answer);
+                    // What is passed on as it comes counts when it has come.
+                    if !begun {
+                        self.count(class, answer);
+                    }
                     out.push(Output::Answer { id, answer });
                     self.over(now, id, out);
                 }
+                Order::Streamed { id, class, whole } => {
+                    self.count(class, if whole { Final::Served } else { Final::Failed { late: false } });
+                    self.over(now, id, out);
+                }
                 Order::Tell(told) => self.tell(now, told, facts, out),
             }
         }
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -52,6 +52,8 @@
     Connected { id: RequestId, attempt: u32 },
     /// An attempt: how far it has come since.
     Progress { id: RequestId, attempt: u32, step: Step },
+    /// An attempt: a good answer has begun that is passed on as it comes. An error: nobody wants it.
+    Begun { id: RequestId, attempt: u32, facts: Facts },
     /// An attempt: its end, told once.
     Ended { id: RequestId, attempt: u32, ending: Ending, reply: Reply, facts: Facts },
     /// Discovery: the list, or changes to it. `rev` is its number.
--- a/crates/lifecycle/src/connection.rs
+++ b/crates/lifecycle/src/connection.rs
@@ -168,7 +168,9 @@
                 self.unwritten = false;
                 Order::None
             }
-            (Idle | Head, Input::Close(Close::Handover)) if !self.asked || self.state == Head => {
+            (Idle | Head, Input::Close(Close::Handover))
+                if !self.asked || self.state == Head && !planted!(HandoverCutsHead) =>
+            {
                 self.closing = true;
                 Order::None
             }
--- a/crates/lifecycle/src/defects.rs
+++ b/crates/lifecycle/src/defects.rs
@@ -35,6 +35,7 @@
     LateTakenForProof, "late-taken-for-proof", "a time-out does not set the flag that an attempt may have run";
     LateAnswerAccepted, "late-answer-accepted", "an answer that comes after the final one is passed on";
     AnsweredNeverForgotten, "answered-never-forgotten", "a request stays in the table after its last attempt";
+    StreamNeverForgotten, "stream-never-forgotten", "a request whose answer was passed on as it came stays in the table";
     UnsafeRepeated, "unsafe-repeated", "what must not run twice is sent again";
     KeyOutsideGroup, "key-outside-group", "a keyed repeat goes to a server that does not know the key";
     KeyWindowByOne, "key-window-by-one", "<= for < where servers forget a key";
@@ -47,6 +48,7 @@
     HalfHeadKept, "half-head-kept", "a drain waits for the rest of half a head";
     NextHidesAnswer, "next-hides-answer", "once the next head is read, the answer before it counts as written";
     StuckKept, "stuck-kept", "a client that does not read its answer is picked to make room and kept all the same";
+    HandoverCutsHead, "handover-cuts-head", "a handover ends a connection on which a head is coming";
     BusySpared, "busy-spared", "a client with a request in hand makes room for others";
 }
 
--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -4,6 +4,7 @@
 //! | --- | --- | --- | --- |
 //! | `Held` | waits | none out | `Send` (to `Out`), an answer, its leave (both: over) |
 //! | `Out` | waits | out, at a [`Step`] | its end (to `Held`, or over), an answer (`Answered`), a leave (`Left`) |
+//! | `Streaming` | gets its answer as it comes | out, and of no more concern to the module | its end (over) |
 //! | `Answered` | has its answer | still to end | its end (over) |
 //! | `Left` | is gone | still to end | its end (over) |
 
@@ -52,6 +53,7 @@
 pub enum Phase {
     Held,
     Out(Attempt),
+    Streaming(Attempt),
     Answered(Attempt),
     Left(Attempt),
 }
@@ -121,6 +123,7 @@
             Input::Cancel { id, attempt } => self.cancel(id, attempt, out),
             Input::Connected { id, attempt } => return self.connected(now, id, attempt, out),
             Input::Progress { id, attempt, step } => return self.progress(id, attempt, step),
+            Input::Begun { id, attempt } => return self.begun(id, attempt, out),
             Input::Ended { id, attempt, ending, reply } => {
                 return self.ended(id, attempt, ending, reply, out);
             }
@@ -160,6 +163,11 @@
                     self.undue(id);
                 }
             }
+            Phase::Streaming(mut attempt) => {
+                abort(id, &mut attempt, out);
+                life.phase = Phase::Streaming(attempt);
+                return;
+            }
             over => {
                 life.phase = over;
                 return;
@@ -218,6 +226,7 @@
 
     fn cancel(&mut self, id: RequestId, attempt: u32, out: &mut Vec<Order>) {
         let Some(life) = self.live.get_mut(&id) else { return };
+        // What streams has passed: there is nothing to stop for the module's sake.
         if let Phase::Out(a) | Phase::Answered(a) | Phase::Left(a) = &mut life.phase {
             if a.number == attempt {
                 abort(id, a, out);
@@ -322,6 +331,32 @@
         Ok(())
     }
 
+    fn begun(&mut self, id: RequestId, attempt: u32, out: &mut Vec<Order>) -> Done {
+        let a = find(&mut self.live, id, attempt)?;
+        if a.step < Step::Writing {
+            return Err(Wrong::OutOfOrder { id, attempt, at: a.step });
+        }
+        let life = self.live.get_mut(&id).expect("just seen");
+        match std::mem::replace(&mut life.phase, Phase::Held) {
+            Phase::Out(a) => {
+                let (server, class) = (a.server.clone(), life.arrival.class);
+                life.phase = Phase::Streaming(a);
+                if !planted!(DeadlineOutlivesAnswer) {
+                    self.undue(id);
+                }
+                out.push(Order::Answer { id, class, answer: Final::Served });
+                let ending = Ending::Pass;
+                out.push(Order::Tell(Told::Ended { id, attempt, server, ending, last: true }));
+                Ok(())
+            }
+            // It crossed an answer or a leave, or has begun already: nobody wants it.
+            other => {
+                life.phase = other;
+                Err(Wrong::NotOut { id, attempt })
+            }
+        }
+    }
+
     fn ended(
         &mut self,
         id: RequestId,
@@ -348,6 +383,14 @@
             Phase::Out(a) => (a, true),
             Phase::Answered(a) => (a, planted!(LateAnswerAccepted)),
             Phase::Left(a) => (a, false),
+            Phase::Streaming(_) if planted!(StreamNeverForgotten) => return Ok(()),
+            // All that it had to tell has been told.
+            Phase::Streaming(_) => {
+                let class = life.arrival.class;
+                self.forget(id);
+                out.push(Order::Streamed { id, class, whole: ending == Ending::Pass });
+                return Ok(());
+            }
             Phase::Held => return Err(Wrong::NotOut { id, attempt }),
         };
         if !never {
@@ -426,7 +469,9 @@
 fn find(live: &mut BTreeMap<RequestId, Life>, id: RequestId, number: u32) -> Result<&mut Attempt, Wrong> {
     let wrong = Wrong::NotOut { id, attempt: number };
     match &mut live.get_mut(&id).ok_or(wrong)?.phase {
-        Phase::Out(a) | Phase::Answered(a) | Phase::Left(a) if a.number == number => Ok(a),
+        Phase::Out(a) | Phase::Streaming(a) | Phase::Answered(a) | Phase::Left(a) if a.number == number => {
+            Ok(a)
+        }
         _ => Err(wrong),
     }
 }
--- a/crates/lifecycle/src/words.rs
+++ b/crates/lifecycle/src/words.rs
@@ -91,6 +91,11 @@
         attempt: u32,
         step: Step,
     },
+    /// From an attempt: a good answer has begun, and the rest is passed on as it comes. It is the final one.
+    Begun {
+        id: RequestId,
+        attempt: u32,
+    },
     /// From an attempt: its end, told once.
     Ended {
         id: RequestId,
@@ -159,6 +164,12 @@
         class: usize,
         answer: Final,
     },
+    /// An answer that was passed on as it came has ended, whole or not, and with it the life.
+    Streamed {
+        id: RequestId,
+        class: usize,
+        whole: bool,
+    },
     Tell(Told),
 }
 
--- a/src/bin/granitethread/backends/answer.rs
+++ b/src/bin/granitethread/backends/answer.rs
@@ -1,5 +1,6 @@
 //! What comes back of an attempt, and what is read out of it.
 
+use super::relay::Stream;
 use bytes::Bytes;
 use granitehub::{Ending, Load};
 use hyper::header::HeaderValue;
@@ -13,7 +14,7 @@
 /// How an attempt ended and what came back.
 pub struct Outcome {
     pub ending: Ending,
-    /// The whole answer of a backend that served the request.
+    /// The answer of a backend that served the request.
     pub served: Option<Served>,
     /// The status by which a backend found fault with the request itself: no other would take it.
     pub turned: Option<StatusCode>,
@@ -22,8 +23,15 @@
     pub load: Option<Load>,
 }
 
+/// The bytes of a good answer.
+pub enum Content {
+    Whole(Bytes),
+    /// Still to come.
+    Stream(Stream),
+}
+
 pub struct Served {
-    pub body: Bytes,
+    pub content: Content,
     pub content_type: Option<HeaderValue>,
     pub content_encoding: Option<HeaderValue>,
 }
@@ -35,10 +43,11 @@
 }
 
 impl Outcome {
-    /// Reads a whole answer. `most_units`: the most that it may bill.
-    pub(super) fn read(answer: Response<Bytes>, most_units: f64) -> Self {
-        let headers = answer.headers();
-        let status = answer.status();
+    /// Reads an answer. `most_units`: the most that it may bill.
+    pub(super) fn read(answer: Response<Content>, most_units: f64) -> Self {
+        let (answer, content) = answer.into_parts();
+        let headers = &answer.headers;
+        let status = answer.status;
         let not_started = headers.get("not-started").is_some_and(|v| v == "1");
         let (ending, turned) = match status.as_u16() {
             200 => (Ending::Pass, None),
@@ -57,7 +66,7 @@
         let served = (ending == Ending::Pass).then(|| Served {
             content_type: headers.get("content-type").cloned(),
             content_encoding: headers.get("content-encoding").cloned(),
-            body: answer.body().clone(),
+            content,
         });
         Outcome {
             ending,
--- a/src/bin/granitethread/backends/attempt.rs
+++ b/src/bin/granitethread/backends/attempt.rs
@@ -1,20 +1,29 @@
 //! One attempt at one backend: a connection, the leave to write, the exchange, its end.
 
-use super::connection::{broke_off, drive};
+use super::connection::{broke_off, drive, Connection};
+use super::relay::Relay;
 use super::request::size;
-use super::{Backends, Note, Outcome, Outgoing, Progress, ANSWER_TIME, MAX_BODY};
+use super::{Backends, Content, Note, Outcome, Outgoing, Progress, ANSWER_TIME, MAX_BODY, WHOLE};
+use bytes::Bytes;
 use granitehub::{Ending, Name};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Body;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::Response;
+use http_body_util::BodyExt;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{Response, Version};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
 use tokio::time::{timeout, timeout_at, Instant};
 
+/// How far an attempt came.
+pub enum Exchanged {
+    Over(Outcome),
+    /// A good answer has begun that is to be passed on as it comes.
+    Begun(Outcome, Box<Relay>),
+}
+
 impl Backends {
-    /// One attempt at one backend, given up at `not_past`.
+    /// One attempt at one backend, given up at `not_past` if no answer to pass on has begun by then.
     pub async fn attempt(
         &self,
         name: &Name,
@@ -22,11 +31,13 @@
         request: &Outgoing,
         not_past: Instant,
         progress: &Rc<Progress>,
-    ) -> Outcome {
+    ) -> Exchanged {
+        let without = |ending| Exchanged::Over(Outcome::without_answer(ending));
         match timeout_at(not_past, self.exchange(name, place, request, not_past, progress)).await {
-            Ok(outcome) => outcome,
-            Err(_) if progress.may_have_run() => Outcome::without_answer(Ending::Late),
-            Err(_) => Outcome::without_answer(Ending::NoRoute),
+            Ok(Ok(done)) => done,
+            Ok(Err(ending)) => without(ending),
+            Err(_) if progress.may_have_run() => without(Ending::Late),
+            Err(_) => without(Ending::NoRoute),
         }
     }
 
@@ -37,20 +48,19 @@
         request: &Outgoing,
         not_past: Instant,
         progress: &Rc<Progress>,
-    ) -> Outcome {
-        let unreachable = || Outcome::without_answer(Ending::NoRoute);
+    ) -> Result<Exchanged, Ending> {
         let mut connection = match self.take_idle(name, place) {
             Some(connection) => connection,
             None => match self.connect(place).await {
                 Some(connection) => connection,
-                None => return unreachable(),
+                None => return Err(Ending::NoRoute),
             },
         };
         // The backend may have been told to drain, or another have come at its address, while the connection
         // came up; or nobody waits any more. Nothing is written then.
         if !(progress.tell)(Note::Connected) {
             self.keep(name, connection);
-            return unreachable();
+            return Err(Ending::NoRoute);
         }
         connection.link.idle.set(false);
         connection.link.progress.replace(progress.clone());
@@ -60,27 +70,66 @@
         let begun = progress.begun.clone();
         hyper::ext::on_informational(&mut request, move |_| begun.store(false, Relaxed));
         let answer = progress.in_time(connection.answer(request)).await;
-        let (head, body) = match answer {
+        let (head, mut body) = match answer {
             Some(Some(Ok(answer))) => answer.into_parts(),
-            Some(Some(Err(error))) if !broke_off(&error) => return Outcome::without_answer(Ending::Spoilt),
-            Some(_) => return Outcome::without_answer(progress.broken()),
-            None => return Outcome::without_answer(Ending::Spoilt),
+            Some(Some(Err(error))) if !broke_off(&error) => return Err(Ending::Spoilt),
+            Some(_) => return Err(progress.broken()),
+            None => return Err(Ending::Spoilt),
         };
-        // With no stated end, two of them or one too far off the answer is spoilt: no byte of it is awaited.
-        let lengths = head.headers.get_all(CONTENT_LENGTH).iter().count();
-        let coded = head.headers.contains_key(TRANSFER_ENCODING);
-        if lengths + usize::from(coded) != 1 || body.size_hint().lower() > MAX_BODY as u64 {
-            return Outcome::without_answer(Ending::Spoilt);
+        let length = length(&head).ok_or(Ending::Spoilt)?;
+        let good = head.status == 200;
+        if length.is_some_and(|l| l > if good { MAX_BODY } else { WHOLE } as u64) {
+            return Err(Ending::Spoilt);
         }
-        let body = Limited::new(body, MAX_BODY).collect();
-        let body = timeout(ANSWER_TIME, drive(&mut connection.io, &mut connection.closed, body)).await;
-        let body = match body {
-            Ok(Some(Ok(body))) => body.to_bytes(),
-            Ok(Some(Err(error))) if !broke_off(&*error) => return Outcome::without_answer(Ending::Spoilt),
-            Ok(_) => return Outcome::without_answer(progress.broken()),
-            Err(_) => return Outcome::without_answer(Ending::Spoilt),
-        };
-        self.keep(name, connection);
-        Outcome::read(Response::from_parts(head, body), self.most_units)
+        let (mut came, mut size) = (Vec::new(), 0);
+        let began = Instant::now();
+        while size <= WHOLE && length.is_none_or(|l| l <= WHOLE as u64) {
+            if length.is_none() && good && size > 0 && began.elapsed() >= ANSWER_TIME {
+                break;
+            }
+            let Connection { io, closed, .. } = &mut connection;
+            match timeout(ANSWER_TIME, drive(io, closed, body.frame())).await {
+                Ok(Some(None)) => {
+                    self.keep(name, connection);
+                    let whole = Content::Whole(Bytes::from(came.concat()));
+                    let answer = Response::from_parts(head, whole);
+                    return Ok(Exchanged::Over(Outcome::read(answer, self.most_units)));
+                }
+                Ok(Some(Some(Ok(frame)))) => {
+                    if let Ok(data) = frame.into_data() {
+                        size += data.len();
+                        came.push(data);
+                    }
+                }
+                Ok(Some(Some(Err(error)))) if !broke_off(&error) => return Err(Ending::Spoilt),
+                Ok(_) => return Err(progress.broken()),
+                Err(_) => return Err(Ending::Spoilt),
+            }
+        }
+        if !good {
+            return Err(Ending::Spoilt);
+        }
+        let (relay, stream) = Relay::new(name, connection, body, came, length, progress);
+        let answer = Response::from_parts(head, Content::Stream(stream));
+        Ok(Exchanged::Begun(Outcome::read(answer, self.most_units), Box::new(relay)))
+    }
+}
+
+/// The length that an answer states, if it does. None if its end is in doubt: two lengths, or none and the connection
+/// stays open.
+fn length(head: &Parts) -> Option<Option<u64>> {
+    let mut lengths = head.headers.get_all(CONTENT_LENGTH).iter();
+    let (first, second) = (lengths.next(), lengths.next());
+    let coded = head.headers.contains_key(TRANSFER_ENCODING);
+    let closes = || {
+        let connection = head.headers.get_all(CONNECTION).iter();
+        let mut words = connection.filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
+        head.version == Version::HTTP_10 || words.any(|w| w.trim().eq_ignore_ascii_case("close"))
+    };
+    match (first, second, coded) {
+        (Some(one), None, false) => one.to_str().ok()?.trim().parse().ok().map(Some),
+        (None, None, true) => Some(None),
+        (None, None, false) if closes() => Some(None),
+        _ => None,
     }
 }
--- a/src/bin/granitethread/backends/mod.rs
+++ b/src/bin/granitethread/backends/mod.rs
@@ -7,12 +7,15 @@
 mod attempt;
 mod connection;
 mod progress;
+mod relay;
 mod request;
 #[cfg(test)]
 mod tests;
 
-pub use answer::{Outcome, Served};
+pub use answer::{Content, Outcome, Served};
+pub use attempt::Exchanged;
 pub use progress::{Note, Progress};
+pub use relay::Stream;
 pub use request::Outgoing;
 
 use crate::list::{State, Target};
@@ -28,11 +31,13 @@
 use tokio::net::TcpStream;
 use tokio::time::{interval, timeout, Instant};
 
+/// The longest answer that is awaited whole, so that another attempt can take the place of a broken one.
+pub const WHOLE: usize = 64 << 10;
 /// The largest body on either side.
-pub const MAX_BODY: usize = 64 << 10;
+pub const MAX_BODY: usize = 32 << 20;
 const REAP_EVERY: Duration = Duration::from_secs(1);
-/// Backends write an answer at once: what has begun and is not whole after this long never will be, or is
-/// not worth the wait.
+/// An answer that has begun and of which nothing more comes for this long never will be whole, or is not worth
+/// the wait; one of no stated length that has been coming for so long is passed on as it comes.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// The most that is read of an answer's head. It is also the largest buffer of a connection.
 const HEAD_BYTES: usize = 16 << 10;
--- /dev/null
+++ b/src/bin/granitethread/backends/relay.rs
@@ -0,0 +1,125 @@
+//! An answer that is passed on as it comes, since it is too long to wait for.
+
+use super::connection::{broke_off, drive, Connection};
+use super::{Backends, Progress};
+use bytes::Bytes;
+use granitehub::{Ending, Name};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// How long a server may give nothing of an answer that has begun, and a client may read nothing of it.
+const GIVES: Duration = Duration::from_secs(10);
+const READS: Duration = Duration::from_secs(30);
+
+/// The client's end: an answer's body that is still to come. Dropping it lets the server's end stop.
+pub struct Stream {
+    frames: mpsc::Receiver<Bytes>,
+    /// What is left of the stated length, if one is stated.
+    left: Option<u64>,
+    whole: bool,
+}
+
+/// The server's end.
+pub struct Relay {
+    pub(super) name: Name,
+    pub(super) connection: Connection,
+    pub(super) body: Incoming,
+    /// What has come of it already.
+    pub(super) first: Vec<Bytes>,
+    pub(super) progress: Rc<Progress>,
+    frames: mpsc::Sender<Bytes>,
+    left: Option<u64>,
+}
+
+impl Relay {
+    pub(super) fn new(
+        name: &Name,
+        connection: Connection,
+        body: Incoming,
+        first: Vec<Bytes>,
+        length: Option<u64>,
+        progress: &Rc<Progress>,
+    ) -> (Relay, Stream) {
+        let (send, frames) = mpsc::channel(1);
+        let (name, progress) = (name.clone(), progress.clone());
+        let stream = Stream { frames, left: length, whole: false };
+        (Relay { name, connection, body, first, progress, frames: send, left: length }, stream)
+    }
+
+    /// Passes on what comes until it ends, one way or the other.
+    pub async fn run(mut self, backends: &Backends) -> Ending {
+        for frame in std::mem::take(&mut self.first) {
+            if let Err(end) = self.pass(frame).await {
+                return end;
+            }
+        }
+        loop {
+            let Connection { io, closed, .. } = &mut self.connection;
+            let frame = match timeout(GIVES, drive(io, closed, self.body.frame())).await {
+                Err(_) => return Ending::Late,
+                Ok(Some(Some(Ok(frame)))) => frame,
+                // A clean end. Without a stated length the connection's end may be it.
+                Ok(Some(None)) if self.left.unwrap_or(0) == 0 => break,
+                Ok(Some(Some(Err(error)))) if !broke_off(&error) => return Ending::Spoilt,
+                Ok(_) => return self.progress.broken(),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if let Err(end) = self.pass(data).await {
+                return end;
+            }
+        }
+        // Where no length says so, an empty frame is the word that it is whole.
+        if self.left.is_none() {
+            if let Err(end) = self.pass(Bytes::new()).await {
+                return end;
+            }
+        }
+        backends.keep(&self.name, self.connection);
+        Ending::Pass
+    }
+
+    async fn pass(&mut self, data: Bytes) -> Result<(), Ending> {
+        self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
+        // The client has gone, or does not read.
+        timeout(READS, self.frames.send(data)).await.ok().and_then(Result::ok).ok_or(Ending::Undone)
+    }
+}
+
+impl Body for Stream {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match std::task::ready!(self.frames.poll_recv(cx)) {
+            Some(data) if data.is_empty() => {
+                self.whole = true;
+                Poll::Ready(None)
+            }
+            Some(data) => {
+                self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            None if self.is_end_stream() => Poll::Ready(None),
+            // The client's connection ends here, so that it sees that it has not got the whole.
+            None => Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.whole || self.left == Some(0)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
--- a/src/bin/granitethread/backends/request.rs
+++ b/src/bin/granitethread/backends/request.rs
@@ -1,5 +1,6 @@
 //! A client's request as it goes on to backends.
 
+use crate::fronts::Part;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Body;
@@ -16,6 +17,8 @@
     pub content_type: Option<HeaderValue>,
     pub host: HeaderValue,
     pub body: Bytes,
+    /// The memory that it takes, until all of its attempts are over.
+    pub part: Option<Part>,
 }
 
 impl Outgoing {
--- a/src/bin/granitethread/backends/tests.rs
+++ b/src/bin/granitethread/backends/tests.rs
@@ -15,6 +15,7 @@
         content_type: None,
         host: HeaderValue::from_static("origin.svc"),
         body: Bytes::from(vec![b'x'; body]),
+        part: None,
     }
 }
 
@@ -59,14 +60,17 @@
     let progress = Rc::default();
     let limit = Instant::now() + Duration::from_secs(20);
     let place = b.address(&"s-1".into()).unwrap();
-    (b.attempt(&"s-1".into(), place, request, limit, &progress).await.ending, progress)
+    match b.attempt(&"s-1".into(), place, request, limit, &progress).await {
+        Exchanged::Over(outcome) => (outcome.ending, progress),
+        Exchanged::Begun(..) => panic!("no answer here is long"),
+    }
 }
 
 /// What `size` says is what reaches the backend, to the byte: too much would call a request unwritten
 /// that has run.
 #[tokio::test]
 async fn the_size_of_a_request_is_what_is_written() {
-    for body in [0, 5, MAX_BODY] {
+    for body in [0, 5, WHOLE, 3 << 20] {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (b, request) = (backends(listener.local_addr().unwrap()), outgoing(body));
         let backend = async {
@@ -112,7 +116,8 @@
 fn the_meter_and_the_bill_reach_the_module_in_its_units() {
     let answer = |status: u16| {
         let answer = Response::builder().status(status).header("usage-percent", "85");
-        let answer = answer.header("billed-units", "3").body(Bytes::from_static(b"x")).unwrap();
+        let answer =
+            answer.header("billed-units", "3").body(Content::Whole(Bytes::from_static(b"x"))).unwrap();
         Outcome::read(answer, 8.0)
     };
     let good = answer(200);
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -14,6 +14,14 @@
 /// listener, discovery, and a few in passing between accept and close.
 const RESERVED: usize = 40;
 
+/// Bodies that wait have this part of the memory. Two processes of one gateway, each with a third, leave the rest
+/// for themselves.
+const BODY_PART: f64 = 3.0;
+
+fn usual_memory() -> f64 {
+    192.0
+}
+
 pub struct Config {
     pub listen: SocketAddr,
     /// The second address, for the operators; none, and nothing listens.
@@ -29,6 +37,8 @@
     /// The two halves of the descriptor budget.
     pub client_sockets: usize,
     pub backend_sockets: usize,
+    /// Memory for what clients send.
+    pub body_bytes: usize,
 }
 
 #[derive(Deserialize)]
@@ -47,6 +57,8 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    #[serde(default = "usual_memory")]
+    memory_mb: f64,
 }
 
 /// The settings that only a gateway with real connections needs.
@@ -118,6 +130,7 @@
         client_sockets: sockets - reserved - backend_sockets,
         operator,
         backend_sockets,
+        body_bytes: (file.limits.memory_mb.clamp(1.0, 65_536.0) * f64::from(1 << 20) / BODY_PART) as usize,
     })
 }
 
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -326,6 +326,20 @@
         true
     }
 
+    /// A good answer has begun that is passed on as it comes. Whether anybody waits for it.
+    fn begun(self: &Rc<Self>, run: &Attempt, outcome: Outcome) -> bool {
+        let mut state = self.state.borrow_mut();
+        let now = Instant::now();
+        let Outcome { served, settled, metered, load, .. } = outcome;
+        let elapsed = now.saturating_duration_since(run.sent).as_nanos() as Time;
+        let facts = Facts { elapsed, settled, metered, load };
+        let input = Input::Begun { id: run.id, attempt: run.number, facts };
+        let mut brought = Brought { served, ..Brought::default() };
+        let done = self.handle(&mut state, now, input, &mut brought);
+        // What was brought has gone to the client, or nobody wants it.
+        done.is_ok() && brought.served.is_none()
+    }
+
     /// An attempt is over, however it came to that.
     fn ended(self: &Rc<Self>, run: &Attempt, outcome: Outcome) {
         let (id, attempt) = (run.id, run.number);
--- a/src/bin/granitethread/driver/attempt.rs
+++ b/src/bin/granitethread/driver/attempt.rs
@@ -1,7 +1,7 @@
 //! An attempt in flight, and the wait for a final answer.
 
 use super::{Answer, Driver};
-use crate::backends::{Outcome, Outgoing, Progress};
+use crate::backends::{Exchanged, Outcome, Outgoing, Progress};
 use granitehub::{Ending, Name, RequestId};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -32,8 +32,16 @@
         let (driver, id, number) = (self.driver.clone(), self.id, self.number);
         let progress = Rc::new(Progress::new(move |note| driver.note(id, number, note)));
         let task = spawn_local(async move {
-            let outcome = self.driver.backends.attempt(&server, place, &request, not_past, &progress).await;
-            self.done(outcome);
+            let backends = self.driver.backends.clone();
+            match backends.attempt(&server, place, &request, not_past, &progress).await {
+                Exchanged::Over(outcome) => self.done(outcome),
+                Exchanged::Begun(outcome, relay) => {
+                    drop(request);
+                    let wanted = self.driver.begun(&self, outcome);
+                    let ending = if wanted { relay.run(&backends).await } else { Ending::Undone };
+                    self.done(Outcome::without_answer(ending));
+                }
+            }
         });
         task.abort_handle()
     }
--- a/src/bin/granitethread/fronts/http1/client.rs
+++ b/src/bin/granitethread/fronts/http1/client.rs
@@ -1,6 +1,7 @@
 //! A client's connection: its life, its socket, and how to have it close.
 
 use super::{LINGER, MAX_DISCARD};
+use crate::backends::Stream;
 use crate::driver::Driver;
 use bytes::Bytes;
 use granite_lifecycle::connection::{Input, Order, State};
@@ -9,8 +10,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
-use std::convert::Infallible;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
@@ -28,6 +28,8 @@
     /// Why it is to close, and the news of it.
     pub(super) wanted: Cell<Option<Close>>,
     pub(super) close: Notify,
+    /// The head that is coming, as it is written, if all of it came while the connection was idle before.
+    pub(super) head: RefCell<Vec<u8>>,
     /// Whether the answer's last byte has gone to hyper, so that a flush means that all of it is written.
     pub(super) handed: Cell<bool>,
 }
@@ -40,6 +42,7 @@
             driver,
             wanted: Cell::new(None),
             close: Notify::new(),
+            head: RefCell::default(),
             handed: Cell::new(false),
         })
     }
@@ -63,31 +66,49 @@
     }
 }
 
+/// What is written of an answer.
+pub(super) enum Payload {
+    Whole(Full<Bytes>),
+    Stream(Stream),
+}
+
+impl Payload {
+    pub(super) fn is_end(&self) -> bool {
+        match self {
+            Payload::Whole(body) => body.is_end_stream(),
+            Payload::Stream(body) => body.is_end_stream(),
+        }
+    }
+}
+
 /// An answer's body that tells when all of it has gone to hyper.
 pub(super) struct Told {
-    pub(super) body: Full<Bytes>,
+    pub(super) body: Payload,
     pub(super) client: Rc<Client>,
 }
 
 impl Body for Told {
     type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
-        self.client.handed.set(self.body.is_end_stream());
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let frame = match &mut self.body {
+            Payload::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Payload::Stream(body) => Pin::new(body).poll_frame(cx),
+        };
+        self.client.handed.set(self.body.is_end());
         frame
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.is_end()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        match &self.body {
+            Payload::Whole(body) => body.size_hint(),
+            Payload::Stream(body) => body.size_hint(),
+        }
     }
 }
 
@@ -103,13 +124,25 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.io).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(()))) && self.client.life.get().state() == State::Idle {
+        let state = self.client.life.get().state();
+        if !matches!(state, State::Idle | State::Head) {
+            return Pin::new(&mut self.io).poll_read(cx, buf);
+        }
+        // Kept beside hyper, which hides a length that stands beside a coding.
+        let mut bytes = [MaybeUninit::uninit(); 4096];
+        let most = buf.remaining().min(bytes.len());
+        let mut own = ReadBuf::uninit(&mut bytes[..most]);
+        std::task::ready!(Pin::new(&mut self.io).poll_read(cx, own.unfilled()))?;
+        let mut head = self.client.head.borrow_mut();
+        if state == State::Idle {
+            head.clear();
             self.client.handle(Input::Bytes);
         }
-        read
+        head.extend_from_slice(own.filled());
+        buf.put_slice(own.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -3,21 +3,22 @@
 mod client;
 mod request;
 
-use crate::backends::{Backends, MAX_BODY};
+use super::Budget;
+use crate::backends::{Backends, Content, MAX_BODY};
 use crate::driver::{Answer, Driver};
 use crate::handover::Link;
 use bytes::Bytes;
-use client::{Client, Told, Watched};
+use client::{Client, Payload, Told, Watched};
 use granite_lifecycle::connection::{self, Input, Order, State};
 use granite_lifecycle::{Close, Connection};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming as IncomingBody};
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use request::read;
+use request::{discard, read, states_length, Pace};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -41,6 +42,8 @@
 const HEAD_TIME: Duration = Duration::from_millis(2200);
 /// By so long after connecting the first request is whole, body and all; a later one, after its head.
 const BODY_TIME: Duration = Duration::from_millis(2600);
+/// Slower than this a body is not awaited: half of what clients may be held to.
+const LEAST_RATE: usize = 32 << 10;
 /// Of a body that is too large so much is read, so that the client gets to read the answer.
 const MAX_DISCARD: usize = 1 << 20;
 /// Accounts are numbers below 2^33.
@@ -58,6 +61,8 @@
     backends: Rc<Backends>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     link: Rc<Link>,
+    /// Memory for bodies.
+    bodies: Rc<Budget>,
     /// The most clients of one gateway; this process may have its role's part.
     budget: usize,
     draining: Cell<bool>,
@@ -76,9 +81,15 @@
 }
 
 impl Server {
-    pub fn new(driver: Rc<Driver>, backends: Rc<Backends>, link: Rc<Link>, budget: usize) -> Self {
+    pub fn new(
+        driver: Rc<Driver>,
+        backends: Rc<Backends>,
+        link: Rc<Link>,
+        bodies: Rc<Budget>,
+        budget: usize,
+    ) -> Self {
         let (clients, draining, left) = Default::default();
-        Server { driver, backends, clients, link, budget, draining, left }
+        Server { driver, backends, clients, link, bodies, budget, draining, left }
     }
 
     /// Whether new clients are served.
@@ -205,10 +216,13 @@
         }
         let accepted = Instant::now();
         let service = service_fn(|request| {
+            // Bytes of it that came behind another request stand in no head of its own.
+            let seen = client.life.get().state() == State::Head;
             client.handle(Input::Head);
-            let limit = if client.life.get().asked() { Instant::now() } else { accepted } + BODY_TIME;
+            let start = if client.life.get().asked() { Instant::now() } else { accepted };
+            let pace = Pace { start, grace: BODY_TIME };
             let client = client.clone();
-            async move { Ok::<_, Infallible>(self.reply(request, &client, limit).await) }
+            async move { Ok::<_, Infallible>(self.reply(request, &client, pace, seen).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -236,14 +250,21 @@
         }
     }
 
-    /// `limit`: when the request's body must have come.
-    async fn reply(&self, request: Request<IncomingBody>, client: &Rc<Client>, limit: Instant) -> Reply {
+    /// `pace`: how the request's body must come. `seen`: whether its head is known as it was written.
+    async fn reply(
+        &self,
+        request: Request<IncomingBody>,
+        client: &Rc<Client>,
+        pace: Pace,
+        seen: bool,
+    ) -> Reply {
+        let coded = request.headers().contains_key(TRANSFER_ENCODING);
         let mut reply = match request.uri().path() {
             // RFC 9112, 3.2: whoever reads the other one would take the request for another's.
             _ if request.headers().get_all(HOST).iter().count() > 1 => plain(StatusCode::BAD_REQUEST, ""),
-            // Bodies come with a length. A coding beside one may hide a second request in the body, and hyper
-            // drops the length then, so what has both can't be told from what has one.
-            _ if request.headers().contains_key(TRANSFER_ENCODING) => plain(StatusCode::LENGTH_REQUIRED, ""),
+            // A length beside a coding may hide a second request in the body (RFC 9112, 6.1), and hyper drops it.
+            _ if coded && seen && states_length(&client.head.borrow()) => plain(StatusCode::BAD_REQUEST, ""),
+            _ if coded && !only_chunked(request.headers()) => plain(StatusCode::LENGTH_REQUIRED, ""),
             "/ready" if request.method() != Method::GET => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
             "/ready" if self.draining.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
             "/ready" if !self.driver.can_serve() => {
@@ -251,17 +272,18 @@
             }
             "/ready" => plain(StatusCode::OK, "ready\n"),
             path if self.driver.routes.may_match(path) => {
-                self.api(request, client, limit).await.unwrap_or_else(|status| plain(status, ""))
+                self.api(request, client, pace).await.unwrap_or_else(|status| plain(status, ""))
             }
             _ => plain(StatusCode::NOT_FOUND, ""),
         };
         // Behind these nothing is read: where the request ends is in doubt, or far off.
-        let cut = matches!(reply.status().as_u16(), 408 | 411 | 413);
+        let doubt = coded && (!seen || reply.status() == StatusCode::BAD_REQUEST);
+        let cut = doubt || matches!(reply.status().as_u16(), 408 | 411 | 413);
         let close = client.handle(Input::Reply) == Order::Answer { close: true };
         if self.draining.get() || close || cut {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        client.handed.set(reply.body().is_end_stream());
+        client.handed.set(reply.body().is_end());
         reply.map(|body| Told { body, client: client.clone() })
     }
 
@@ -269,28 +291,35 @@
         &self,
         request: Request<IncomingBody>,
         client: &Client,
-        limit: Instant,
-    ) -> Result<Response<Full<Bytes>>, StatusCode> {
+        pace: Pace,
+    ) -> Result<Response<Payload>, StatusCode> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         if body.size_hint().lower() > MAX_BODY as u64 {
             // Most of it is thrown away, so that the client gets to read the answer.
-            let _ = timeout_at(limit, read(body)).await;
+            let _ = timeout_at(pace.start + pace.grace, discard(body)).await;
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         // Before the body: what is refused by its head takes no memory.
         let mut incoming = self.parse(head, arrived)?;
-        let body = timeout_at(limit, read(body)).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
+        let (body, part) = read(body, pace, self.bodies.part()).await?;
+        // Its time counts from its last byte.
+        if !body.is_empty() {
+            incoming.arrived = Instant::now();
+        }
         if incoming.outgoing.method == Method::GET && !body.is_empty() {
             return Err(StatusCode::BAD_REQUEST);
         }
-        incoming.outgoing.body = body;
+        (incoming.outgoing.body, incoming.outgoing.part) = (body, Some(part));
         // Not in hand before: hundreds of half requests would hold every place.
         let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
         client.handle(Input::Taken);
         Ok(match ticket.await {
             Answer::Served(served) => {
-                let mut reply = Response::new(Full::new(served.body));
+                let mut reply = Response::new(match served.content {
+                    Content::Whole(bytes) => Payload::Whole(Full::new(bytes)),
+                    Content::Stream(stream) => Payload::Stream(stream),
+                });
                 if let Some(kind) = served.content_type {
                     reply.headers_mut().insert(CONTENT_TYPE, kind);
                 }
@@ -328,8 +357,14 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+/// Whether the only coding is the one that hyper takes off.
+fn only_chunked(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    codings.next().is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Payload> {
+    let mut reply = Response::new(Payload::Whole(Full::new(Bytes::from_static(text.as_bytes()))));
     *reply.status_mut() = status;
     reply
 }
--- a/src/bin/granitethread/fronts/http1/request.rs
+++ b/src/bin/granitethread/fronts/http1/request.rs
@@ -1,8 +1,9 @@
 //! A client's request: its head, its figures, its body.
 
-use super::{Server, MAX_ACCOUNT, MAX_DISCARD};
-use crate::backends::{Outgoing, MAX_BODY};
+use super::{Server, LEAST_RATE, MAX_ACCOUNT, MAX_DISCARD};
+use crate::backends::{Outgoing, MAX_BODY, WHOLE};
 use crate::driver::Incoming;
+use crate::fronts::Part;
 use bytes::{Bytes, BytesMut};
 use granitehub::Effect;
 use http_body_util::BodyExt;
@@ -11,7 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 impl Server {
     /// Reads a request's head: 400 if a header is missing or malformed or a figure out of its range, 404 if no
@@ -82,6 +83,7 @@
         method: head.method,
         uri,
         body: Bytes::new(),
+        part: None,
     })
 }
 
@@ -102,26 +104,85 @@
     }
 }
 
-pub(super) async fn read(mut body: IncomingBody) -> Result<Bytes, StatusCode> {
-    let told = body.size_hint().exact().unwrap_or(0) as usize;
-    if told > MAX_DISCARD {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+/// Whether a head, as it came, states a length.
+pub(super) fn states_length(raw: &[u8]) -> bool {
+    let end = raw.windows(2).position(|w| w == b"\n\n");
+    let end = raw.windows(3).position(|w| w == b"\n\r\n").into_iter().chain(end).min().unwrap_or(raw.len());
+    let name = b"content-length:";
+    raw[..end]
+        .split(|b| *b == b'\n')
+        .any(|l| l.len() >= name.len() && l[..name.len()].eq_ignore_ascii_case(name))
+}
+
+/// How fast a body must come.
+#[derive(Clone, Copy)]
+pub(super) struct Pace {
+    pub(super) start: Instant,
+    pub(super) grace: Duration,
+}
+
+impl Pace {
+    /// When more of it must have come, now that so much has.
+    fn until(self, came: usize) -> Instant {
+        let earned = Duration::from_millis((came / (LEAST_RATE / 1000)) as u64);
+        (Instant::now() + self.grace).min(self.start + self.grace + earned)
     }
+}
+
+/// The whole of a body, in the part of the budget that it takes.
+pub(super) async fn read(
+    mut body: IncomingBody,
+    pace: Pace,
+    mut part: Part,
+) -> Result<(Bytes, Part), StatusCode> {
+    let told = body.size_hint().lower() as usize;
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), part));
     }
-    let (mut whole, mut length) = (BytesMut::with_capacity(told.min(MAX_BODY)), 0);
-    while let Some(frame) = body.frame().await {
+    let mut whole = BytesMut::with_capacity(told.min(WHOLE));
+    loop {
+        let until = pace.until(whole.len());
+        let frame = timeout_at(until, body.frame()).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
+        let Some(frame) = frame else { return Ok((whole.freeze(), part)) };
         let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
-        length += data.len();
-        if length <= MAX_BODY {
-            whole.extend_from_slice(&data);
-        } else if length > MAX_DISCARD {
-            break;
+        if whole.len() + data.len() > MAX_BODY {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
+        // Too much is in hand already: the client waits, and is refused if that lasts.
+        let grown = timeout_at(Instant::now() + pace.grace, part.grow(data.len())).await;
+        grown.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+        whole.extend_from_slice(&data);
     }
-    if length > MAX_BODY {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+}
+
+/// Throws away what still comes, so that the client gets to read its answer.
+pub(super) async fn discard(mut body: IncomingBody) {
+    let mut thrown = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        thrown += frame.data_ref().map_or(0, Bytes::len);
+        if thrown > MAX_DISCARD {
+            return;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::states_length;
+
+    #[test]
+    fn a_length_is_seen_however_it_is_written_and_nowhere_but_in_the_head() {
+        for raw in
+            ["POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", "POST / HTTP/1.1\nX: y\ncONTENT-lENGTH:5\n\n"]
+        {
+            assert!(states_length(raw.as_bytes()), "{raw:?}");
+        }
+        for raw in [
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nContent-Length: 5\r\n",
+            "POST / HTTP/1.1\r\nX-Content-Length: 5\r\nY: content-length: 5\r\n\r\n",
+            "",
+        ] {
+            assert!(!states_length(raw.as_bytes()), "{raw:?}");
+        }
     }
-    Ok(whole.freeze())
 }
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -17,7 +17,7 @@
 use backends::Backends;
 use clap::{Parser, Subcommand};
 use driver::Driver;
-use fronts::http1;
+use fronts::{http1, Budget};
 use granite_background::{Pace, Service};
 use granite_operator::{LogFormat, Operator};
 use handover::Link;
@@ -149,7 +149,9 @@
     if let Ok(address) = listener.local_addr() {
         info!(%address, "listening on {address}");
     }
-    let server = http1::Server::new(driver.clone(), backends.clone(), link.clone(), config.client_sockets);
+    let bodies = Budget::new(config.body_bytes);
+    let server =
+        http1::Server::new(driver.clone(), backends.clone(), link.clone(), bodies, config.client_sockets);
     let server = Rc::new(server);
     if let Some(listener) = second {
         if let Ok(address) = listener.local_addr() {
