Streams and bodies live in boxes of their own: short requests don't pay for them

Cause: the futures of an attempt and of a reply had grown by what only long answers and bodies need, and a whole answer was polled once more than needed and copied. Ruled out by looking: counters (a lookup by class), the kept head (some 300 bytes).

--- a/src/bin/granitethread/backends/attempt.rs
+++ b/src/bin/granitethread/backends/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use granitehub::{Ending, Name};
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, Version};
@@ -87,12 +88,20 @@
             if length.is_none() && good && size > 0 && began.elapsed() >= ANSWER_TIME {
                 break;
             }
-            let Connection { io, closed, .. } = &mut connection;
-            match timeout(ANSWER_TIME, drive(io, closed, body.frame())).await {
+            let frame = if body.is_end_stream() {
+                Ok(Some(None))
+            } else {
+                let Connection { io, closed, .. } = &mut connection;
+                timeout(ANSWER_TIME, drive(io, closed, body.frame())).await
+            };
+            match frame {
                 Ok(Some(None)) => {
                     self.keep(name, connection);
-                    let whole = Content::Whole(Bytes::from(came.concat()));
-                    let answer = Response::from_parts(head, whole);
+                    let whole = match came.len() {
+                        0 | 1 => came.pop().unwrap_or_default(),
+                        _ => Bytes::from(came.concat()),
+                    };
+                    let answer = Response::from_parts(head, Content::Whole(whole));
                     return Ok(Exchanged::Over(Outcome::read(answer, self.most_units)));
                 }
                 Ok(Some(Some(Ok(frame)))) => {
--- a/src/bin/granitethread/backends/relay.rs
+++ b/src/bin/granitethread/backends/relay.rs
@@ -54,7 +54,7 @@
     }
 
     /// Passes on what comes until it ends, one way or the other.
-    pub async fn run(mut self, backends: &Backends) -> Ending {
+    pub async fn run(mut self: Box<Self>, backends: &Backends) -> Ending {
         for frame in std::mem::take(&mut self.first) {
             if let Err(end) = self.pass(frame).await {
                 return end;
--- a/src/bin/granitethread/driver/attempt.rs
+++ b/src/bin/granitethread/driver/attempt.rs
@@ -38,7 +38,8 @@
                 Exchanged::Begun(outcome, relay) => {
                     drop(request);
                     let wanted = self.driver.begun(&self, outcome);
-                    let ending = if wanted { relay.run(&backends).await } else { Ending::Undone };
+                    // In a box: the many that are short don't pay for its size.
+                    let ending = if wanted { Box::pin(relay.run(&backends)).await } else { Ending::Undone };
                     self.done(Outcome::without_answer(ending));
                 }
             }
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -302,15 +302,16 @@
         }
         // Before the body: what is refused by its head takes no memory.
         let mut incoming = self.parse(head, arrived)?;
-        let (body, part) = read(body, pace, self.bodies.part()).await?;
-        // Its time counts from its last byte.
-        if !body.is_empty() {
+        if !body.is_end_stream() {
+            // In a box: a request without a body doesn't pay for its size.
+            let (body, part) = Box::pin(read(body, pace, self.bodies.part())).await?;
+            // Its time counts from its last byte.
             incoming.arrived = Instant::now();
+            (incoming.outgoing.body, incoming.outgoing.part) = (body, Some(part));
         }
-        if incoming.outgoing.method == Method::GET && !body.is_empty() {
+        if incoming.outgoing.method == Method::GET && !incoming.outgoing.body.is_empty() {
             return Err(StatusCode::BAD_REQUEST);
         }
-        (incoming.outgoing.body, incoming.outgoing.part) = (body, Some(part));
         // Not in hand before: hundreds of half requests would hold every place.
         let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
         client.handle(Input::Taken);
--- a/src/bin/granitethread/fronts/http1/request.rs
+++ b/src/bin/granitethread/fronts/http1/request.rs
@@ -136,9 +136,6 @@
     mut part: Part,
 ) -> Result<(Bytes, Part), StatusCode> {
     let told = body.size_hint().lower() as usize;
-    if body.is_end_stream() {
-        return Ok((Bytes::new(), part));
-    }
     let mut whole = BytesMut::with_capacity(told.min(WHOLE));
     loop {
         let until = pace.until(whole.len());
