--- a/crates/check/src/clients.rs
+++ b/crates/check/src/clients.rs
@@ -20,6 +20,7 @@
     half: bool,
     /// Whether the latest head began behind another request: the machine is told of it once that is over.
     behind: bool,
+    head_at: u64,
     bodies: u8,
     // What the gateway has: heads read, requests taken, answers known, answers written, answers that said close.
     read: u8,
@@ -108,6 +109,14 @@
             s.ended != Some(End::HandedOver) || s.taken > 0 && (idle || s.behind)
         },
     ),
+    (
+        "a head has its time",
+        "Nobody is let go for silence while a head is coming that has had less than 2 s, but for a first or behind another.",
+        |_, s| {
+            let may = !s.half || s.behind || s.answered == 0;
+            s.ended != Some(End::TimedOut) || may || s.now >= s.head_at + 2_000_000_000
+        },
+    ),
     (
         "who is spared makes room",
         "A connection that is picked to make room owes nothing, or does not read, and is ended at once.",
@@ -161,6 +170,7 @@
             heads: 0,
             half: false,
             behind: false,
+            head_at: 0,
             bodies: 0,
             read: 0,
             taken: 0,
@@ -216,7 +226,7 @@
         if spare([((), &s.life)].into_iter(), s.now).is_some_and(|(_, wait)| wait == 0) {
             actions.push(Room);
         }
-        if s.read == s.written && s.now >= STUCK {
+        if s.life.patience().is_some_and(|at| at <= s.now) {
             actions.push(HeadTimeOut);
         }
         actions.push(Leave);
@@ -230,16 +240,20 @@
         match action {
             Happens::HalfHead => {
                 s.half = true;
-                s.behind = s.heads > s.written;
+                s.behind |= s.heads > s.written;
+                s.head_at = s.now;
                 s.handle(Input::Bytes);
             }
             Happens::RestOfHead => {
+                s.behind &= s.heads > s.written;
                 s.half = false;
                 s.heads += 1;
                 s.handle(Input::Bytes);
             }
             Happens::Body => {
                 s.bodies += 1;
+                // One that comes behind its answer is taken for the next head's first bytes.
+                s.behind |= s.read == s.written;
                 s.handle(Input::Bytes);
             }
             Happens::ReadHead => {
--- a/crates/check/src/rules.rs
+++ b/crates/check/src/rules.rs
@@ -24,6 +24,7 @@
     ToldTwice,
     HeldTwice,
     GoneTwice,
+    WrittenTwice,
 }
 
 /// A rule: its name, its words, and whether it holds.
@@ -65,6 +66,11 @@
         words: "What must not run twice is not written again once it may have run.",
         holds: never!(UnsafeRepeat),
     },
+    Rule {
+        name: "a spent body is not written again",
+        words: "A request whose body is passed on as it comes is written at most once.",
+        holds: never!(WrittenTwice),
+    },
     Rule {
         name: "keyed repeat in group and window",
         words: "A keyed request that may have run is written again only where its key is known, and only while it is.",
--- a/crates/check/src/world.rs
+++ b/crates/check/src/world.rs
@@ -20,6 +20,8 @@
 pub struct World {
     pub name: &'static str,
     pub effect: Effect,
+    /// Whether the body is passed on as it comes, so that it can be written once.
+    pub once: bool,
     pub group: Group,
     /// The ids of the requests that come, in order.
     pub ids: Vec<RequestId>,
@@ -51,6 +53,8 @@
     pub attempts: u32,
     /// When the earliest attempt that came whole to a server began to be written, and the server's cell.
     pub ran: Option<(Time, u32)>,
+    /// Whether an attempt of it got the leave to write.
+    begun: bool,
 }
 
 /// An attempt that is out, as the sockets know it.
@@ -271,6 +275,8 @@
         let Some(n) = s.attempts.iter().position(|a| a.id == id && a.number == number) else { return };
         let a = s.attempts[n].clone();
         let (asked, now) = (s.asked[a.arrival].clone(), s.now);
+        s.note(Broken::WrittenTwice, self.once && asked.begun);
+        s.asked[a.arrival].begun = true;
         s.note(Broken::OutAfterAnswer, asked.end != Asked::Waits);
         s.note(Broken::OutAfterStop, a.stopped);
         let there = self.listed(a.server, s.servers[usize::from(a.server)]).place;
@@ -416,6 +422,7 @@
                 let deadline = s.now + self.time(DEADLINE);
                 let arrival = Arrival {
                     class: 0,
+                    once: self.once,
                     id,
                     effect: self.effect,
                     group: self.group,
@@ -426,7 +433,14 @@
                 match self.handle(&mut s, Input::Received(arrival)) {
                     Ok(()) => {
                         s.note(Broken::HeldTwice, held);
-                        s.asked.push(Arrived { id, deadline, end: Asked::Waits, attempts: 0, ran: None });
+                        s.asked.push(Arrived {
+                            id,
+                            deadline,
+                            end: Asked::Waits,
+                            attempts: 0,
+                            ran: None,
+                            begun: false,
+                        });
                         s.mind.event(Event::Request(Request::new(id, 0, 0, "c-1", deadline, 1.0)));
                     }
                     // The front answers it 400 by itself.
--- a/crates/check/src/worlds.rs
+++ b/crates/check/src/worlds.rs
@@ -7,6 +7,7 @@
     World {
         name,
         effect,
+        once: false,
         // The servers stand in different cells, so that a key's group is one of them.
         group: Group::Cell,
         ids: vec![1],
@@ -29,6 +30,7 @@
         (less("unsafe", Effect::Unsafe), None),
         (less("keyed", Effect::Keyed), None),
         (less("safe", Effect::Safe), None),
+        (World { once: true, ..less("open", Effect::Safe) }, None),
         (reuse(less("reuse", Effect::Unsafe)), None),
         (real(less("real-keyed", Effect::Keyed)), Some(8)),
         (real(less("real-unsafe", Effect::Unsafe)), Some(8)),
--- a/crates/check/tests/check.rs
+++ b/crates/check/tests/check.rs
@@ -23,11 +23,12 @@
     };
     // The counts change with the machine or its world, never by themselves.
     for (name, states, transitions) in [
-        ("connection", 19670, 32567),
-        ("unsafe", 68894, 594940),
-        ("keyed", 157964, 1394641),
-        ("safe", 328298, 2976502),
-        ("reuse", 301344, 2123863),
+        ("connection", 90188, 141230),
+        ("unsafe", 74998, 625900),
+        ("keyed", 164068, 1425601),
+        ("safe", 334402, 3007462),
+        ("open", 63806, 566700),
+        ("reuse", 389064, 2619683),
     ] {
         let w = world(name);
         assert_eq!(
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -38,6 +38,9 @@
     pub gap: Time,
 }
 
+/// An open request whose last byte has not come by then is given up; its front gives up on slow ones long before.
+const LONGEST_OPEN: Time = 3_600_000_000_000;
+
 pub struct Engine<M> {
     settings: Settings,
     way_back: Time,
@@ -176,6 +179,10 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) -> Result<(), Error> {
         match input {
             Input::Received(incoming) => return self.received(now, incoming, out),
+            Input::Whole { id, timeout } => {
+                let deadline = self.deadline(now, timeout);
+                self.feed(now, lifecycle::Input::Whole { id, deadline }, Facts::default(), out)?;
+            }
             Input::Left { id } => {
                 let (heard, class) = (self.events.len(), self.lives.get(id).map(|l| l.class()));
                 self.feed(now, lifecycle::Input::Left { id }, Facts::default(), out)?;
@@ -225,9 +232,9 @@
         let classes = &self.settings.classes;
         let number = if r.class < classes.len() { r.class } else { 0 };
         let class = &classes[number];
-        let deadline = now + r.timeout - self.way_back.min(r.timeout / 10);
+        let deadline = if r.open { now + LONGEST_OPEN } else { self.deadline(now, r.timeout) };
         let (effect, group, key_ttl) = (class.effect, class.group, class.key_ttl);
-        let arrival = Arrival { id: r.id, class: number, effect, group, key_ttl, deadline };
+        let arrival = Arrival { id: r.id, class: number, effect, group, key_ttl, deadline, once: r.open };
         self.feed(now, lifecycle::Input::Received(arrival), Facts::default(), out)?;
         let request = Request {
             id: r.id,
@@ -246,6 +253,11 @@
         Ok(())
     }
 
+    /// When the answer is due here to a client that waits for so long.
+    fn deadline(&self, now: Time, timeout: Time) -> Time {
+        now + timeout - self.way_back.min(timeout / 10)
+    }
+
     fn consider_again(&mut self, now: Time) {
         for (request, since) in self.admission.waiting() {
             if self.lives.get(request.id).is_some() {
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -16,6 +16,8 @@
     pub customer: Name,
     /// How long after it came the client stops waiting.
     pub timeout: Time,
+    /// Whether its body is still coming: then that counts from [`Input::Whole`] on, and it can be sent once.
+    pub open: bool,
     /// 0 or more, no more than the settings' most.
     pub units: f64,
     /// Through how many gateways the customer's requests may come.
@@ -46,6 +48,8 @@
 pub enum Input {
     /// A front: a request came whole.
     Received(Incoming),
+    /// A front: the last byte of an open request has come, and its client waits for so long from now on.
+    Whole { id: RequestId, timeout: Time },
     /// A front: nobody waits for the answer any more.
     Left { id: RequestId },
     /// An attempt: its connection is up. The answer is `Write` or `Withhold`.
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -50,7 +50,18 @@
 
 fn incoming(id: RequestId) -> Incoming {
     let (timeout, customer) = (300 * MS, "c".into());
-    Incoming { id, class: 0, plan: 0, customer, timeout, units: 1.0, spread: 1, repeat: false, pool: 0 }
+    Incoming {
+        id,
+        class: 0,
+        plan: 0,
+        customer,
+        timeout,
+        units: 1.0,
+        spread: 1,
+        repeat: false,
+        pool: 0,
+        open: false,
+    }
 }
 
 fn list(health: Health) -> Input {
--- a/crates/lifecycle/benches/life.rs
+++ b/crates/lifecycle/benches/life.rs
@@ -23,7 +23,8 @@
 
 fn receive(lives: &mut Lives, id: RequestId, out: &mut Vec<Order>) {
     let deadline = 1_000_000_000 + id;
-    let arrival = Arrival { id, class: 0, effect: Effect::Keyed, group: Group::All, key_ttl: 9, deadline };
+    let arrival =
+        Arrival { id, class: 0, effect: Effect::Keyed, group: Group::All, key_ttl: 9, deadline, once: false };
     lives.handle(0, Input::Received(arrival), out).expect("its id is free");
 }
 
--- a/crates/lifecycle/src/connection.rs
+++ b/crates/lifecycle/src/connection.rs
@@ -90,14 +90,26 @@
 /// A client that has not read its answer for so long may make room too: longer than any request may wait.
 pub const STUCK: Time = 4_000_000_000;
 
+/// A client that says nothing for so long is let go: it holds memory.
+pub const SILENT: Time = 2_200_000_000;
+/// A head may take 2 s; some more is for the way here.
+pub const HEAD: Time = 2_400_000_000;
+/// Within 3 s of connecting a client is owed an error or a close, if its first request does not come whole.
+pub const FIRST: Time = 2_800_000_000;
+
 /// A client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Connection {
     state: State,
     /// When it came, or had its last answer known.
     since: Time,
+    /// When it came; and when the first byte of its latest head did.
+    came: Time,
+    head: Time,
     /// Whether it has sent a whole and sound request.
     asked: bool,
+    /// Whether it has had an answer, to whatever.
+    answered: bool,
     closing: bool,
     /// Whether an answer has bytes that are not written yet, also while the next request is read behind it.
     unwritten: bool,
@@ -105,7 +117,17 @@
 
 impl Connection {
     pub fn new(now: Time) -> Self {
-        Connection { state: State::Idle, since: now, asked: false, closing: false, unwritten: false }
+        let (since, came, head) = (now, now, now);
+        Connection {
+            state: State::Idle,
+            since,
+            came,
+            head,
+            asked: false,
+            answered: false,
+            closing: false,
+            unwritten: false,
+        }
     }
 
     pub fn state(&self) -> State {
@@ -122,7 +144,20 @@
         self.asked
     }
 
-    /// Takes what happened. The time counts for `Reply` and `Close` alone.
+    /// When it is to be let go, if nothing more comes of a head: who says nothing has [`SILENT`], and who has
+    /// begun a head has [`HEAD`] for it; a first one is owed a word by [`FIRST`] after its client came. None while
+    /// it waits for something else.
+    pub fn patience(&self) -> Option<Time> {
+        match self.state {
+            State::Idle => Some(self.since + SILENT),
+            State::Head if planted!(HeadWaitsFromIdle) => Some(self.since + HEAD),
+            State::Head if self.answered => Some(self.head + HEAD),
+            State::Head => Some((self.head + HEAD).min(self.came + FIRST)),
+            State::Body | State::InHand | State::Answering | State::Closed => None,
+        }
+    }
+
+    /// Takes what happened. The time counts for `Bytes`, `Reply` and `Close` alone.
     ///
     /// # Errors
     /// [`Wrong`], if that can't be in the present state.
@@ -135,7 +170,7 @@
             }
             (Closed, Input::Close(_)) => Order::None,
             (Idle, Input::Bytes) => {
-                self.state = Head;
+                (self.state, self.head) = (Head, now);
                 Order::None
             }
             (Head | Body | InHand | Answering, Input::Bytes) => Order::None,
@@ -152,6 +187,7 @@
             }
             (Body | InHand, Input::Reply) => {
                 (self.state, self.since, self.unwritten) = (Answering, now, true);
+                self.answered = true;
                 Order::Answer { close: self.closing && !planted!(CloseNotSaid) }
             }
             (Answering, Input::Flushed) => {
@@ -296,6 +332,26 @@
         assert_eq!(young, Some(((), SETTLE * 3 / 4)));
     }
 
+    #[test]
+    fn a_head_has_its_time_from_its_first_byte_on_however_long_its_client_idled() {
+        let ms = 1_000_000;
+        let mut c = Connection::new(0);
+        assert_eq!(c.patience(), Some(SILENT));
+        c.handle(100 * ms, Input::Bytes).expect("in order");
+        assert_eq!(c.patience(), Some(100 * ms + HEAD));
+        let mut late = Connection::new(0);
+        late.handle(1500 * ms, Input::Bytes).expect("in order");
+        assert_eq!(late.patience(), Some(FIRST), "a first one has no longer than this");
+        for input in [Input::Head, Input::Taken, Input::Reply, Input::Flushed] {
+            c.handle(200 * ms, input).expect("in order");
+        }
+        assert_eq!(c.patience(), Some(200 * ms + SILENT));
+        c.handle(2000 * ms, Input::Bytes).expect("in order");
+        assert_eq!(c.patience(), Some(2000 * ms + HEAD));
+        c.handle(2000 * ms, Input::Head).expect("in order");
+        assert_eq!(c.patience(), None);
+    }
+
     #[test]
     fn what_cannot_be_is_an_error_and_changes_nothing() {
         for input in [Input::Taken, Input::Reply, Input::Flushed] {
--- a/crates/lifecycle/src/defects.rs
+++ b/crates/lifecycle/src/defects.rs
@@ -36,6 +36,7 @@
     LateAnswerAccepted, "late-answer-accepted", "an answer that comes after the final one is passed on";
     AnsweredNeverForgotten, "answered-never-forgotten", "a request stays in the table after its last attempt";
     StreamNeverForgotten, "stream-never-forgotten", "a request whose answer was passed on as it came stays in the table";
+    OnceForgotten, "once-forgotten", "a request whose body is spent waits for another attempt";
     UnsafeRepeated, "unsafe-repeated", "what must not run twice is sent again";
     KeyOutsideGroup, "key-outside-group", "a keyed repeat goes to a server that does not know the key";
     KeyWindowByOne, "key-window-by-one", "<= for < where servers forget a key";
@@ -49,6 +50,7 @@
     NextHidesAnswer, "next-hides-answer", "once the next head is read, the answer before it counts as written";
     StuckKept, "stuck-kept", "a client that does not read its answer is picked to make room and kept all the same";
     HandoverCutsHead, "handover-cuts-head", "a handover ends a connection on which a head is coming";
+    HeadWaitsFromIdle, "head-waits-from-idle", "the time for a head runs while its client idles";
     BusySpared, "busy-spared", "a client with a request in hand makes room for others";
 }
 
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! let mut lives = Lives::new(Limits { attempts: 3, grace: 5, key_margin: 1 });
 //! let mut orders = Vec::new();
-//! let arrival = Arrival { id: 7, class: 0, effect: Effect::Unsafe, group: Group::All, key_ttl: 0, deadline: 100 };
+//! let arrival = Arrival { id: 7, class: 0, effect: Effect::Unsafe, group: Group::All, key_ttl: 0, deadline: 100, once: false };
 //! lives.handle(0, Input::Received(arrival), &mut orders).expect("its id is free");
 //! // The decision module keeps silent: the request is answered all the same.
 //! lives.handle(105, Input::Tick, &mut orders).expect("time may always pass");
--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -116,6 +116,7 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Order>) -> Done {
         match input {
             Input::Received(arrival) => return self.received(arrival),
+            Input::Whole { id, deadline } => self.whole(id, deadline),
             Input::Left { id } => self.left(id, out),
             Input::Send { id, server, not_past } => self.send(now, id, server, not_past, out),
             Input::Refuse { id, advice } => self.finish(id, true, advice, false, out),
@@ -147,6 +148,16 @@
         Ok(())
     }
 
+    fn whole(&mut self, id: RequestId, deadline: Time) {
+        // It may have been answered before it was whole.
+        let Some(life) = self.live.get_mut(&id) else { return };
+        let grace = self.limits.grace;
+        if self.due.remove(&(life.arrival.deadline + grace, id)) {
+            self.due.insert((deadline + grace, id));
+        }
+        life.arrival.deadline = deadline;
+    }
+
     fn left(&mut self, id: RequestId, out: &mut Vec<Order>) {
         // It may have crossed the answer.
         let Some(life) = self.live.get_mut(&id) else { return };
@@ -398,7 +409,10 @@
         }
         life.late = ending == Ending::Late;
         let class = life.arrival.class;
+        let spent = life.arrival.once && a.step >= Step::Writing && !planted!(OnceForgotten);
         let answer = match reply {
+            // There is nothing left to send: this was its one attempt.
+            Reply::None if spent && awaited => Some(life.give_up(true, 0)),
             Reply::None => None,
             Reply::Good => Some(Final::Served),
             Reply::Turned => Some(Final::Turned),
--- a/crates/lifecycle/src/words.rs
+++ b/crates/lifecycle/src/words.rs
@@ -29,6 +29,8 @@
     pub key_ttl: Time,
     /// By then it is answered, or `grace` later at the latest.
     pub deadline: Time,
+    /// Whether it can't be written a second time once a byte of it may be out: its body is passed on as it comes.
+    pub once: bool,
 }
 
 /// How far an attempt has come. Each step is told once, in this order; steps may be left out.
@@ -59,6 +61,11 @@
 pub enum Input {
     /// From a front: a request came whole.
     Received(Arrival),
+    /// From a front: the last byte of a request that was taken in before has come; by then it is answered.
+    Whole {
+        id: RequestId,
+        deadline: Time,
+    },
     /// From a front: nobody waits for the answer any more.
     Left {
         id: RequestId,
--- a/crates/lifecycle/tests/hard_cases.rs
+++ b/crates/lifecycle/tests/hard_cases.rs
@@ -23,7 +23,7 @@
 }
 
 fn arrival(effect: Effect) -> Arrival {
-    Arrival { id: ID, class: 0, effect, group: Group::Cell, key_ttl: 50, deadline: DEADLINE }
+    Arrival { id: ID, class: 0, effect, group: Group::Cell, key_ttl: 50, deadline: DEADLINE, once: false }
 }
 
 impl Story {
@@ -284,3 +284,42 @@
         assert_eq!(story.lives, before);
     }
 }
+
+/// A body that is passed on as it comes: nothing is due before its last byte, and its one attempt is its last.
+#[test]
+fn an_open_request_is_due_once_it_is_whole_and_is_sent_once() {
+    let open = || {
+        let mut story = Story::new(Effect::Unsafe);
+        story.happens(Input::Fail { id: ID });
+        story.happens(Input::Received(Arrival {
+            once: true,
+            deadline: 1000 * DEADLINE,
+            ..arrival(Effect::Safe)
+        }));
+        story
+    };
+    for (ending, answer) in [
+        (Ending::Full, Final::Refused { tried: true, advice: 0 }),
+        (Ending::Late, Final::Failed { late: true }),
+    ] {
+        let mut story = open();
+        story.send(1);
+        story.connected(0);
+        assert_eq!(story.tick(5 * DEADLINE), [], "its time has not begun");
+        story.happens(Input::Whole { id: ID, deadline: 6 * DEADLINE });
+        story.happens(Input::Progress { id: ID, attempt: 0, step: Step::Written });
+        let orders = story.ends(0, ending, Reply::None);
+        assert_eq!(answers(&orders), [answer]);
+        assert!(matches!(orders.last(), Some(Order::Tell(Told::Ended { last: true, .. }))), "{orders:?}");
+        assert!(story.lives.is_empty());
+    }
+    // Before a byte of it is out, another server may have it.
+    let mut story = open();
+    story.send(1);
+    assert_eq!(answers(&story.ends(0, Ending::NoRoute, Reply::None)), []);
+    assert_eq!(story.send(2).len(), 1);
+    // Whole, and nobody sends it.
+    let mut story = open();
+    story.happens(Input::Whole { id: ID, deadline: DEADLINE });
+    assert_eq!(answers(&story.tick(2 * DEADLINE)), [Final::Refused { tried: false, advice: 0 }]);
+}
--- a/crates/sim/src/world/clients.rs
+++ b/crates/sim/src/world/clients.rs
@@ -69,6 +69,7 @@
         let class = &settings.classes[ask.class];
         let timeout = (class.deadline as f64 * (0.5 + 0.5 * rng.f64())) as Time;
         let incoming = Incoming {
+            open: false,
             id,
             class: ask.class,
             plan: plan_of(ask.customer),
--- a/src/bin/granitethread/backends/attempt.rs
+++ b/src/bin/granitethread/backends/attempt.rs
@@ -2,7 +2,6 @@
 
 use super::connection::{broke_off, drive, Connection};
 use super::relay::Relay;
-use super::request::size;
 use super::{Backends, Content, Note, Outcome, Outgoing, Progress, ANSWER_TIME, MAX_BODY, WHOLE};
 use bytes::Bytes;
 use granitehub::{Ending, Name};
@@ -65,8 +64,8 @@
         }
         connection.link.idle.set(false);
         connection.link.progress.replace(progress.clone());
-        let mut request = request.to_backend(not_past.saturating_duration_since(Instant::now()));
-        progress.whole.set(size(&request));
+        let wait = not_past.saturating_duration_since(Instant::now());
+        let mut request = request.to_backend(wait, progress);
         // An interim answer may come long before the answer itself.
         let begun = progress.begun.clone();
         hyper::ext::on_informational(&mut request, move |_| begun.store(false, Relaxed));
--- a/src/bin/granitethread/backends/connection.rs
+++ b/src/bin/granitethread/backends/connection.rs
@@ -1,8 +1,7 @@
 //! A connection to a backend. It is polled by the attempt that uses it and by nothing while it is idle.
 
+use super::upload::Sent;
 use super::{Note, Progress};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -38,11 +37,11 @@
     }
 }
 
-pub(super) type Sender = SendRequest<Full<Bytes>>;
+pub(super) type Sender = SendRequest<Sent>;
 
 pub(super) struct Connection {
     pub(super) sender: Sender,
-    pub(super) io: http1::Connection<Counted, Full<Bytes>>,
+    pub(super) io: http1::Connection<Counted, Sent>,
     pub(super) closed: bool,
     pub(super) link: Rc<Link>,
     pub(super) address: SocketAddr,
@@ -62,7 +61,7 @@
 
     pub(super) async fn answer(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Sent>,
     ) -> Option<hyper::Result<Response<Incoming>>> {
         let answer = self.sender.send_request(request);
         drive(&mut self.io, &mut self.closed, answer).await
@@ -87,7 +86,7 @@
 
 /// Polls a connection along with what waits for it. None if the connection ended and left it waiting.
 pub(super) async fn drive<F: Future>(
-    io: &mut http1::Connection<Counted, Full<Bytes>>,
+    io: &mut http1::Connection<Counted, Sent>,
     closed: &mut bool,
     waiting: F,
 ) -> Option<F::Output> {
--- a/src/bin/granitethread/backends/mod.rs
+++ b/src/bin/granitethread/backends/mod.rs
@@ -11,12 +11,14 @@
 mod request;
 #[cfg(test)]
 mod tests;
+mod upload;
 
 pub use answer::{Content, Outcome, Served};
 pub use attempt::Exchanged;
 pub use progress::{Note, Progress};
 pub use relay::Stream;
 pub use request::Outgoing;
+pub use upload::{Open, Upload};
 
 use crate::list::{State, Target};
 use connection::{Connection, Counted, Link, Slot};
--- a/src/bin/granitethread/backends/request.rs
+++ b/src/bin/granitethread/backends/request.rs
@@ -1,12 +1,13 @@
 //! A client's request as it goes on to backends.
 
-use crate::fronts::Part;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Body;
+use super::upload::Sent;
+use super::{Progress, Upload};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Method, Request, Uri};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// A client's request as it goes on to backends.
 pub struct Outgoing {
@@ -16,14 +17,23 @@
     pub idempotency_key: Option<HeaderValue>,
     pub content_type: Option<HeaderValue>,
     pub host: HeaderValue,
-    pub body: Bytes,
-    /// The memory that it takes, until all of its attempts are over.
-    pub part: Option<Part>,
+    pub body: RefCell<Upload>,
+    /// How long the client waits from its last byte on, where that has yet to come; and when it came.
+    pub wait: Option<Duration>,
+    pub whole_at: Cell<Option<Instant>>,
 }
 
 impl Outgoing {
-    pub(super) fn to_backend(&self, wait: Duration) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// Nothing will be sent again: what is kept for that can go.
+    pub fn release(&self) {
+        self.body.replace(Upload::Gone);
+    }
+
+    pub(super) fn to_backend(&self, wait: Duration, progress: &Rc<Progress>) -> Request<Sent> {
+        let body = self.body.borrow_mut().take(progress);
+        let length = body.length();
+        let mut request = Request::new(body);
+        let wait = self.wait.unwrap_or(wait);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
@@ -39,18 +49,20 @@
         if let Ok(wait) = HeaderValue::try_from(format!("{:.3}", wait.as_secs_f64())) {
             headers.insert("request-timeout", wait);
         }
-        if self.method != Method::GET {
-            headers.insert(CONTENT_LENGTH, self.body.len().into());
+        if let Some(length) = length.filter(|_| self.method != Method::GET) {
+            headers.insert(CONTENT_LENGTH, length.into());
         }
+        let size = head_size(&request);
+        request.body_mut().behind(size);
+        progress.whole.set(length.map_or(usize::MAX, |l| size + l as usize));
         request
     }
 }
 
-/// The bytes of a request on the wire: all that we ask for, with nothing of what hyper may add.
-pub(super) fn size(request: &Request<Full<Bytes>>) -> usize {
+/// The bytes of a request's head on the wire: all that we ask for, with nothing of what hyper may add.
+fn head_size(request: &Request<Sent>) -> usize {
     let line = request.method().as_str().len() + request.uri().path().len() + " HTTP/1.1\r\n".len() + 1;
     let query = request.uri().query().map_or(0, |q| q.len() + 1);
     let headers: usize = request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
-    let body = request.body().size_hint().exact().unwrap_or(0) as usize;
-    line + query + headers + 2 + body
+    line + query + headers + 2
 }
--- a/src/bin/granitethread/backends/tests.rs
+++ b/src/bin/granitethread/backends/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::fronts::Budget;
 use bytes::Bytes;
 use granitehub::Ending;
 use hyper::header::HeaderValue;
@@ -14,8 +15,9 @@
         idempotency_key: Some(HeaderValue::from_static("k")),
         content_type: None,
         host: HeaderValue::from_static("origin.svc"),
-        body: Bytes::from(vec![b'x'; body]),
-        part: None,
+        body: RefCell::new(Upload::Whole(Bytes::from(vec![b'x'; body]), Budget::new(0).part())),
+        wait: None,
+        whole_at: Cell::default(),
     }
 }
 
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -215,6 +215,18 @@
         Some(Ticket { id, answer, driver: self.clone(), answered: false })
     }
 
+    /// The last byte of an open request has come: its time counts from here.
+    pub fn whole(self: &Rc<Self>, id: RequestId, timeout: Time) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        if let Some(ends) = state.ends.get(&id) {
+            ends.outgoing.whole_at.set(Some(now));
+        }
+        self.take(&mut state, now, Input::Whole { id, timeout }, Brought::default());
+        // What is due has changed.
+        self.wake.notify_one();
+    }
+
     /// Nobody waits for the answer any more.
     fn gone(self: &Rc<Self>, id: RequestId) {
         self.take(&mut self.state.borrow_mut(), Instant::now(), Input::Left { id }, Brought::default());
@@ -265,8 +277,9 @@
                     let not_past = self.clock.instant(not_past);
                     if let Some(ends) = state.ends.get_mut(&id) {
                         let driver = self.clone();
-                        let run = Attempt { driver, id, number: attempt, sent: now, done: false };
-                        ends.out = Some(run.start(server, place, ends.outgoing.clone(), not_past));
+                        let request = ends.outgoing.clone();
+                        let run = Attempt { driver, id, number: attempt, sent: now, request, done: false };
+                        ends.out = Some(run.start(server, place, not_past));
                     }
                 }
                 Output::Write { .. } => leave = true,
@@ -331,7 +344,7 @@
         let mut state = self.state.borrow_mut();
         let now = Instant::now();
         let Outcome { served, settled, metered, load, .. } = outcome;
-        let elapsed = now.saturating_duration_since(run.sent).as_nanos() as Time;
+        let elapsed = run.elapsed(now);
         let facts = Facts { elapsed, settled, metered, load };
         let input = Input::Begun { id: run.id, attempt: run.number, facts };
         let mut brought = Brought { served, ..Brought::default() };
@@ -351,7 +364,7 @@
             (None, None) => Reply::None,
         };
         let Outcome { ending, served, turned, settled, metered, load } = outcome;
-        let elapsed = now.saturating_duration_since(run.sent).as_nanos() as Time;
+        let elapsed = run.elapsed(now);
         let facts = Facts { elapsed, settled, metered, load };
         let input = Input::Ended { id, attempt, ending, reply, facts };
         let mut brought = Brought { served, turned, ..Brought::default() };
--- a/src/bin/granitethread/driver/attempt.rs
+++ b/src/bin/granitethread/driver/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::{Answer, Driver};
 use crate::backends::{Exchanged, Outcome, Outgoing, Progress};
-use granitehub::{Ending, Name, RequestId};
+use granitehub::{Ending, Name, RequestId, Time};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -18,25 +18,20 @@
     pub(super) id: RequestId,
     pub(super) number: u32,
     pub(super) sent: Instant,
+    pub(super) request: Rc<Outgoing>,
     pub(super) done: bool,
 }
 
 impl Attempt {
-    pub(super) fn start(
-        self,
-        server: Name,
-        place: SocketAddr,
-        request: Rc<Outgoing>,
-        not_past: Instant,
-    ) -> AbortHandle {
+    pub(super) fn start(self, server: Name, place: SocketAddr, not_past: Instant) -> AbortHandle {
         let (driver, id, number) = (self.driver.clone(), self.id, self.number);
         let progress = Rc::new(Progress::new(move |note| driver.note(id, number, note)));
         let task = spawn_local(async move {
             let backends = self.driver.backends.clone();
-            match backends.attempt(&server, place, &request, not_past, &progress).await {
+            match backends.attempt(&server, place, &self.request, not_past, &progress).await {
                 Exchanged::Over(outcome) => self.done(outcome),
                 Exchanged::Begun(outcome, relay) => {
-                    drop(request);
+                    self.request.release();
                     let wanted = self.driver.begun(&self, outcome);
                     // In a box: the many that are short don't pay for its size.
                     let ending = if wanted { Box::pin(relay.run(&backends)).await } else { Ending::Undone };
@@ -47,6 +42,12 @@
         task.abort_handle()
     }
 
+    /// How long it has been out, but for what its body took to come.
+    pub(super) fn elapsed(&self, now: Instant) -> Time {
+        let since = self.request.whole_at.get().map_or(self.sent, |at| at.max(self.sent));
+        now.saturating_duration_since(since).as_nanos() as Time
+    }
+
     fn done(mut self, outcome: Outcome) {
         self.done = true;
         self.driver.ended(&self, outcome);
--- a/src/bin/granitethread/fronts/budget.rs
+++ b/src/bin/granitethread/fronts/budget.rs
@@ -2,17 +2,18 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use tokio::sync::Notify;
+
+/// No body has more than this.
+const MOST: usize = 2 << 20;
 
 pub struct Budget {
     most: usize,
     used: Cell<usize>,
-    freed: Notify,
 }
 
 impl Budget {
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Budget { most, used: Cell::new(0), freed: Notify::new() })
+        Rc::new(Budget { most, used: Cell::new(0) })
     }
 
     /// Nothing yet, for one client.
@@ -28,14 +29,20 @@
 }
 
 impl Part {
-    /// Takes so much more, once it is there.
-    pub async fn grow(&mut self, by: usize) {
-        let b = self.budget.clone();
-        while b.used.get() + by > b.most {
-            b.freed.notified().await;
+    /// Takes so much more, if it is there.
+    pub fn grow(&mut self, by: usize) -> bool {
+        let used = self.budget.used.get() + by;
+        let there = used <= self.budget.most;
+        if there {
+            self.budget.used.set(used);
+            self.size += by;
         }
-        b.used.set(b.used.get() + by);
-        self.size += by;
+        there
+    }
+
+    /// The most that one body may have: others want some too.
+    pub fn most(&self) -> usize {
+        MOST.min(self.budget.most / 8)
     }
 }
 
@@ -43,7 +50,6 @@
     fn drop(&mut self) {
         if self.size > 0 {
             self.budget.used.set(self.budget.used.get() - self.size);
-            self.budget.freed.notify_one();
         }
     }
 }
--- a/src/bin/granitethread/fronts/http1/client.rs
+++ b/src/bin/granitethread/fronts/http1/client.rs
@@ -49,7 +49,7 @@
 
     pub(super) fn handle(&self, input: Input) -> Order {
         let mut life = self.life.get();
-        let timed = matches!(input, Input::Reply | Input::Close(_));
+        let timed = matches!(input, Input::Bytes | Input::Reply | Input::Close(_));
         let now = if timed { self.driver.time(Instant::now()) } else { 0 };
         let order = life.handle(now, input);
         self.life.set(life);
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -4,8 +4,8 @@
 mod request;
 
 use super::Budget;
-use crate::backends::{Backends, Content, MAX_BODY};
-use crate::driver::{Answer, Driver};
+use crate::backends::{Backends, Content, Open, Upload, MAX_BODY};
+use crate::driver::{Answer, Driver, Incoming};
 use crate::handover::Link;
 use bytes::Bytes;
 use client::{Client, Payload, Told, Watched};
@@ -17,8 +17,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use request::{discard, read, states_length, Pace};
+use hyper_util::rt::TokioIo;
+use request::{discard, states_length, Coming, Pace};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -28,7 +28,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{mpsc, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 use tracing::info;
@@ -37,13 +37,12 @@
 const WINDOW: Duration = Duration::from_millis(500);
 /// By then every request taken in the window has been answered.
 const LONGEST_DRAIN: Duration = Duration::from_millis(3600);
-/// A client that says nothing, or half a request's head, for this long is let go: within 3 s of connecting
-/// it is owed an error or a close, and one that idles holds memory.
-const HEAD_TIME: Duration = Duration::from_millis(2200);
 /// By so long after connecting the first request is whole, body and all; a later one, after its head.
 const BODY_TIME: Duration = Duration::from_millis(2600);
 /// Slower than this a body is not awaited: half of what clients may be held to.
 const LEAST_RATE: usize = 32 << 10;
+/// So long a server may read nothing of a body that is passed on to it.
+const READS: Duration = Duration::from_secs(10);
 /// Of a body that is too large so much is read, so that the client gets to read the answer.
 const MAX_DISCARD: usize = 1 << 20;
 /// Accounts are numbers below 2^33.
@@ -224,26 +223,33 @@
             let client = client.clone();
             async move { Ok::<_, Infallible>(self.reply(request, &client, pace, seen).await) }
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIME)
-            .max_buf_size(HEAD_BYTES)
-            .serve_connection(
-                Watched { io: TokioIo::new(stream), client: client.clone(), linger: None },
-                service,
-            );
-        let mut connection = pin!(connection);
+        let http = http1::Builder::new().header_read_timeout(None).max_buf_size(HEAD_BYTES).serve_connection(
+            Watched { io: TokioIo::new(stream), client: client.clone(), linger: None },
+            service,
+        );
+        let mut http = pin!(http);
+        // Looked at again when it would be due, not moved with every request.
+        let mut patience = pin!(sleep(Duration::from_nanos(connection::SILENT)));
         loop {
             tokio::select! {
                 // First, so that a request which has arrived is read before a close.
                 biased;
                 // Errors are the client's: it left, or sent what is no HTTP.
-                _ = connection.as_mut() => return,
+                _ = http.as_mut() => return,
                 () = client.close.notified() => {}
+                () = &mut patience => {
+                    let now = self.driver.time(Instant::now());
+                    let left = client.life.get().patience().map_or(connection::SILENT, |at| at.saturating_sub(now));
+                    if left == 0 {
+                        return;
+                    }
+                    patience.as_mut().reset(Instant::now() + Duration::from_nanos(left));
+                    continue;
+                }
             }
             let why = client.wanted.get().unwrap_or(Close::Drain);
             match client.handle(Input::Close(why)) {
-                Order::Finish => connection.as_mut().graceful_shutdown(),
+                Order::Finish => http.as_mut().graceful_shutdown(),
                 Order::None if client.life.get().state() != State::Closed => {}
                 _ => return,
             }
@@ -301,47 +307,85 @@
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         // Before the body: what is refused by its head takes no memory.
-        let mut incoming = self.parse(head, arrived)?;
-        if !body.is_end_stream() {
-            // In a box: a request without a body doesn't pay for its size.
-            let (body, part) = Box::pin(read(body, pace, self.bodies.part())).await?;
-            // Its time counts from its last byte.
-            incoming.arrived = Instant::now();
-            (incoming.outgoing.body, incoming.outgoing.part) = (body, Some(part));
+        let incoming = self.parse(head, arrived)?;
+        if body.is_end_stream() {
+            let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
+            client.handle(Input::Taken);
+            return Ok(reply_to(ticket.await));
         }
-        if incoming.outgoing.method == Method::GET && !incoming.outgoing.body.is_empty() {
+        // In a box: a request without a body doesn't pay for its size.
+        Box::pin(self.with_body(incoming, Coming::new(body, pace), client)).await
+    }
+
+    async fn with_body(
+        &self,
+        mut incoming: Incoming,
+        mut body: Coming,
+        client: &Client,
+    ) -> Result<Response<Payload>, StatusCode> {
+        let (first, part, open) = body.read(self.bodies.part()).await?;
+        if incoming.outgoing.method == Method::GET && !first.is_empty() {
             return Err(StatusCode::BAD_REQUEST);
         }
+        // Its time counts from its last byte.
+        incoming.arrived = Instant::now();
         // Not in hand before: hundreds of half requests would hold every place.
-        let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
+        if !open {
+            incoming.outgoing.body = RefCell::new(Upload::Whole(first, part));
+            let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
+            client.handle(Input::Taken);
+            return Ok(reply_to(ticket.await));
+        }
+        let (id, timeout) = (incoming.request.id, incoming.request.timeout);
+        let (send, rest) = mpsc::channel(1);
+        let length = body.length();
+        incoming.request.open = true;
+        incoming.outgoing.wait = Some(Duration::from_nanos(timeout));
+        incoming.outgoing.body = RefCell::new(Upload::Open(Open { first, part: Some(part), rest, length }));
+        let mut ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
+        tokio::select! {
+            biased;
+            // Before it is whole: the rest is not wanted.
+            answer = &mut ticket => {
+                let mut reply = reply_to(answer);
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                return Ok(reply);
+            }
+            // Whoever stops in the middle is owed nothing: dropping the ticket ends the attempt.
+            passed = body.pass(&send) => passed?,
+        }
         client.handle(Input::Taken);
-        Ok(match ticket.await {
-            Answer::Served(served) => {
-                let mut reply = Response::new(match served.content {
-                    Content::Whole(bytes) => Payload::Whole(Full::new(bytes)),
-                    Content::Stream(stream) => Payload::Stream(stream),
-                });
-                if let Some(kind) = served.content_type {
-                    reply.headers_mut().insert(CONTENT_TYPE, kind);
-                }
-                if let Some(encoding) = served.content_encoding {
-                    reply.headers_mut().insert("content-encoding", encoding);
-                }
-                reply
+        self.driver.whole(id, timeout);
+        Ok(reply_to(ticket.await))
+    }
+}
+
+fn reply_to(answer: Answer) -> Response<Payload> {
+    match answer {
+        Answer::Served(served) => {
+            let mut reply = Response::new(match served.content {
+                Content::Whole(bytes) => Payload::Whole(Full::new(bytes)),
+                Content::Stream(stream) => Payload::Stream(stream),
+            });
+            if let Some(kind) = served.content_type {
+                reply.headers_mut().insert(CONTENT_TYPE, kind);
             }
-            Answer::Refused { tried, retry_after } => {
-                let status =
-                    if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
-                let mut reply = plain(status, "");
-                if let Ok(after) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
-                    reply.headers_mut().insert("retry-after", after);
-                }
-                reply
+            if let Some(encoding) = served.content_encoding {
+                reply.headers_mut().insert("content-encoding", encoding);
+            }
+            reply
+        }
+        Answer::Refused { tried, retry_after } => {
+            let status = if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
+            let mut reply = plain(status, "");
+            if let Ok(after) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
+                reply.headers_mut().insert("retry-after", after);
             }
-            Answer::Turned(status) => plain(status, ""),
-            Answer::Failed { late: true } => plain(StatusCode::GATEWAY_TIMEOUT, ""),
-            Answer::Failed { late: false } => plain(StatusCode::BAD_GATEWAY, ""),
-        })
+            reply
+        }
+        Answer::Turned(status) => plain(status, ""),
+        Answer::Failed { late: true } => plain(StatusCode::GATEWAY_TIMEOUT, ""),
+        Answer::Failed { late: false } => plain(StatusCode::BAD_GATEWAY, ""),
     }
 }
 
--- a/src/bin/granitethread/fronts/http1/request.rs
+++ b/src/bin/granitethread/fronts/http1/request.rs
@@ -1,6 +1,6 @@
 //! A client's request: its head, its figures, its body.
 
-use super::{Server, LEAST_RATE, MAX_ACCOUNT, MAX_DISCARD};
+use super::{Server, LEAST_RATE, MAX_ACCOUNT, MAX_DISCARD, READS};
 use crate::backends::{Outgoing, MAX_BODY, WHOLE};
 use crate::driver::Incoming;
 use crate::fronts::Part;
@@ -11,8 +11,10 @@
 use hyper::header::{HeaderMap, CONTENT_TYPE, HOST};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
+use tokio::sync::mpsc;
+use tokio::time::{timeout, timeout_at, Instant};
 
 impl Server {
     /// Reads a request's head: 400 if a header is missing or malformed or a figure out of its range, 404 if no
@@ -68,6 +70,7 @@
             spread,
             repeat: h.get("client-retry").is_some_and(|v| v == "1"),
             pool: 0,
+            open: false,
         })
     }
 }
@@ -82,8 +85,9 @@
         host: h.get(HOST)?.clone(),
         method: head.method,
         uri,
-        body: Bytes::new(),
-        part: None,
+        body: RefCell::default(),
+        wait: None,
+        whole_at: Cell::default(),
     })
 }
 
@@ -129,26 +133,73 @@
     }
 }
 
-/// The whole of a body, in the part of the budget that it takes.
-pub(super) async fn read(
-    mut body: IncomingBody,
+/// A body as it comes.
+pub(super) struct Coming {
+    body: IncomingBody,
     pace: Pace,
-    mut part: Part,
-) -> Result<(Bytes, Part), StatusCode> {
-    let told = body.size_hint().lower() as usize;
-    let mut whole = BytesMut::with_capacity(told.min(WHOLE));
-    loop {
-        let until = pace.until(whole.len());
-        let frame = timeout_at(until, body.frame()).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
-        let Some(frame) = frame else { return Ok((whole.freeze(), part)) };
-        let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
-        if whole.len() + data.len() > MAX_BODY {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    came: usize,
+}
+
+impl Coming {
+    pub(super) fn new(body: IncomingBody, pace: Pace) -> Self {
+        Coming { body, pace, came: 0 }
+    }
+
+    /// The next bytes of it; none at its end.
+    async fn next(&mut self) -> Result<Option<Bytes>, StatusCode> {
+        loop {
+            let frame = timeout_at(self.pace.until(self.came), self.body.frame()).await;
+            let Some(frame) = frame.map_err(|_| StatusCode::REQUEST_TIMEOUT)? else { return Ok(None) };
+            let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
+            self.came += data.len();
+            if self.came > MAX_BODY {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            if !data.is_empty() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// The whole of it in a part of the budget; or as much as there is room for, if it is open.
+    pub(super) async fn read(&mut self, mut part: Part) -> Result<(Bytes, Part, bool), StatusCode> {
+        let told = self.body.size_hint().lower() as usize;
+        let mut came = BytesMut::with_capacity(told.min(WHOLE));
+        while let Some(data) = self.next().await? {
+            came.extend_from_slice(&data);
+            // Up to the usual size there is always room: it is bounded by the descriptors.
+            let room = part.grow(data.len()) && came.len() <= part.most();
+            if !room && came.len() > WHOLE {
+                return Ok((came.freeze(), part, true));
+            }
+        }
+        Ok((came.freeze(), part, false))
+    }
+
+    pub(super) fn length(&self) -> Option<u64> {
+        // What is left of it, and what has come.
+        self.body.size_hint().exact().map(|left| left + self.came as u64)
+    }
+
+    /// Passes on the rest; then an empty frame says that it is whole. A server that does not read has its
+    /// time too.
+    pub(super) async fn pass(&mut self, to: &mpsc::Sender<Bytes>) -> Result<(), StatusCode> {
+        loop {
+            let data = self.next().await?;
+            let whole = data.is_none();
+            let waits = Instant::now();
+            match timeout(READS, to.send(data.unwrap_or_default())).await {
+                Err(_) => return Err(StatusCode::GATEWAY_TIMEOUT),
+                Ok(Ok(())) => {}
+                // The attempt is over, and the answer on its way.
+                Ok(Err(_)) => std::future::pending().await,
+            }
+            if whole {
+                return Ok(());
+            }
+            // That was the server's time, not the client's.
+            self.pace.start += waits.elapsed();
         }
-        // Too much is in hand already: the client waits, and is refused if that lasts.
-        let grown = timeout_at(Instant::now() + pace.grace, part.grow(data.len())).await;
-        grown.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-        whole.extend_from_slice(&data);
     }
 }
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::sync::mpsc::channel;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -27,6 +27,13 @@
     gateway
 }
 
+/// The most memory that it has had, in kB.
+fn peak(gateway: &Gateway) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).expect("it lives");
+    let line = status.lines().find(|l| l.starts_with("VmHWM")).expect("told").to_string();
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse::<usize>().ok()).expect("a number")
+}
+
 /// A request with this for its body's head and bytes.
 fn post(framing: &str, body: &str) -> String {
     ask("book-slot").text().replace("Content-Length: 5\r\n\r\nhello", &format!("{framing}\r\n\r\n{body}"))
@@ -117,6 +124,134 @@
     assert!(backend.untouched());
 }
 
+/// A backend that tells how much of a body it has read, and how a request ended.
+fn reading(
+    script: impl Fn(&mut TcpStream, &[u8]) -> bool + Send + Sync + 'static,
+) -> (SocketAddr, Receiver<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (send, got) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut all = Vec::new();
+            let mut bytes = vec![0; 65_536];
+            while let Ok(n) = stream.read(&mut bytes) {
+                all.extend_from_slice(&bytes[..n]);
+                if n == 0 || !script(&mut stream, &all) {
+                    break;
+                }
+            }
+            let _ = send.send(all);
+        }
+    });
+    (address, got)
+}
+
+/// 32 MB where 16 MB is all the memory there is, in both framings, several at once.
+#[test]
+fn a_body_far_over_the_memory_goes_on_as_it_comes() {
+    const BIG: usize = 30 << 20;
+    let (address, got) = reading(|s, all| {
+        let whole = all.ends_with(b"the end") || all.ends_with(b"0\r\n\r\n");
+        if whole {
+            say(s, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood");
+        }
+        !whole
+    });
+    let discovery = Discovery::new(list(1, true, &[("s-1", address, "Ready")]));
+    let gateway = Gateway::with(&discovery, Setup { operator: true, memory_mb: 16, ..Setup::default() });
+    discovery.called(2);
+    let to = gateway.address;
+    let asks: Vec<_> = (0..3)
+        .map(|n| {
+            thread::spawn(move || {
+                let mut client = Client::connect(to);
+                let coded = n == 1;
+                let framing = if coded {
+                    "Transfer-Encoding: chunked".to_string()
+                } else {
+                    format!("Content-Length: {}", BIG + 7)
+                };
+                client.send(&post(&framing, ""));
+                let piece = "x".repeat(1 << 20);
+                for _ in 0..30 {
+                    if coded {
+                        client.send(&format!("{:x}\r\n{piece}\r\n", piece.len()));
+                    } else {
+                        client.send(&piece);
+                    }
+                }
+                client.send(if coded { "7\r\nthe end\r\n0\r\n\r\n" } else { "the end" });
+                client.answer()
+            })
+        })
+        .collect();
+    for ask in asks {
+        let answer = ask.join().expect("no panic");
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"good"[..]));
+    }
+    for _ in 0..3 {
+        let all = got.recv_timeout(support::LIMIT).expect("a body");
+        assert_eq!(all.iter().filter(|b| **b == b'x').count() >> 20, 30);
+    }
+    let now = figures(&gateway);
+    assert_eq!((&now["calls"]["book-slot"]["success"], &now["inflight"]), (&3.into(), &0.into()), "{now}");
+    assert!(peak(&gateway) < 16 << 10, "{} kB", peak(&gateway));
+}
+
+/// What has begun to be written and can't be sent again has one truthful answer, while its client still writes.
+#[test]
+fn a_spent_body_is_not_sent_again() {
+    for (words, status) in
+        [("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", 503), ("", 503)]
+    {
+        let (address, got) = reading(move |s, all| {
+            if all.len() > 3 << 20 {
+                say(s, words);
+            }
+            all.len() <= 3 << 20
+        });
+        let discovery = Discovery::new(list(1, true, &[("s-1", address, "Ready")]));
+        let gateway = Gateway::with(&discovery, Setup { operator: true, ..Setup::default() });
+        discovery.called(2);
+        let mut client = gateway.client();
+        client.send(&post(&format!("Content-Length: {}", 30 << 20), ""));
+        let mut stream = client.stream.try_clone().expect("a second handle");
+        let writes = thread::spawn(move || (0..30).all(|_| stream.write_all(&vec![b'x'; 1 << 20]).is_ok()));
+        assert_eq!(client.answer().status(), status, "{words:?}");
+        drop(client);
+        let _ = writes.join();
+        assert!(got.recv_timeout(support::LIMIT).is_ok());
+        assert!(got.try_recv().is_err(), "once");
+        let now = figures(&gateway);
+        assert_eq!(
+            (&now["calls"]["book-slot"]["busy"], &now["backend_calls"]),
+            (&1.into(), &0.into()),
+            "{now}"
+        );
+    }
+}
+
+/// A client that stops in the middle takes its attempt along.
+#[test]
+fn who_leaves_in_the_middle_of_a_body_ends_its_attempt() {
+    let (on_its_way, reached) = channel::<()>();
+    let on_its_way = Mutex::new(on_its_way);
+    let (address, got) = reading(move |_, all| {
+        let _ = all.len() < 3 << 20 || on_its_way.lock().expect("kept").send(()).is_ok();
+        true
+    });
+    let discovery = Discovery::new(list(1, true, &[("s-1", address, "Ready")]));
+    let gateway = Gateway::with(&discovery, Setup::default());
+    discovery.called(2);
+    let mut client = gateway.client();
+    client.send(&post(&format!("Content-Length: {}", 30 << 20), &"x".repeat(5 << 20)));
+    reached.recv_timeout(support::LIMIT).expect("it goes on as it comes");
+    drop(client);
+    assert!(got.recv_timeout(support::LIMIT).expect("its connection ends").len() > 1 << 20);
+}
+
 // ---- Answers ----
 
 /// In any framing that HTTP/1.1 has.
@@ -218,12 +353,6 @@
         client.send(&ask("quote").text());
         backend.next();
     }
-    let memory = || {
-        let status =
-            std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).expect("it lives");
-        let line = status.lines().find(|l| l.starts_with("VmHWM")).expect("told").to_string();
-        line.split_whitespace().nth(1).and_then(|kb| kb.parse::<usize>().ok()).expect("a number")
-    };
     // All have begun; meanwhile others are served.
     while figures(&gateway)["inflight"] != 20 {}
     for client in &mut slow {
@@ -232,7 +361,7 @@
     }
     let mut whole = vec![0; 32 << 20];
     slow[0].stream.read_exact(&mut whole).expect("all of it comes to who reads");
-    assert!(memory() < 30_000, "{} kB where 640 MB are on their way", memory());
+    assert!(peak(&gateway) < 30_000, "{} kB where 640 MB are on their way", peak(&gateway));
 }
 
 /// A coding beside a length is what requests are smuggled by; what is known to have none stays open.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use std::thread;
 
 const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
-"limits":{"cores":1.0,"memory_mb":192,"sockets":SOCKETS},
+"limits":{"cores":1.0,"memory_mb":MEMORY,"sockets":SOCKETS},
 "known":KNOWN,"settings":{"az":0,"dcs":["hall"],"me":0,"siblings":1,"discovery":"MODE","tick":2000000,
 "extra":{"cost_after":true,"meter_period":500000000,"most_units":8},
 "limits":{"cancelling":true,"connect_timeout":CONNECT,"keepalive":KEEPALIVE,"max_retry_after":2000000000,
@@ -29,6 +29,7 @@
 /// What a test may set.
 pub struct Setup {
     pub sockets: usize,
+    pub memory_mb: usize,
     pub connect_ms: u64,
     pub keepalive_ms: u64,
     /// Descriptors that the system gives the process.
@@ -49,6 +50,7 @@
     fn default() -> Self {
         Setup {
             sockets: 1024,
+            memory_mb: 192,
             connect_ms: 250,
             keepalive_ms: 30_000,
             ulimit: None,
@@ -68,6 +70,7 @@
             .replace("DISCOVERY", &discovery.address.to_string())
             .replace("MODE", self.mode)
             .replace("KNOWN", self.known.as_deref().unwrap_or("null"))
+            .replace("MEMORY", &self.memory_mb.to_string())
             .replace("SOCKETS", &self.sockets.to_string())
             .replace("CONNECT", &(self.connect_ms * 1_000_000).to_string())
             .replace("KEEPALIVE", &(self.keepalive_ms * 1_000_000).to_string())
