An upgrade hands over stores, ceilings and what was learnt of servers

Ruled out: the door, bans, descriptors (169 of 384). Lines: decide.rs, within_quota: a new process begins with ceilings empty and stores full.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -429,6 +429,22 @@
         Ok(was_out)
     }
 
+    /// What another process of this gateway is to go on with.
+    pub fn leave(&self) -> String {
+        self.module.leave()
+    }
+
+    /// Goes on with what another process of this gateway has left.
+    ///
+    /// # Errors
+    /// What is wrong with it. Nothing has changed then.
+    pub fn take_over(&mut self, now: Time, left: &str) -> Result<(), String> {
+        let module = &mut self.module;
+        // It comes from outside: a panic on it must not take the gateway along.
+        let done = catch_unwind(AssertUnwindSafe(|| module.take_over(now, left)));
+        done.unwrap_or_else(|_| Err("the module panicked on it".into()))
+    }
+
     /// Servers that are out by hand, and since when.
     pub fn bans(&self) -> BTreeMap<Name, Time> {
         self.bans.out().map(|(name, since)| (name.clone(), since)).collect()
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -311,6 +311,19 @@
     /// Takes what happened by `now` and appends what to do about it.
     fn handle(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>);
 
+    /// What another process of this gateway is to go on with; empty if there is nothing.
+    fn leave(&self) -> String {
+        String::new()
+    }
+
+    /// Goes on with what another process of this gateway has left.
+    ///
+    /// # Errors
+    /// What is wrong with it. Nothing has changed then.
+    fn take_over(&mut self, _now: Time, _left: &str) -> Result<(), String> {
+        Ok(())
+    }
+
     /// Servers that take new work by the list and that it avoids now by its own choice.
     fn avoided(&self) -> Vec<Name> {
         Vec::new()
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -199,6 +199,15 @@
         }
     }
 
+    /// What the process after this one is to go on with.
+    pub fn leave(&self) -> String {
+        self.state.borrow().engine.leave()
+    }
+
+    pub fn take_over(&self, left: &str) -> Result<(), String> {
+        self.with_engine(|engine, now| engine.take_over(now, left))
+    }
+
     pub fn totals(&self) -> Totals {
         self.state.borrow().engine.totals()
     }
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -119,7 +119,7 @@
         self.draining.set(true);
         info!("draining");
         let started = Instant::now();
-        self.link.told();
+        self.link.told(&self.driver);
         if self.link.is_shared() {
             self.hand_over(started).await;
         } else {
--- a/src/bin/granitethread/handover.rs
+++ b/src/bin/granitethread/handover.rs
@@ -8,14 +8,17 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Read};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
-/// How often the other process is looked for, and its bans.
+/// How often the other process is looked for, and its bans; and what it leaves, while it is about to.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
+const AWAIT_EVERY: Duration = Duration::from_millis(20);
+const BANS: &str = "granitethread.bans";
+const LEFT: &str = "granitethread.left";
 
 pub struct Link {
     /// None: no folder is given, or the socket is our own, and nobody takes over.
@@ -34,6 +37,10 @@
             .as_ref()
             .and_then(|f| open(f).inspect_err(|e| warn!(cause = %e, "handover: {}: {e}", f.display())).ok());
         let other = alive.as_ref().is_some_and(|f| matches!(f.try_lock(), Err(TryLockError::WouldBlock)));
+        // Whatever lies there is not from the one that still lives.
+        if let Some(folder) = &folder {
+            let _ = fs::remove_file(folder.join(LEFT));
+        }
         Rc::new(Link { folder, role: Cell::new(Role::first(other)), alive })
     }
 
@@ -41,8 +48,14 @@
         self.role.get()
     }
 
-    pub fn told(&self) {
+    /// This process is to end: what it has learnt is left for the next.
+    pub fn told(&self, driver: &Driver) {
         self.role.set(self.role.get().after(Input::Told));
+        if let Some(folder) = &self.folder {
+            if let Err(e) = replace(folder, LEFT, &driver.leave()) {
+                warn!(cause = %e, "handover: nothing left for the next process: {e}");
+            }
+        }
     }
 
     /// Whether another process takes the clients that this one leaves.
@@ -54,7 +67,11 @@
     pub async fn follow(self: Rc<Self>, driver: Rc<Driver>) {
         let Some(folder) = &self.folder else { return };
         let mut last = None;
+        let mut awaits = self.role() == Role::Joining;
         loop {
+            if awaits {
+                awaits = !self.take_over(folder, &driver) && self.role() == Role::Joining;
+            }
             match read(folder) {
                 Ok(None) => {}
                 Ok(Some(bans)) if last.as_ref() != Some(&bans) => {
@@ -69,8 +86,22 @@
                 self.role.set(self.role().after(Input::OtherEnded));
                 info!("handover: the process before this one has ended");
             }
-            sleep(LOOK_EVERY).await;
+            sleep(if awaits { AWAIT_EVERY } else { LOOK_EVERY }).await;
+        }
+    }
+
+    /// Whether the one before has left what there is to go on with.
+    fn take_over(&self, folder: &Path, driver: &Driver) -> bool {
+        let Ok(Some(text)) = read_file(folder, LEFT) else { return false };
+        let _ = fs::remove_file(folder.join(LEFT));
+        let text = String::from_utf8_lossy(&text);
+        match driver.take_over(&text) {
+            Ok(()) => {
+                info!(bytes = text.len(), "handover: took over {} bytes of what was learnt", text.len())
+            }
+            Err(what) => warn!(cause = what, "handover: what was left is of no use: {what}"),
         }
+        true
     }
 
     /// Takes in what the other process has banned, has this change made, and leaves the result for both; one
@@ -88,20 +119,29 @@
     }
 }
 
-fn store(folder: &std::path::Path, bans: &BTreeMap<Name, Time>) -> io::Result<()> {
-    // Whole, then in place of the old one: nobody reads half of it.
-    let new = folder.join("granitethread.bans.new");
-    fs::write(&new, granite_handover::write(bans))?;
-    fs::rename(new, folder.join("granitethread.bans"))
+fn store(folder: &Path, bans: &BTreeMap<Name, Time>) -> io::Result<()> {
+    replace(folder, BANS, &granite_handover::write(bans))
+}
+
+/// Whole, then in place of the old one: nobody reads half of it.
+fn replace(folder: &Path, name: &str, text: &str) -> io::Result<()> {
+    let new = folder.join(format!("{name}.new"));
+    fs::write(&new, text)?;
+    fs::rename(new, folder.join(name))
+}
+
+fn read(folder: &Path) -> Result<Option<BTreeMap<Name, Time>>, String> {
+    let text = read_file(folder, BANS).map_err(|e| e.to_string())?;
+    text.map(|t| granite_handover::read(&t).map_err(|e| e.to_string())).transpose()
 }
 
-fn read(folder: &std::path::Path) -> Result<Option<BTreeMap<Name, Time>>, String> {
-    let file = match File::open(folder.join("granitethread.bans")) {
-        Ok(file) => file,
+/// What is longer than any text of ours is read so far only, and fails.
+fn read_file(folder: &Path, name: &str) -> io::Result<Option<Vec<u8>>> {
+    let file = match File::open(folder.join(name)) {
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
-        Err(e) => return Err(e.to_string()),
+        file => file?,
     };
     let mut text = Vec::new();
-    file.take(granite_handover::LONGEST as u64 + 1).read_to_end(&mut text).map_err(|e| e.to_string())?;
-    granite_handover::read(&text).map(Some).map_err(|e| e.to_string())
+    file.take(granite_handover::LONGEST as u64 + 1).read_to_end(&mut text)?;
+    Ok(Some(text))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,14 @@
         Gateway::handle(self, now, events, out);
     }
 
+    fn leave(&self) -> String {
+        Gateway::leave(self)
+    }
+
+    fn take_over(&mut self, now: Time, left: &str) -> Result<(), String> {
+        Gateway::take_over(self, now, left)
+    }
+
     fn avoided(&self) -> Vec<Name> {
         Gateway::avoided(self)
     }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -275,6 +275,7 @@
         old.signal("-TERM");
         assert!(old.child.wait().expect("it ends").success());
         old = new;
+        old.logged("of what was learnt");
         // Alone again.
         old.logged("the process before this one has ended");
     }
