A request before any list no longer panics the module

Line: Gateway::new, the overview begins as up to date though it has no pools, so that survey() leaves it empty for fleets that are looked at whole.

Change: it begins as stale. The test panics on the old line.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -260,7 +260,8 @@
             born: now,
             now,
             servers: BTreeMap::new(),
-            fleet: Overview::default(),
+            // Its pools are there before any list is.
+            fleet: Overview { stale: true, ..Overview::default() },
             held: BTreeMap::new(),
             customers: BTreeMap::new(),
             subs: (0..RESOURCES * s.pools.max(1)).map(|_| sub()).collect(),
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -551,6 +551,21 @@
     assert_eq!(out, [Action::Subscribe { on: true }]);
 }
 
+/// A process that has just started is asked before discovery has told it anything.
+#[test]
+fn a_request_before_any_list_is_answered_in_its_time() {
+    let g = Gateway::new(settings(), 1, 100 * SEC).expect("settings in range");
+    let mut rig = Rig { g, now: 100 * SEC, next: 1, spread: 1 };
+    let (id, mut out) = rig.request(2, 0, "a", 1.0);
+    while rig.now < 104 * SEC && !rejected(&out, id) {
+        assert!(sends(&out).is_empty());
+        let (token, at) = timer(&out);
+        rig.now = at;
+        out = rig.tell(Event::Timer { token });
+    }
+    assert!(rejected(&out, id), "{out:?}");
+}
+
 #[test]
 fn unknown_ids_are_ignored() {
     let mut rig = Rig::new(settings(), 1);
