Room is made by who shows least progress, and what has come is read before a close

Change: a byte of a head counts as progress, bounded by the head's time; before a close for room, a drain or a handover the socket is looked at once more.

--- a/crates/check/src/clients.rs
+++ b/crates/check/src/clients.rs
@@ -117,6 +117,14 @@
             s.ended != Some(End::TimedOut) || may || s.now >= s.head_at + 2_000_000_000
         },
     ),
+    (
+        "who has just begun is left alone",
+        "Room is not made by who is writing its first head and has just sent a byte of it.",
+        |_, s| {
+            let may = !s.half || s.behind || s.taken > 0 || s.read > s.answered;
+            s.ended != Some(End::ForRoom) || may || s.now >= s.head_at + SETTLE
+        },
+    ),
     (
         "who is spared makes room",
         "A connection that is picked to make room owes nothing, or does not read, and is ended at once.",
--- a/crates/lifecycle/src/connection.rs
+++ b/crates/lifecycle/src/connection.rs
@@ -103,9 +103,10 @@
     state: State,
     /// When it came, or had its last answer known.
     since: Time,
-    /// When it came; and when the first byte of its latest head did.
+    /// When it came; and when the first byte of its latest head did, and the latest.
     came: Time,
     head: Time,
+    moved: Time,
     /// Whether it has sent a whole and sound request.
     asked: bool,
     /// Whether it has had an answer, to whatever.
@@ -117,12 +118,13 @@
 
 impl Connection {
     pub fn new(now: Time) -> Self {
-        let (since, came, head) = (now, now, now);
+        let (since, came, head, moved) = (now, now, now, now);
         Connection {
             state: State::Idle,
             since,
             came,
             head,
+            moved,
             asked: false,
             answered: false,
             closing: false,
@@ -170,10 +172,14 @@
             }
             (Closed, Input::Close(_)) => Order::None,
             (Idle, Input::Bytes) => {
-                (self.state, self.head) = (Head, now);
+                (self.state, self.head, self.moved) = (Head, now, now);
                 Order::None
             }
-            (Head | Body | InHand | Answering, Input::Bytes) => Order::None,
+            (Head, Input::Bytes) => {
+                self.moved = now;
+                Order::None
+            }
+            (Body | InHand | Answering, Input::Bytes) => Order::None,
             (Idle | Head | Answering, Input::Head) => {
                 self.state = Body;
                 Order::None
@@ -240,7 +246,9 @@
 
     /// How well it can be spared, the least first, and how long it must be left alone yet; none if not at all.
     fn spare(&self, now: Time) -> Option<((bool, bool, Time), Time)> {
-        let quiet = now.saturating_sub(self.since);
+        // Who is still writing a head goes behind who only holds the connection.
+        let since = if planted!(ProgressIgnored) { self.since } else { self.since.max(self.moved) };
+        let quiet = now.saturating_sub(since);
         let stuck = self.state == State::Answering;
         let wait = match self.state {
             _ if self.unwritten && self.state != State::Answering && !planted!(NextHidesAnswer) => {
@@ -252,13 +260,14 @@
             State::Answering if quiet >= STUCK => 0,
             State::InHand | State::Answering | State::Closed => return None,
         };
-        Some(((stuck, self.asked, self.since), wait))
+        Some(((stuck, self.asked, since), wait))
     }
 }
 
 /// Who can best be spared: who never sent a sound request goes before who idles between requests, and that
 /// one before who does not read its answer; among equals, who has been so for longest. With it, how long it
-/// must be left alone yet. None if every client is owed an answer.
+/// must be left alone yet. None if every client is owed an answer. A byte of a head counts as a new beginning, which
+/// [`HEAD`] bounds.
 pub fn spare<'a, K>(clients: impl Iterator<Item = (K, &'a Connection)>, now: Time) -> Option<(K, Time)> {
     let all = clients.filter_map(|(key, c)| Some((key, c.spare(now)?)));
     all.min_by_key(|(_, (rank, _))| *rank).map(|(key, (_, wait))| (key, wait))
@@ -328,6 +337,13 @@
         let picked =
             spare(two.iter().map(|c| (c.asked(), **c)).collect::<Vec<_>>().iter().map(|(k, c)| (*k, c)), now);
         assert_eq!(picked, Some((false, 0)), "though it came later than the other began to idle");
+        let mut writes = after(&[]);
+        writes.handle(10_000_000_000, Bytes).expect("in order");
+        writes.handle(19_000_000_000, Bytes).expect("in order");
+        let holds = after(&[Bytes]);
+        assert_eq!(pick(&[&writes, &holds]), Some((State::Head, 0)));
+        let two = [(0, &writes), (1, &holds)];
+        assert_eq!(spare(two.into_iter(), now).map(|p| p.0), Some(1), "not the one that came first");
         let young = spare([((), &never)].into_iter(), SETTLE / 4);
         assert_eq!(young, Some(((), SETTLE * 3 / 4)));
     }
--- a/crates/lifecycle/src/defects.rs
+++ b/crates/lifecycle/src/defects.rs
@@ -51,6 +51,7 @@
     StuckKept, "stuck-kept", "a client that does not read its answer is picked to make room and kept all the same";
     HandoverCutsHead, "handover-cuts-head", "a handover ends a connection on which a head is coming";
     HeadWaitsFromIdle, "head-waits-from-idle", "the time for a head runs while its client idles";
+    ProgressIgnored, "progress-ignored", "who is writing a head is picked to make room before who only holds on";
     BusySpared, "busy-spared", "a client with a request in hand makes room for others";
 }
 
--- /dev/null
+++ b/crates/rig/src/crowd.rs
@@ -0,0 +1,192 @@
+//! The scenario of a crowd: many connect and never finish a request, each true request comes on a connection of its
+//! own and some are slow to write, descriptors and memory are short, and the gateway is restarted in the middle.
+
+use crate::demo::request;
+use crate::fleet::{body, good, lock, serve};
+use crate::peers::{list, Client, Discovery, Message};
+use crate::program::{locate, Program, EXAMPLE};
+use crate::scenario::{Figures, Play, Scenario};
+use fastrand::Rng;
+use std::collections::VecDeque;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const SCENARIO: Scenario = Scenario {
+    name: "crowd",
+    about: "a crowd that connects and never asks, true requests on new connections, a restart in the middle",
+    seconds: 12,
+    test_seconds: 5,
+    defects: &[
+        ("silent-clients", "those who should ask say nothing either"),
+        ("killed", "the gateway is killed where it should be told to end"),
+        ("hung-gateway", "the gateway is stopped for a while: no call is answered"),
+    ],
+    run,
+};
+
+const SOCKETS: usize = 140;
+const MEMORY_MB: usize = 24;
+/// More than the gateway may hold.
+const CROWD: usize = 300;
+const LANES: u64 = 12;
+
+#[derive(Default)]
+struct Ledger {
+    served: AtomicUsize,
+    refused: AtomicUsize,
+    /// Written whole and not answered.
+    lost: AtomicUsize,
+    /// Let go while they were still being written.
+    cut: AtomicUsize,
+    whole: AtomicUsize,
+}
+
+/// True requests, each on a connection of its own.
+fn lane(n: u64, play: &Play, to: SocketAddr, over: &AtomicBool, ledger: &Ledger) {
+    let mut rng = Rng::with_seed(play.seed.wrapping_add(n).wrapping_mul(0x2545_f491_4f6c_dd1d));
+    let mut number = (n + 1) << 32;
+    while !over.load(Ordering::Relaxed) {
+        number += 1;
+        let class = ["quote", "confirm", "book-slot"][rng.usize(0..3)];
+        let text = request(class, number, "partner", &format!("{:016x}", 0xc0 + n), 2.0);
+        // Nobody listens while it restarts.
+        let Some(mut client) = Client::try_connect(to) else {
+            thread::sleep(Duration::from_millis(10));
+            continue;
+        };
+        if play.has("silent-clients") {
+            thread::sleep(Duration::from_millis(200));
+            ledger.cut.fetch_add(1, Ordering::Relaxed);
+            continue;
+        }
+        if rng.u32(0..4) == 0 {
+            // In pieces, the last of which makes it whole.
+            let pause = Duration::from_millis(rng.u64(0..150));
+            let pieces: Vec<&[u8]> = text.as_bytes().chunks(text.len().div_ceil(12)).collect();
+            let (last, first) = pieces.split_last().expect("it has some");
+            let written = first.iter().all(|piece| {
+                let there = !ended(&client.stream) && client.stream.write_all(piece).is_ok();
+                thread::sleep(pause);
+                there
+            });
+            if !written || ended(&client.stream) || client.stream.write_all(last).is_err() {
+                ledger.cut.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+        } else if client.stream.write_all(text.as_bytes()).is_err() {
+            ledger.cut.fetch_add(1, Ordering::Relaxed);
+            continue;
+        }
+        ledger.whole.fetch_add(1, Ordering::Relaxed);
+        let count = match client.try_ask("").as_ref().map(Message::status) {
+            Some(200) => &ledger.served,
+            Some(429 | 503) => &ledger.refused,
+            _ => &ledger.lost,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Whether the other side has ended it before the request was whole: the request went nowhere.
+fn ended(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let ended = match stream.peek(&mut [0]) {
+        Ok(n) => n == 0,
+        Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+    };
+    let _ = stream.set_nonblocking(false);
+    ended
+}
+
+/// Those who never finish, the oldest replaced by a new one all the time.
+fn crowd(play: &Play, to: SocketAddr, over: &AtomicBool) {
+    let mut rng = Rng::with_seed(play.seed ^ 0x5eed);
+    let mut all: VecDeque<TcpStream> = VecDeque::new();
+    let half = request("quote", 1, "partner", "00000000000000c0", 2.0);
+    while !over.load(Ordering::Relaxed) {
+        if let Ok(mut stream) = TcpStream::connect(to) {
+            let _ = stream.write_all(&half.as_bytes()[..rng.usize(0..half.len() - 2)]);
+            all.push_back(stream);
+        }
+        if all.len() > CROWD {
+            all.pop_front();
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn run(play: &Play) -> Result<Figures, String> {
+    let script = |m: &Message, to: &mut _| {
+        thread::sleep(Duration::from_millis(20));
+        good(to, &body(m), None)
+    };
+    let mut servers = Vec::new();
+    for name in ["server-1", "server-2", "server-3"] {
+        servers.push((name, serve(Arc::new(script)).map_err(|e| e.to_string())?, "Ready"));
+    }
+    let discovery = Discovery::new(list(1, true, &servers));
+    let limits = format!(r#""memory_mb": {MEMORY_MB}, "sockets": {SOCKETS}"#);
+    let config = EXAMPLE.replace(r#""memory_mb": 192, "sockets": 1024"#, &limits);
+    let gateway = Program::start_operated(&locate()?, &config, discovery.address, None)?;
+    discovery.called(2);
+    let (to, gateway) = (gateway.address, Arc::new(Mutex::new(gateway)));
+    let (over, ledger) = (Arc::new(AtomicBool::new(false)), Arc::<Ledger>::default());
+    let mut threads = Vec::new();
+    {
+        let (play, over) = (play.clone(), over.clone());
+        threads.push(thread::spawn(move || crowd(&play, to, &over)));
+    }
+    for n in 0..LANES {
+        let (play, over, ledger) = (play.clone(), over.clone(), ledger.clone());
+        threads.push(thread::spawn(move || lane(n, &play, to, &over, &ledger)));
+    }
+    let (mut open, mut memory, mut late, mut calls, mut unclean) = (0, 0, 0, 0, 0);
+    let mut watch = |until: Instant| {
+        while Instant::now() < until {
+            let gateway = lock(&gateway);
+            let (o, m) = gateway.held().unwrap_or_default();
+            (open, memory) = (open.max(o), memory.max(m));
+            calls += 1;
+            late += usize::from(gateway.call("GET /status/metrics", "").is_none_or(|(s, _)| s != 200));
+            drop(gateway);
+            thread::sleep(Duration::from_millis(50));
+        }
+    };
+    watch(Instant::now() + play.time / 2);
+    if play.has("hung-gateway") {
+        lock(&gateway).signal("-STOP");
+        watch(Instant::now() + Duration::from_millis(1500));
+        lock(&gateway).signal("-CONT");
+    }
+    let mut one = lock(&gateway);
+    if play.has("killed") {
+        one.kill();
+    } else {
+        unclean += usize::from(!one.drain(Duration::from_secs(5))?.success());
+    }
+    one.start_again()?;
+    drop(one);
+    watch(Instant::now() + play.time / 2);
+    over.store(true, Ordering::Relaxed);
+    for one in threads {
+        one.join().map_err(|_| "a client was lost")?;
+    }
+    let count = |c: &AtomicUsize| c.load(Ordering::Relaxed);
+    let (served, refused, whole) = (count(&ledger.served), count(&ledger.refused), count(&ledger.whole));
+    let mut f = Figures::default();
+    f.set("asked_whole", whole);
+    f.set("refused", refused);
+    f.bound("served_share", served as f64 / whole.max(1) as f64, 0.5, 1.0);
+    f.none("lost", count(&ledger.lost));
+    f.bound("cut_share", count(&ledger.cut) as f64 / (whole + count(&ledger.cut)).max(1) as f64, 0.0, 0.1);
+    f.bound("calls", f64::from(calls), 10.0, f64::INFINITY);
+    f.none("calls_late_or_unanswered", late);
+    f.none("unclean_ends", unclean);
+    f.bound("descriptors", open as f64, 1.0, SOCKETS as f64);
+    f.bound("memory_kb", memory as f64, 1.0, (MEMORY_MB << 10) as f64);
+    Ok(f)
+}
--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -77,7 +77,7 @@
         servers.push((name, serve(Arc::new(answer)).map_err(|e| e.to_string())?, "Ready"));
     }
     let discovery = Discovery::new(list(1, true, &servers));
-    let gateway = Program::start(&locate()?, EXAMPLE, discovery.address)?;
+    let gateway = Program::start_operated(&locate()?, EXAMPLE, discovery.address, None)?;
     say(&format!("a gateway listens on {} before three servers of two cores each", gateway.address));
     say("try it, or press Ctrl-C to end:");
     say(&format!(
@@ -85,6 +85,11 @@
          -H 'Account: 00000000000000b9' -H 'Request-Timeout: 2.0' -H 'Quota-Info: units=1,spread=1,first=0'",
         gateway.address
     ));
+    if let Some(operators) = gateway.operators {
+        say(&format!("  curl http://{operators}/status/metrics"));
+        let body = r#"{"target":"server-1"}"#;
+        say(&format!("  curl -d '{body}' http://{operators}/maintenance/enter    # and exit to put it back"));
+    }
     let counts: Arc<Mutex<BTreeMap<&str, Count>>> = Arc::default();
     let mut members = Vec::new();
     for (n, (plan, account, rate)) in MEMBERS.into_iter().enumerate() {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! `granitethread-rig` plays the scenarios.
 #![forbid(unsafe_code)]
 
+pub mod crowd;
 pub mod demo;
 pub mod fleet;
 pub mod gate;
@@ -11,3 +12,4 @@
 mod planning_cost;
 pub mod program;
 pub mod scenario;
+pub mod upgrade;
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -2,7 +2,8 @@
 
 use std::env;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -44,10 +45,18 @@
     }
 }
 
+/// What an upgrade in service hands to each process of one gateway.
+pub struct Shared<'a> {
+    pub socket: &'a TcpListener,
+    pub folder: &'a Path,
+}
+
 /// A running gateway.
 pub struct Program {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where it takes operators' calls, if it does.
+    pub operators: Option<SocketAddr>,
     /// Lines of its log.
     pub log: Receiver<String>,
     config: PathBuf,
@@ -73,27 +82,60 @@
         discovery: SocketAddr,
         operator: Option<&Path>,
     ) -> Result<Self, String> {
-        let number = crate::peers::NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let name = format!("granitethread-rig-{}-{number}.json", std::process::id());
-        let file = env::temp_dir().join(name);
-        std::fs::write(&file, config).map_err(|e| format!("{}: {e}", file.display()))?;
-        let mut command = Command::new(program);
-        command
-            .env("LB_CONFIG", &file)
-            .env("LB_LISTEN", "127.0.0.1:0")
-            .env("LB_DISCOVERY", discovery.to_string())
-            .env_remove("GRANITETHREAD_OPERATOR")
-            .stdin(Stdio::null())
-            .stderr(Stdio::piped());
+        let (mut command, file) = command(program, config, discovery)?;
         if let Some(operator) = operator {
             command.env("GRANITETHREAD_OPERATOR", operator);
         }
-        let started = spawn(&mut command);
-        if started.is_err() {
-            let _ = std::fs::remove_file(&file);
+        Program::from(command, file)
+    }
+
+    /// One that takes operators' calls too, on a port of its own, and may share its socket with another.
+    ///
+    /// # Errors
+    /// One line, if it does not come up.
+    pub fn start_operated(
+        program: &Path,
+        config: &str,
+        discovery: SocketAddr,
+        shared: Option<&Shared<'_>>,
+    ) -> Result<Self, String> {
+        let (mut command, file) = command(program, config, discovery)?;
+        command.env("LB_OPERATOR", "127.0.0.1:0");
+        if let Some(shared) = shared {
+            let socket = shared.socket.try_clone().map_err(|e| e.to_string())?;
+            command.env("LB_INHERITED_FD", "0").env("TMPDIR", shared.folder);
+            command.stdin(Stdio::from(OwnedFd::from(socket)));
         }
-        let (child, address, log) = started?;
-        Ok(Program { child, address, log, config: file, command })
+        Program::from(command, file)
+    }
+
+    fn from(mut command: Command, config: PathBuf) -> Result<Self, String> {
+        match spawn(&mut command) {
+            Ok((child, address, operators, log)) => {
+                Ok(Program { child, address, operators, log, config, command })
+            }
+            Err(what) => {
+                let _ = std::fs::remove_file(&config);
+                Err(what)
+            }
+        }
+    }
+
+    /// An operator's call: its status and body, if an answer came within a second.
+    pub fn call(&self, start: &str, body: &str) -> Option<(u16, Vec<u8>)> {
+        let text = format!("{start} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let mut client = crate::peers::Client::try_connect(self.operators?)?;
+        client.stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        let answer = client.try_ask(&text)?;
+        Some((answer.status(), answer.body))
+    }
+
+    /// Its open descriptors, and the most memory that it has had, in kB. None once it has ended.
+    pub fn held(&self) -> Option<(usize, usize)> {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).ok()?.count();
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmHWM"))?;
+        Some((open, line.split_whitespace().nth(1)?.parse().ok()?))
     }
 
     /// Kills it and starts another on the same address, with the same files.
@@ -103,7 +145,7 @@
     pub fn start_again(&mut self) -> Result<(), String> {
         self.kill();
         self.command.env("LB_LISTEN", self.address.to_string());
-        (self.child, self.address, self.log) = spawn(&mut self.command)?;
+        (self.child, self.address, self.operators, self.log) = spawn(&mut self.command)?;
         Ok(())
     }
 
@@ -138,20 +180,51 @@
     }
 }
 
+/// What starts it, with its configuration in a file of its own.
+fn command(program: &Path, config: &str, discovery: SocketAddr) -> Result<(Command, PathBuf), String> {
+    let number = crate::peers::NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let name = format!("granitethread-rig-{}-{number}.json", std::process::id());
+    let file = env::temp_dir().join(name);
+    std::fs::write(&file, config).map_err(|e| format!("{}: {e}", file.display()))?;
+    let mut command = Command::new(program);
+    command
+        .env("LB_CONFIG", &file)
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .env("LB_DISCOVERY", discovery.to_string())
+        .env_remove("GRANITETHREAD_OPERATOR")
+        .env_remove("LB_OPERATOR")
+        .env_remove("LB_INHERITED_FD")
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped());
+    Ok((command, file))
+}
+
+type Started = (Child, SocketAddr, Option<SocketAddr>, Receiver<String>);
+
 /// Starts it, and waits until it says where it listens.
-fn spawn(command: &mut Command) -> Result<(Child, SocketAddr, Receiver<String>), String> {
+fn spawn(command: &mut Command) -> Result<Started, String> {
+    let operated = command.get_envs().any(|(name, value)| name == "LB_OPERATOR" && value.is_some());
     let mut child =
         command.spawn().map_err(|e| format!("{}: {e}", command.get_program().to_string_lossy()))?;
     let Some(stderr) = child.stderr.take() else { return Err("its log is lost".into()) };
     let mut lines = BufReader::new(stderr).lines();
-    let first = lines.next().and_then(Result::ok).unwrap_or_default();
-    let Some(address) = first.strip_prefix("listening on ").and_then(|a| a.parse().ok()) else {
-        let _ = (child.kill(), child.wait());
-        return Err(format!("it did not start: {first}"));
+    let mut told = |before: &str| -> Result<SocketAddr, String> {
+        let line = lines.next().and_then(Result::ok).unwrap_or_default();
+        let address = line.strip_prefix(before).and_then(|a| a.parse().ok());
+        address.ok_or_else(|| format!("it did not start: {line}"))
+    };
+    let address = told("listening on ");
+    let operators = if operated { told("operators' calls on ").map(Some) } else { Ok(None) };
+    let (address, operators) = match (address, operators) {
+        (Ok(address), Ok(operators)) => (address, operators),
+        (Err(what), _) | (_, Err(what)) => {
+            let _ = (child.kill(), child.wait());
+            return Err(what);
+        }
     };
     let (line, log) = channel();
     thread::spawn(move || lines.map_while(Result::ok).for_each(|l| drop(line.send(l))));
-    Ok((child, address, log))
+    Ok((child, address, operators, log))
 }
 
 impl Drop for Program {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -61,5 +61,10 @@
     pub run: fn(&Play) -> Result<Figures, String>,
 }
 
-pub const ALL: &[Scenario] =
-    &[crate::lives::SCENARIO, crate::planners::SCENARIO, crate::planning_cost::SCENARIO];
+pub const ALL: &[Scenario] = &[
+    crate::lives::SCENARIO,
+    crate::upgrade::SCENARIO,
+    crate::crowd::SCENARIO,
+    crate::planners::SCENARIO,
+    crate::planning_cost::SCENARIO,
+];
--- a/src/bin/granitethread/fronts/http1/client.rs
+++ b/src/bin/granitethread/fronts/http1/client.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
@@ -21,6 +22,16 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant, Sleep};
 
+/// Whether something has come that the runtime does not know of yet.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Look {
+    #[default]
+    Nothing,
+    /// To be looked for with the next read.
+    Wanted,
+    Bytes,
+}
+
 /// A client's connection, and how to have it close.
 pub(super) struct Client {
     pub(super) life: Cell<Connection>,
@@ -30,6 +41,7 @@
     pub(super) close: Notify,
     /// The head that is coming, as it is written, if all of it came while the connection was idle before.
     pub(super) head: RefCell<Vec<u8>>,
+    pub(super) look: Cell<Look>,
     /// Whether the answer's last byte has gone to hyper, so that a flush means that all of it is written.
     pub(super) handed: Cell<bool>,
 }
@@ -43,6 +55,7 @@
             wanted: Cell::new(None),
             close: Notify::new(),
             head: RefCell::default(),
+            look: Cell::default(),
             handed: Cell::new(false),
         })
     }
@@ -126,6 +139,11 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.client.look.get() == Look::Wanted {
+            let mut one = [MaybeUninit::uninit()];
+            let there = SockRef::from(self.io.inner()).peek(&mut one).is_ok_and(|n| n > 0);
+            self.client.look.set(if there { Look::Bytes } else { Look::Nothing });
+        }
         let state = self.client.life.get().state();
         if !matches!(state, State::Idle | State::Head) {
             return Pin::new(&mut self.io).poll_read(cx, buf);
@@ -138,6 +156,8 @@
         let mut head = self.client.head.borrow_mut();
         if state == State::Idle {
             head.clear();
+        }
+        if !own.filled().is_empty() {
             self.client.handle(Input::Bytes);
         }
         head.extend_from_slice(own.filled());
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -8,7 +8,7 @@
 use crate::driver::{Answer, Driver, Incoming};
 use crate::handover::Link;
 use bytes::Bytes;
-use client::{Client, Payload, Told, Watched};
+use client::{Client, Look, Payload, Told, Watched};
 use granite_lifecycle::connection::{self, Input, Order, State};
 use granite_lifecycle::{Close, Connection};
 use http_body_util::Full;
@@ -26,10 +26,11 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, Notify};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 use tracing::info;
 
@@ -50,6 +51,8 @@
 /// So long a client is left to read its last answer and to close.
 const LINGER: Duration = Duration::from_millis(500);
 const HEAD_BYTES: usize = 16 << 10;
+/// So often a connection that is to close is looked at for what may still have come.
+const LOOKS: usize = 8;
 const BACKLOG: u32 = 1024;
 const EMFILE_PAUSE: Duration = Duration::from_millis(5);
 
@@ -230,6 +233,7 @@
         let mut http = pin!(http);
         // Looked at again when it would be due, not moved with every request.
         let mut patience = pin!(sleep(Duration::from_nanos(connection::SILENT)));
+        let mut looks = 0;
         loop {
             tokio::select! {
                 // First, so that a request which has arrived is read before a close.
@@ -247,6 +251,19 @@
                     continue;
                 }
             }
+            // What has come is read before a close: its client has written it to an open connection.
+            if looks < LOOKS && matches!(client.life.get().state(), State::Idle | State::Head) {
+                looks += 1;
+                client.look.set(Look::Wanted);
+                if std::future::poll_fn(|cx| Poll::Ready(http.as_mut().poll(cx).is_ready())).await {
+                    return;
+                }
+                if client.look.take() == Look::Bytes {
+                    yield_now().await;
+                    client.close.notify_one();
+                    continue;
+                }
+            }
             let why = client.wanted.get().unwrap_or(Close::Drain);
             match client.handle(Input::Close(why)) {
                 Order::Finish => http.as_mut().graceful_shutdown(),
