A new process leaves clients to the old one until it can serve

Cause: both accept from one queue, and a new process without a list took its half of the clients and refused them (429): seen by the test, which fails on the old lines (fronts/http1/mod.rs, accept, admits at once). Ruled out: the old process, which answered all that it got.

Change: with a socket that is shared it accepts once a backend is ready, as its yes says. Also tested: bans when the old process is killed in the middle.

--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -53,6 +53,7 @@
 const HEAD_BYTES: usize = 16 << 10;
 /// So often a connection that is to close is looked at for what may still have come.
 const LOOKS: usize = 8;
+const LIST_PAUSE: Duration = Duration::from_millis(5);
 const BACKLOG: u32 = 1024;
 const EMFILE_PAUSE: Duration = Duration::from_millis(5);
 
@@ -112,6 +113,13 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         let mut next = 0;
         let mut stop = pin!(stop);
+        // The other process can serve; this one leaves clients to it until it can too.
+        while self.link.is_shared() && !self.driver.can_serve() {
+            tokio::select! {
+                () = &mut stop => return,
+                () = sleep(LIST_PAUSE) => {}
+            }
+        }
         loop {
             tokio::select! {
                 biased;
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -336,6 +336,45 @@
     }
 }
 
+/// It takes no client, the old one goes on, and the next upgrade works.
+#[test]
+fn a_new_process_that_never_says_yes_costs_nothing() {
+    let backend = Backend::good();
+    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]));
+    let held = Held::new();
+    let mut old = held.start(&discovery);
+    let silent = Discovery::silent();
+    let inherited = Some((held.socket.try_clone().expect("a second handle"), held.folder.clone()));
+    let new = Gateway::with(&silent, Setup { operator: true, inherited, ..Setup::default() });
+    assert_eq!(new.call("GET /status", "").status(), 503);
+    for _ in 0..50 {
+        assert_eq!(old.client().ask(&ask("quote").text()).status(), 200, "it went to the old one");
+    }
+    drop(new);
+    let next = held.start(&discovery);
+    old.signal("-TERM");
+    assert!(old.child.wait().expect("it ends").success());
+    next.logged("the process before this one has ended");
+    serve(&next, 5);
+}
+
+#[test]
+fn bans_hold_though_the_old_process_is_killed_in_the_middle() {
+    let (a, b) = (Backend::good(), Backend::good());
+    let discovery = Discovery::new(two(1, a.address, b.address));
+    let held = Held::new();
+    let mut old = held.start(&discovery);
+    assert_eq!(target("enter", &old, "s-1"), 200);
+    let new = held.start(&discovery);
+    old.child.kill().expect("it lives");
+    old.child.wait().expect("it ends");
+    new.logged("the process before this one has ended");
+    assert_eq!(figures(&new)["hosts_down"], 1);
+    serve(&new, 20);
+    assert!(untouched(&a));
+    assert_eq!(target("exit", &new, "s-1"), 200);
+}
+
 #[test]
 fn a_garbled_file_of_bans_harms_nothing() {
     let a = Backend::good();
