A drain lasts as long as the settings' longest deadline asks, not 3.6 s for ever

Cause: fronts/http1/mod.rs, LONGEST_DRAIN = 3600 ms, "by then every request taken in the window has been answered", which holds for deadlines up to 3 s. Only requests with more than 3.1 s to wait, at a server that keeps silent so long, meet it: it came and went.

Change: the end is a value of its own (lifecycle::Drain): window, the settings' longest deadline, 100 ms. A request that is whole only after the window (a slow body) has what is left of that; its time outlived the gateway before.

--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod clients;
+mod drains;
 mod mind;
 mod rules;
 mod world;
@@ -134,6 +135,7 @@
     let requests = if args.whole { 3 } else { 2 };
     let clients = clients::Clients { requests };
     jobs.push(("connection".into(), Box::new(move |name| explore(name, clients, None))));
+    jobs.push(("drain".into(), Box::new(|name| explore(name, drains::Drains, None))));
     for (world, depth) in if args.whole { worlds::whole() } else { worlds::small() } {
         jobs.push((world.name.into(), Box::new(move |name| explore(name, world, depth))));
     }
@@ -150,6 +152,7 @@
     if args.list_rules {
         rules::RULES.iter().for_each(|r| println!("{:36} {}", r.name, r.words));
         clients::RULES.iter().for_each(|(name, words, _)| println!("{name:36} {words}"));
+        drains::RULES.iter().for_each(|(name, words, _)| println!("{name:36} {words}"));
         return ExitCode::SUCCESS;
     }
     if let Some(wanted) = &args.defect {
--- a/crates/check/tests/check.rs
+++ b/crates/check/tests/check.rs
@@ -24,6 +24,7 @@
     // The counts change with the machine or its world, never by themselves.
     for (name, states, transitions) in [
         ("connection", 157307, 246843),
+        ("drain", 254, 275),
         ("unsafe", 74998, 625900),
         ("keyed", 164068, 1425601),
         ("safe", 334402, 3007462),
--- a/crates/lifecycle/src/defects.rs
+++ b/crates/lifecycle/src/defects.rs
@@ -52,6 +52,8 @@
     HandoverCutsHead, "handover-cuts-head", "a handover ends a connection on which a head is coming";
     HeadWaitsFromIdle, "head-waits-from-idle", "the time for a head runs while its client idles";
     ProgressIgnored, "progress-ignored", "who is writing a head is picked to make room before who only holds on";
+    DrainForgetsDeadline, "drain-forgets-deadline", "a drain ends 3.6 s after it was told, however long requests may wait";
+    DrainKeepsLate, "drain-keeps-late", "a request that is whole only after the window keeps all of its time";
     BusySpared, "busy-spared", "a client with a request in hand makes room for others";
 }
 
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -39,11 +39,13 @@
 pub mod connection;
 #[cfg(feature = "defects")]
 pub mod defects;
+pub mod drain;
 mod fleet;
 mod request;
 mod words;
 
 pub use connection::{Close, Connection};
+pub use drain::Drain;
 pub use fleet::{Fleet, Listed};
 pub use request::{Attempt, Life, Lives, Phase, Ran};
 pub use words::{Arrival, Final, Input, Limits, Order, Reply, Step, Told, Wrong};
--- a/crates/rig/src/peers.rs
+++ b/crates/rig/src/peers.rs
@@ -229,7 +229,7 @@
     /// The answer, if one comes whole.
     pub fn try_ask(&mut self, text: &str) -> Option<Message> {
         self.stream.write_all(text.as_bytes()).ok()?;
-        read(&mut self.reader, 0)
+        self.try_answer()
     }
 
     pub fn send(&mut self, text: &str) {
@@ -237,7 +237,11 @@
     }
 
     pub fn answer(&mut self) -> Message {
-        read(&mut self.reader, 0).expect("a whole answer")
+        self.try_answer().expect("a whole answer")
+    }
+
+    pub fn try_answer(&mut self) -> Option<Message> {
+        read(&mut self.reader, 0)
     }
 
     pub fn ask(&mut self, text: &str) -> Message {
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -133,6 +133,16 @@
         self.clock.time(at)
     }
 
+    /// When it is this time on the engine's clock.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.clock.instant(time)
+    }
+
+    /// The longest that any request may wait for its answer, by the settings.
+    pub fn longest(&self) -> Time {
+        self.classes.iter().map(|(.., longest)| longest.as_nanos() as Time).max().unwrap_or(0)
+    }
+
     pub fn can_serve(&self) -> bool {
         self.state.borrow().engine.can_serve()
     }
--- a/src/bin/granitethread/fronts/http1/mod.rs
+++ b/src/bin/granitethread/fronts/http1/mod.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use client::{Client, Look, Payload, Told, Watched};
 use granite_lifecycle::connection::{self, Input, Order, State};
-use granite_lifecycle::{Close, Connection};
+use granite_lifecycle::{drain, Close, Connection, Drain};
+use granitehub::Time;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming as IncomingBody};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
@@ -34,10 +35,6 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 use tracing::info;
 
-/// How long after SIGTERM clients may still come, with some room.
-const WINDOW: Duration = Duration::from_millis(500);
-/// By then every request taken in the window has been answered.
-const LONGEST_DRAIN: Duration = Duration::from_millis(3600);
 /// By so long after connecting the first request is whole, body and all; a later one, after its head.
 const BODY_TIME: Duration = Duration::from_millis(2600);
 /// Slower than this a body is not awaited: half of what clients may be held to.
@@ -68,7 +65,8 @@
     bodies: Rc<Budget>,
     /// The most clients of one gateway; this process may have its role's part.
     budget: usize,
-    draining: Cell<bool>,
+    /// Once it was told to end.
+    drain: Cell<Option<Drain>>,
     left: Notify,
 }
 
@@ -91,13 +89,13 @@
         bodies: Rc<Budget>,
         budget: usize,
     ) -> Self {
-        let (clients, draining, left) = Default::default();
-        Server { driver, backends, clients, link, bodies, budget, draining, left }
+        let (clients, drain, left) = Default::default();
+        Server { driver, backends, clients, link, bodies, budget, drain, left }
     }
 
     /// Whether new clients are served.
     pub fn takes_clients(&self) -> bool {
-        !self.draining.get() && self.driver.can_serve()
+        !self.is_draining() && self.driver.can_serve()
     }
 
     /// Requests that were taken and whose answer is not written yet.
@@ -109,6 +107,15 @@
         self.clients.borrow().values().filter(open).count()
     }
 
+    fn is_draining(&self) -> bool {
+        self.drain.get().is_some()
+    }
+
+    /// How long a request may wait that is whole now.
+    fn wait(&self, timeout: Time) -> Time {
+        self.drain.get().map_or(timeout, |drain| drain.wait(self.driver.time(Instant::now()), timeout))
+    }
+
     /// Serves until `stop`, then through the drain; returns when nothing is held.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         let mut next = 0;
@@ -123,21 +130,23 @@
         loop {
             tokio::select! {
                 biased;
-                () = &mut stop, if !self.draining.get() => break,
+                () = &mut stop, if !self.is_draining() => break,
                 () = self.admit(&listener, &mut next) => {}
             }
         }
-        self.draining.set(true);
-        info!("draining");
         let started = Instant::now();
+        let drain = Drain::new(self.driver.time(started), self.driver.longest());
+        self.drain.set(Some(drain));
+        info!("draining");
+        let door = started + Duration::from_nanos(drain::WINDOW);
         self.link.told(&self.driver);
         if self.link.is_shared() {
-            self.hand_over(started).await;
+            self.hand_over(door).await;
         } else {
-            self.close_the_door(listener, &mut next, started).await;
+            self.close_the_door(listener, &mut next, door).await;
         }
         self.close_all(Close::Drain);
-        let mut last = pin!(sleep_until(started + LONGEST_DRAIN));
+        let mut last = pin!(sleep_until(self.driver.instant(drain.end())));
         while !self.clients.borrow().is_empty() {
             tokio::select! {
                 () = self.left.notified() => {}
@@ -150,21 +159,21 @@
 
     /// Another process accepts from the same socket: new connections are its. Who has one here and has yet to
     /// ask, or is in the middle of it, gets the time to.
-    async fn hand_over(&self, started: Instant) {
+    async fn hand_over(&self, door: Instant) {
         let most = self.link.role().part(self.budget);
         self.close_all(Close::Handover);
         while self.clients.borrow().len() > most && self.close_spare() == Some(Duration::ZERO) {
             self.left.notified().await;
         }
-        sleep_until(started + WINDOW).await;
+        sleep_until(door).await;
     }
 
     /// Nobody else listens here: clients that still come are served, then the socket goes.
-    async fn close_the_door(self: &Rc<Self>, listener: TcpListener, next: &mut u64, started: Instant) {
+    async fn close_the_door(self: &Rc<Self>, listener: TcpListener, next: &mut u64, door: Instant) {
         // At once, not at the end of the window: a request that crosses the close comes again on a new
         // connection, and must find the listener open.
         self.close_all(Close::Drain);
-        let mut window = pin!(sleep_until(started + WINDOW));
+        let mut window = pin!(sleep_until(door));
         loop {
             tokio::select! {
                 () = &mut window => break,
@@ -297,7 +306,7 @@
             _ if coded && seen && states_length(&client.head.borrow()) => plain(StatusCode::BAD_REQUEST, ""),
             _ if coded && !only_chunked(request.headers()) => plain(StatusCode::LENGTH_REQUIRED, ""),
             "/ready" if request.method() != Method::GET => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
-            "/ready" if self.draining.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
+            "/ready" if self.is_draining() => plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
             "/ready" if !self.driver.can_serve() => {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "no backend is ready\n")
             }
@@ -311,7 +320,7 @@
         let doubt = coded && (!seen || reply.status() == StatusCode::BAD_REQUEST);
         let cut = doubt || matches!(reply.status().as_u16(), 408 | 411 | 413);
         let close = client.handle(Input::Reply) == Order::Answer { close: true };
-        if self.draining.get() || close || cut {
+        if self.is_draining() || close || cut {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         client.handed.set(reply.body().is_end());
@@ -332,8 +341,9 @@
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         // Before the body: what is refused by its head takes no memory.
-        let incoming = self.parse(head, arrived)?;
+        let mut incoming = self.parse(head, arrived)?;
         if body.is_end_stream() {
+            incoming.request.timeout = self.wait(incoming.request.timeout);
             let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
             client.handle(Input::Taken);
             return Ok(reply_to(ticket.await));
@@ -354,6 +364,7 @@
         }
         // Its time counts from its last byte.
         incoming.arrived = Instant::now();
+        incoming.request.timeout = self.wait(incoming.request.timeout);
         // Not in hand before: hundreds of half requests would hold every place.
         if !open {
             incoming.outgoing.body = RefCell::new(Upload::Whole(first, part));
@@ -380,7 +391,7 @@
             passed = body.pass(&send) => passed?,
         }
         client.handle(Input::Taken);
-        self.driver.whole(id, timeout);
+        self.driver.whole(id, self.wait(timeout));
         Ok(reply_to(ticket.await))
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -22,9 +22,9 @@
 "plans":[{"name":"basic","quota_rate":1000.0,"depth":1000.0,"value_factor":1.0},
  {"name":"tight","quota_rate":0.01,"depth":1.0,"value_factor":1.0}],
 "services":[
- {"name":"quote","on_time":600000000,"deadline":2500000000,"effect":"safe","group":"all","points":3.0},
+ {"name":"quote","on_time":600000000,"deadline":LONGEST,"effect":"safe","group":"all","points":3.0},
  {"name":"confirm","on_time":750000000,"deadline":2000000000,"effect":"keyed","group":"all","key_ttl":2000000000,"points":5.0},
- {"name":"book-slot","on_time":750000000,"deadline":2500000000,"effect":"unsafe","group":"all","points":3.0}]}}"#;
+ {"name":"book-slot","on_time":750000000,"deadline":LONGEST,"effect":"unsafe","group":"all","points":3.0}]}}"#;
 
 /// What a test may set.
 pub struct Setup {
@@ -44,6 +44,8 @@
     pub inherited: Option<(TcpListener, PathBuf)>,
     /// Whether discovery is an agent of its own (`automatic`) or must be asked (`subscribe`).
     pub mode: &'static str,
+    /// How long clients of `quote` and `book-slot` may wait.
+    pub deadline_ms: u64,
 }
 
 impl Default for Setup {
@@ -59,6 +61,7 @@
             operator: false,
             inherited: None,
             mode: "automatic",
+            deadline_ms: 2500,
         }
     }
 }
@@ -69,6 +72,7 @@
         CONFIG
             .replace("DISCOVERY", &discovery.address.to_string())
             .replace("MODE", self.mode)
+            .replace("LONGEST", &(self.deadline_ms * 1_000_000).to_string())
             .replace("KNOWN", self.known.as_deref().unwrap_or("null"))
             .replace("MEMORY", &self.memory_mb.to_string())
             .replace("SOCKETS", &self.sockets.to_string())
