--- /dev/null
+++ b/crates/fleet/src/defects.rs
@@ -0,0 +1,47 @@
+//! Single wrong lines for tests to find. Compiled in with the feature `defects` only; active in one thread at a time.
+
+use std::cell::Cell;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    RefutationLeftOut,
+    DeadNeverTried,
+    OldLifeBelieved,
+    DigestAlwaysEqual,
+    ReplayTaken,
+    StrangerKept,
+    DeadBelievedAtOnce,
+    AloneBuriesAll,
+    SleepNotSeen,
+    HelpersLeftOut,
+    LeaveNotTold,
+    SettledAtOnce,
+}
+
+pub const ALL: &[(Defect, &str)] = &[
+    (Defect::RefutationLeftOut, "who is suspected does not refute"),
+    (Defect::DeadNeverTried, "the dead are never spoken to again"),
+    (Defect::OldLifeBelieved, "of two lives the one told last stands"),
+    (Defect::DigestAlwaysEqual, "digests are compared with themselves"),
+    (Defect::ReplayTaken, "a datagram counts as often as it comes"),
+    (Defect::StrangerKept, "a stranger is taken in before it has shown that it hears us"),
+    (Defect::DeadBelievedAtOnce, "a foreign death is believed of who lives here"),
+    (Defect::AloneBuriesAll, "who hears nobody declares all dead"),
+    (Defect::SleepNotSeen, "who was stopped holds everybody's silence against them"),
+    (Defect::HelpersLeftOut, "nobody is asked to ping for another"),
+    (Defect::LeaveNotTold, "who leaves goes without a word"),
+    (Defect::SettledAtOnce, "every change is a version of its own"),
+];
+
+thread_local! {
+    static ACTIVE: Cell<Option<Defect>> = const { Cell::new(None) };
+}
+
+/// Plants a defect in this thread, or takes it out.
+pub fn plant(defect: Option<Defect>) {
+    ACTIVE.set(defect);
+}
+
+pub fn active(defect: Defect) -> bool {
+    ACTIVE.get() == Some(defect)
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,38 @@
+//! A view of the fleet that its members keep themselves: who lives, as each sees it.
+//!
+//! Membership by SWIM (Das, Gupta, Motivala 2002) with Lifeguard's corrections (Dadgar, Phillips, Currey 2018), and
+//! digests that heal what rumours missed. No I/O and no clock: [`View::handle`] takes a datagram or the time, and says
+//! what to send; [`View::next_due`] says when it wants to be woken. Every choice comes from the seed.
+//!
+//! The view is a belief. It may make work sooner or cheaper; no rule may rest on it (`docs/design/fleet.md`).
+#![forbid(unsafe_code)]
+
+/// Whether a named defect is planted. Constantly false, and gone, in what is shipped.
+macro_rules! planted {
+    ($name:ident) => {{
+        #[cfg(feature = "defects")]
+        let on = crate::defects::active(crate::defects::Defect::$name);
+        #[cfg(not(feature = "defects"))]
+        let on = false;
+        on
+    }};
+}
+
+mod alone;
+#[cfg(feature = "defects")]
+pub mod defects;
+mod record;
+mod rumours;
+mod settled;
+mod strangers;
+mod view;
+mod window;
+pub mod wire;
+
+pub use record::{Name, Record, Role, State, MOST_NAME, MOST_ZONE};
+pub use settled::Settled;
+pub use view::{Config, Health, Input, Member, Output, View};
+pub use wire::{Fault, Keys};
+
+/// Nanoseconds, on any clock that only runs forwards.
+pub type Time = u64;
--- /dev/null
+++ b/crates/fleet/src/settled.rs
@@ -0,0 +1,95 @@
+//! Whole versions of the view for those who use it: a wave of forty deaths is two versions, not forty.
+
+use crate::record::{hash, Name, Role};
+use crate::Time;
+use std::sync::Arc;
+
+/// So long after the last change a version is made.
+const QUIET: Time = 500_000_000;
+/// So long after the first at the latest.
+const MOST: Time = 2_000_000_000;
+
+/// One version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settled {
+    /// From 0, which holds the member itself alone.
+    pub version: u64,
+    /// Who lives: names in order, with life and role.
+    pub members: Arc<Vec<(Name, u64, Role)>>,
+    /// The member's own place among them.
+    pub position: Option<usize>,
+    /// The same at all who see the same.
+    pub digest: u64,
+    /// When it was made.
+    pub at: Time,
+}
+
+impl Settled {
+    /// How many gateways live, and the own place among them if it is one.
+    pub fn gateways(&self) -> (usize, Option<usize>) {
+        let is = |m: &&(Name, u64, Role)| m.2 == Role::Gateway;
+        let all = self.members.iter().filter(is).count();
+        let own = self.position.filter(|p| self.members[*p].2 == Role::Gateway);
+        (all, own.map(|p| self.members[..p].iter().filter(is).count()))
+    }
+}
+
+/// Gathers changes.
+pub(crate) struct Gathering {
+    current: Settled,
+    /// When the first and the last change came that no version has yet.
+    pending: Option<(Time, Time)>,
+}
+
+impl Gathering {
+    pub(crate) fn new(own: Name, life: u64, role: Role, now: Time) -> Self {
+        let members = Arc::new(vec![(own, life, role)]);
+        let digest = digest(members.iter().map(|(name, life, _)| (name, *life)));
+        let current = Settled { version: 0, members, position: Some(0), digest, at: now };
+        Gathering { current, pending: None }
+    }
+
+    pub(crate) fn current(&self) -> &Settled {
+        &self.current
+    }
+
+    pub(crate) fn changed(&mut self, now: Time) {
+        let first = self.pending.map_or(now, |(first, _)| first);
+        self.pending = Some((first, now));
+    }
+
+    pub(crate) fn due(&self) -> Option<Time> {
+        let quiet = if planted!(SettledAtOnce) { 0 } else { QUIET };
+        self.pending.map(|(first, last)| (last + quiet).min(first + MOST))
+    }
+
+    /// A new version, if one is due and differs.
+    pub(crate) fn make(
+        &mut self,
+        now: Time,
+        own: &Name,
+        members: Vec<(Name, u64, Role)>,
+    ) -> Option<&Settled> {
+        if self.due().is_none_or(|at| at > now) {
+            return None;
+        }
+        self.pending = None;
+        if members == *self.current.members {
+            return None;
+        }
+        let position = members.iter().position(|(name, ..)| name == own);
+        let digest = digest(members.iter().map(|(name, life, _)| (name, *life)));
+        let version = self.current.version + 1;
+        self.current = Settled { version, members: Arc::new(members), position, digest, at: now };
+        Some(&self.current)
+    }
+}
+
+/// The same for the same members, in whatever order they come.
+pub(crate) fn digest<'a>(members: impl Iterator<Item = (&'a Name, u64)>) -> u64 {
+    members.fold(0, |sum, (name, life)| sum.wrapping_add(digest_of(name, life)))
+}
+
+pub(crate) fn digest_of(name: &Name, life: u64) -> u64 {
+    hash(&[name.as_bytes(), &life.to_be_bytes()])
+}
--- /dev/null
+++ b/crates/fleet/src/view/mod.rs
@@ -0,0 +1,387 @@
+//! The view as a state machine: probes, suspicions, rumours, digests joined.
+
+mod belief;
+mod coming;
+mod sending;
+mod time;
+
+use crate::alone::Alone;
+use crate::record::{hash, Name, Record, Role, State};
+use crate::rumours::Rumours;
+use crate::settled::{digest_of, Gathering, Settled};
+use crate::strangers::Cookies;
+use crate::window::{Bucket, Window};
+use crate::wire::{size, Datagram, Fault, Keys, Message, Rider, BUCKETS, MOST_BYTES};
+use crate::Time;
+use fastrand::Rng;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+const MS: Time = 1_000_000;
+/// Helpers asked for one probe, and the accusers that shorten a suspicion to its least.
+const HELPERS: usize = 3;
+const ACCUSERS: usize = 3;
+/// So many of its own, half a period apart, must have had no answer before a member accuses or buries.
+const QUESTIONS: u32 = 3;
+/// So many look for themselves when they hear of a suspicion, in the mean.
+const WATCHERS: f64 = 12.0;
+/// The longest suspicion beside the shortest.
+const LONGEST: Time = 6;
+/// The worst own health: times are stretched by one more than it.
+const WORST: u8 = 8;
+/// A tick that comes so late means that this process was stopped.
+const ASLEEP: Time = 1000 * MS;
+/// A tick so late says nothing about the one who is being probed.
+const LATE: Time = 50 * MS;
+const DEAD_EVERY: Time = 400 * MS;
+const SEED_EVERY: Time = 2000 * MS;
+const JOIN_EVERY: Time = 500 * MS;
+/// So long after a greeting its answer may come from somebody unknown.
+const GREETED: Time = 1000 * MS;
+/// What rides on a ping at the most; the rest of a datagram's bytes is for names and figures.
+const RIDER: usize = 900;
+/// Of one answer to differing digests.
+const RECORDS: usize = 1000;
+const ANSWERS: usize = 4;
+const MOST_RELAYS: usize = 256;
+/// How many of those who live are told of a leave.
+const FAREWELLS: usize = 8;
+const PADDING: usize = 160;
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: Name,
+    /// Unix milliseconds at the start.
+    pub life: u64,
+    /// Where others reach this member.
+    pub address: SocketAddr,
+    pub zone: String,
+    pub role: Role,
+    /// Members that may live; this member's own address among them does no harm.
+    pub seeds: Vec<SocketAddr>,
+    /// Between two probes.
+    pub period: Time,
+    /// So long an answer may take before others are asked.
+    pub answer: Time,
+    /// So long the dead are kept, and tried.
+    pub keep_dead: Time,
+    /// Members kept at the most, living and dead.
+    pub most_members: usize,
+}
+
+impl Config {
+    pub fn new(name: &str, life: u64, address: SocketAddr) -> Self {
+        Config {
+            name: name.into(),
+            life,
+            address,
+            zone: String::new(),
+            role: Role::Gateway,
+            seeds: Vec::new(),
+            period: 200 * MS,
+            answer: 80 * MS,
+            keep_dead: 600_000 * MS,
+            most_members: 4096,
+        }
+    }
+}
+
+pub enum Input<'a> {
+    Datagram(&'a [u8]),
+    /// The time that [`View::next_due`] named, or any other.
+    Tick,
+    /// This process ends in order.
+    Leave,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    Send {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    /// A new version of the settled view.
+    Settled(Settled),
+    /// Another process runs under this name, and began later: this one speaks no more.
+    Superseded {
+        life: u64,
+    },
+}
+
+/// A member as this one sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub record: Record,
+    /// Since when it is in this state here.
+    pub since: Time,
+}
+
+/// How this member stands itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Health {
+    /// 0 is best, 8 worst.
+    pub health: u8,
+    pub cut_off: Option<Time>,
+    pub superseded: bool,
+    /// Whether anybody has taken it in, or has been found.
+    pub joined: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nobody has answered yet. `renamed`: its life was raised above one that was known.
+    Joining {
+        renamed: bool,
+    },
+    In,
+    Superseded,
+    Left,
+}
+
+struct Suspicion {
+    since: Time,
+    accusers: Vec<u32>,
+    /// Who looks for itself: when it next pings, and how often it has.
+    watch: Option<(Time, u32)>,
+}
+
+impl Suspicion {
+    fn new(since: Time, accusers: Vec<u32>) -> Self {
+        Suspicion { since, accusers, watch: None }
+    }
+}
+
+/// Sums over those who live, this member among them.
+#[derive(Clone, Copy)]
+struct Sums {
+    members: usize,
+    digest: u64,
+    buckets: [u32; BUCKETS],
+}
+
+struct Peer {
+    record: Record,
+    since: Time,
+    window: Window,
+    bucket: Bucket,
+    suspicion: Option<Suspicion>,
+    /// Where the life before this one was reached, if elsewhere: it may still run there.
+    before: Option<SocketAddr>,
+}
+
+impl Peer {
+    fn new(record: Record, now: Time) -> Self {
+        let bucket = Bucket::new(200.0, 100.0, now);
+        Peer { record, since: now, window: Window::default(), bucket, suspicion: None, before: None }
+    }
+}
+
+/// The probe that is out.
+struct Probe {
+    number: u32,
+    target: Name,
+    /// When others are asked, and when it is over.
+    help: Time,
+    ends: Time,
+    helpers: Vec<Name>,
+    answered: bool,
+    /// Whether anybody at all was heard meanwhile.
+    heard: bool,
+}
+
+/// A ping for somebody else.
+struct Relay {
+    number: u32,
+    asker: Name,
+    asked: u32,
+    until: Time,
+}
+
+pub struct View {
+    config: Config,
+    keys: Keys,
+    cookies: Cookies,
+    rng: Rng,
+    me: Record,
+    own: u32,
+    phase: Phase,
+    /// Of the last datagram sent.
+    number: u64,
+    health: u8,
+    peers: BTreeMap<Name, Peer>,
+    /// Those with a suspicion.
+    suspects: BTreeSet<Name>,
+    /// None once the living have changed.
+    sums: Cell<Option<Sums>>,
+    rumours: Rumours,
+    alone: Alone,
+    gathering: Gathering,
+    /// Who is still to be probed in this round, the next last.
+    round: Vec<Name>,
+    probe: Option<Probe>,
+    probes: u32,
+    relays: Vec<Relay>,
+    next_dead: Time,
+    next_seed: Time,
+    greetings: u32,
+    next_differs: Time,
+    /// What the answer to a `Join` of ours must echo, and until when it may come; 0 is none.
+    echo: (u64, Time),
+    /// When the set of the living last changed here.
+    changed: Time,
+    /// When this was last due, for a tick that comes late.
+    due: Time,
+    strangers: Bucket,
+    /// Pings beside the probes.
+    asides: Bucket,
+    /// Answers to differing digests.
+    answers: Bucket,
+    faults: BTreeMap<Fault, u64>,
+}
+
+impl View {
+    /// `seed` settles every choice; `secret` need only be unknown to others.
+    pub fn new(config: Config, keys: Keys, seed: u64, secret: [u8; 16], now: Time) -> Self {
+        let me = Record {
+            name: config.name.clone(),
+            life: config.life,
+            incarnation: 0,
+            state: State::Alive,
+            address: config.address,
+            zone: config.zone.as_str().into(),
+            role: config.role,
+            versions: (crate::wire::VERSION, crate::wire::VERSION),
+            by: 0,
+        };
+        let mut rumours = Rumours::default();
+        rumours.add(me.clone());
+        let mut rng = Rng::with_seed(seed);
+        // The first word is spread over a fifth of a second: hundreds may start at once.
+        let first = now + rng.u64(0..200 * MS);
+        View {
+            keys,
+            cookies: Cookies::new(secret),
+            own: accuser(&me.name),
+            phase: Phase::Joining { renamed: false },
+            number: 0,
+            health: 0,
+            peers: BTreeMap::new(),
+            suspects: BTreeSet::new(),
+            sums: Cell::new(None),
+            rumours,
+            alone: Alone::new(now),
+            gathering: Gathering::new(me.name.clone(), me.life, me.role, now),
+            round: Vec::new(),
+            probe: None,
+            probes: 0,
+            relays: Vec::new(),
+            next_dead: first + DEAD_EVERY,
+            next_seed: first,
+            greetings: 0,
+            next_differs: first,
+            echo: (0, 0),
+            changed: now,
+            due: first,
+            strangers: Bucket::new(200.0, 200.0, now),
+            asides: Bucket::new(40.0, 100.0, now),
+            answers: Bucket::new(10.0, 20.0, now),
+            faults: BTreeMap::new(),
+            me,
+            rng,
+            config,
+        }
+    }
+
+    /// Who lives, by whole versions.
+    pub fn settled(&self) -> &Settled {
+        self.gathering.current()
+    }
+
+    /// All that are known, this one first.
+    pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
+        let me = Member { record: self.me.clone(), since: 0 };
+        let others = self.peers.values().map(|p| Member { record: p.record.clone(), since: p.since });
+        std::iter::once(me).chain(others)
+    }
+
+    /// Of those who live here, at this moment.
+    pub fn digest(&self) -> u64 {
+        self.sums().digest
+    }
+
+    fn sums(&self) -> Sums {
+        if let Some(sums) = self.sums.get() {
+            return sums;
+        }
+        let mut sums = Sums { members: 0, digest: 0, buckets: [0; BUCKETS] };
+        for record in self.living() {
+            let one = digest_of(&record.name, record.life);
+            let bucket = &mut sums.buckets[bucket(&record.name)];
+            *bucket = bucket.wrapping_add(one as u32);
+            (sums.members, sums.digest) = (sums.members + 1, sums.digest.wrapping_add(one));
+        }
+        self.sums.set(Some(sums));
+        sums
+    }
+
+    pub fn health(&self) -> Health {
+        Health {
+            health: self.health,
+            cut_off: self.alone.since(),
+            superseded: self.phase == Phase::Superseded,
+            joined: !matches!(self.phase, Phase::Joining { .. }),
+        }
+    }
+
+    /// Datagrams dropped, by cause.
+    pub fn faults(&self) -> impl Iterator<Item = (Fault, u64)> + '_ {
+        self.faults.iter().map(|(f, n)| (*f, *n))
+    }
+
+    /// When [`Input::Tick`] is next wanted.
+    pub fn next_due(&self) -> Option<Time> {
+        if matches!(self.phase, Phase::Superseded | Phase::Left) {
+            return None;
+        }
+        let probe =
+            self.probe.as_ref().map(|p| if p.helpers.is_empty() && !p.answered { p.help } else { p.ends });
+        let suspects = self.suspects.iter().filter_map(|n| self.suspicion_ends(self.peers.get(n)?));
+        let watches = self.suspects.iter().filter_map(|n| self.watched(n));
+        let suspects = suspects.chain(watches);
+        let relays = self.relays.iter().map(|r| r.until);
+        let others = [self.next_dead, self.next_seed];
+        let due = probe.into_iter().chain(suspects).chain(relays).chain(others).chain(self.gathering.due());
+        due.min()
+    }
+
+    /// Takes what happened by `now` and appends what to do about it, in order.
+    pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
+        if matches!(self.phase, Phase::Superseded | Phase::Left) {
+            return;
+        }
+        let late = now.saturating_sub(self.due);
+        if late > ASLEEP && !planted!(SleepNotSeen) {
+            self.slept(now, late);
+        }
+        match input {
+            Input::Datagram(bytes) => {
+                if let Err(fault) = self.datagram(now, bytes, out) {
+                    *self.faults.entry(fault).or_default() += 1;
+                }
+            }
+            Input::Tick => self.tick(now, late, out),
+            Input::Leave => self.leave(out),
+        }
+        self.due = self.next_due().unwrap_or(now).max(now);
+    }
+}
+
+fn accuser(name: &Name) -> u32 {
+    // 0 is nobody's.
+    (hash(&[name.as_bytes()]) as u32).max(1)
+}
+
+fn bucket(name: &Name) -> usize {
+    (hash(&[name.as_bytes()]) >> 32) as usize % BUCKETS
+}
--- /dev/null
+++ b/crates/fleet/src/view/sending.rs
@@ -0,0 +1,91 @@
+//! What goes out.
+
+use super::*;
+
+impl View {
+    pub(super) fn living(&self) -> impl Iterator<Item = &Record> {
+        // In the order of names, this one in its place.
+        let own = &self.me;
+        let (before, after) = (self.peers.range(..own.name.clone()), self.peers.range(own.name.clone()..));
+        let lives = |r: &&Record| r.state.lives();
+        let before = before.map(|(_, p)| &p.record).filter(lives);
+        before.chain(std::iter::once(own)).chain(after.map(|(_, p)| &p.record).filter(lives))
+    }
+
+    pub(super) fn next_number(&mut self) -> u32 {
+        self.probes = self.probes.wrapping_add(1).max(1);
+        self.probes
+    }
+
+    /// What rides to this member: first what is said of itself, if it may want to refute that.
+    pub(super) fn rider(&mut self, to: &Name) -> Rider {
+        let buddy = self.peers.get(to).map(|p| &p.record).filter(|r| r.state != State::Alive).cloned();
+        let taken = buddy.as_ref().map_or(0, size);
+        let members = self.peers.len() + 1;
+        let mut rumours = self.rumours.take(RIDER - taken, members);
+        rumours.retain(|r| buddy.as_ref().is_none_or(|b| b.name != r.name));
+        rumours.extend(buddy);
+        Rider { digest: self.digest(), health: self.health, rumours }
+    }
+
+    pub(super) fn ping(&mut self, target: &Name, probe: u32, out: &mut Vec<Output>) {
+        let Some(life) = self.peers.get(target).map(|p| p.record.life) else { return };
+        let address = self.me.address;
+        self.say(target, |rider| Message::Ping { probe, life, address, rider }, out);
+    }
+
+    pub(super) fn say(&mut self, to: &Name, message: impl FnOnce(Rider) -> Message, out: &mut Vec<Output>) {
+        let rider = self.rider(to);
+        if let Some(address) = self.peers.get(to).map(|p| p.record.address) {
+            self.send(address, message(rider), out);
+        }
+    }
+
+    pub(super) fn send_records(
+        &mut self,
+        to: SocketAddr,
+        echo: u64,
+        mut all: Vec<Record>,
+        out: &mut Vec<Output>,
+    ) {
+        // Of more than fit each answer sends others.
+        self.rng.shuffle(&mut all);
+        if let Some(own) = all.iter().position(|r| r.name == self.me.name) {
+            all.swap(0, own);
+        }
+        let mut all = all.into_iter().peekable();
+        for _ in 0..ANSWERS {
+            let (mut records, mut room) = (Vec::new(), RECORDS);
+            while let Some(record) = all.next_if(|r| size(r) <= room) {
+                room -= size(&record);
+                records.push(record);
+            }
+            if records.is_empty() {
+                return;
+            }
+            self.send(to, Message::Records { echo, records }, out);
+        }
+    }
+
+    /// To somebody who is not known: nothing, if it would be longer than what it answers.
+    pub(super) fn send_within(
+        &mut self,
+        length: usize,
+        to: SocketAddr,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        self.send(to, message, out);
+        if matches!(out.last(), Some(Output::Send { bytes, .. }) if bytes.len() > length) {
+            out.pop();
+        }
+    }
+
+    pub(super) fn send(&mut self, to: SocketAddr, message: Message, out: &mut Vec<Output>) {
+        self.number += 1;
+        let (from, life, number) = (self.me.name.clone(), self.me.life, self.number);
+        if let Some(bytes) = self.keys.seal(&Datagram { from, life, number, message }) {
+            out.push(Output::Send { to, bytes });
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/wire.rs
@@ -0,0 +1,224 @@
+//! Datagrams: versioned, limited, authenticated, numbered. Bytes go in and out.
+//!
+//! `GTFV`, version (1 byte), then by `postcard`: the sender's name, life, the datagram's number in that life, the
+//! message; then 16 bytes of HMAC-SHA-256 under the shared key over all before.
+
+use crate::record::{Name, Record, MOST_NAME};
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// The version spoken here; one apart is never refused by this number alone, since fields are only added at the end.
+pub const VERSION: u8 = 1;
+/// The longest datagram.
+pub const MOST_BYTES: usize = 1200;
+/// The shortest key that will do.
+pub const LEAST_KEY: usize = 16;
+pub const BUCKETS: usize = 16;
+const MAGIC: &[u8; 4] = b"GTFV";
+const TAG: usize = 16;
+
+/// What rides on pings and their answers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Rider {
+    /// Of those who live in the sender's eyes.
+    pub digest: u64,
+    /// The sender's own health: 0 is best.
+    pub health: u8,
+    pub rumours: Vec<Record>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Answered by `Ack` with the same number, if it is meant for this life.
+    Ping {
+        probe: u32,
+        life: u64,
+        /// Where its sender is reached.
+        address: SocketAddr,
+        rider: Rider,
+    },
+    Ack {
+        probe: u32,
+        rider: Rider,
+    },
+    /// Please ping this member and say what came of it.
+    Help {
+        probe: u32,
+        target: Name,
+        rider: Rider,
+    },
+    /// The helper lives and got no answer.
+    Nack {
+        probe: u32,
+        rider: Rider,
+    },
+    /// Digests by bucket; please send what differs.
+    Differs {
+        buckets: [u32; BUCKETS],
+    },
+    Records {
+        /// Of the `Join` that this answers; else 0.
+        echo: u64,
+        records: Vec<Record>,
+    },
+    /// A stranger asks to be taken in. Padded, so that its answer is no longer.
+    Hello {
+        record: Record,
+        padding: Vec<u8>,
+    },
+    /// To a stranger: nothing is kept of it until this comes back.
+    Cookie {
+        cookie: [u8; 16],
+        /// Where its sender is reached.
+        address: SocketAddr,
+    },
+    Join {
+        record: Record,
+        cookie: [u8; 16],
+        /// Drawn anew, so that an old answer is not taken for this one's.
+        echo: u64,
+    },
+}
+
+/// A datagram that verified.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Datagram {
+    pub from: Name,
+    pub life: u64,
+    pub number: u64,
+    pub message: Message,
+}
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Fault {
+    /// Too long or too short, or it does not begin as ours do.
+    Junk,
+    Version,
+    /// The tag does not verify: another key, or bytes changed on the way.
+    Tag,
+    /// It verifies and can't be read, or says what can't be.
+    Malformed,
+    /// Its number was taken already, or is too old to tell.
+    Replayed,
+    /// Of a life that is over.
+    OldLife,
+    /// More than its sender may send.
+    TooMany,
+    /// A cookie that is not of this process, or too old.
+    Cookie,
+    /// Our own, come back.
+    Own,
+    /// Of somebody who has not been taken in.
+    Stranger,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Fault::Junk => "no datagram of ours",
+            Fault::Version => "a version that is not spoken here",
+            Fault::Tag => "a tag that does not verify: is its key another?",
+            Fault::Malformed => "a message that can't be read",
+            Fault::Replayed => "a datagram that came before",
+            Fault::OldLife => "a datagram of a life that is over",
+            Fault::TooMany => "more than its sender may send",
+            Fault::Cookie => "a cookie that is not ours",
+            Fault::Own => "a datagram of our own",
+            Fault::Stranger => "a datagram of somebody who is not known",
+        })
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// The shared keys: the first seals, each opens. Two while a key is changed.
+#[derive(Clone)]
+pub struct Keys(Vec<Vec<u8>>);
+
+impl Keys {
+    /// # Errors
+    /// If there is none, or one is shorter than [`LEAST_KEY`].
+    pub fn new(keys: Vec<Vec<u8>>) -> Result<Self, String> {
+        if !(1..=2).contains(&keys.len()) {
+            return Err(format!("{} keys: 1 or 2 are wanted", keys.len()));
+        }
+        match keys.iter().find(|k| k.len() < LEAST_KEY) {
+            Some(short) => Err(format!("a key of {} bytes: {LEAST_KEY} at least are wanted", short.len())),
+            None => Ok(Keys(keys)),
+        }
+    }
+
+    fn mac(key: &[u8], parts: &[&[u8]]) -> Hmac<Sha256> {
+        // Any length of key will do for HMAC.
+        let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(key).unwrap_or_else(|_| unreachable!());
+        parts.iter().for_each(|p| mac.update(p));
+        mac
+    }
+
+    /// 16 bytes that only who has the first key can make.
+    pub(crate) fn sign(&self, parts: &[&[u8]]) -> [u8; TAG] {
+        let tag = Keys::mac(&self.0[0], parts).finalize().into_bytes();
+        let mut short = [0; TAG];
+        short.copy_from_slice(&tag[..TAG]);
+        short
+    }
+
+    fn verifies(&self, bytes: &[u8], tag: &[u8]) -> bool {
+        self.0.iter().any(|key| Keys::mac(key, &[bytes]).verify_truncated_left(tag).is_ok())
+    }
+
+    /// A datagram as it goes out. None if it would be too long.
+    pub fn seal(&self, datagram: &Datagram) -> Option<Vec<u8>> {
+        let mut bytes = Vec::with_capacity(256);
+        bytes.extend_from_slice(MAGIC);
+        bytes.push(VERSION);
+        let body = (&datagram.from, datagram.life, datagram.number, &datagram.message);
+        bytes.extend(postcard::to_stdvec(&body).ok()?);
+        let tag = self.sign(&[&bytes]);
+        bytes.extend_from_slice(&tag);
+        (bytes.len() <= MOST_BYTES).then_some(bytes)
+    }
+
+    /// # Errors
+    /// [`Fault`]: it is dropped, and nobody is answered.
+    pub fn open(&self, bytes: &[u8]) -> Result<Datagram, Fault> {
+        if bytes.len() > MOST_BYTES || bytes.len() < MAGIC.len() + 1 + TAG || !bytes.starts_with(MAGIC) {
+            return Err(Fault::Junk);
+        }
+        let (sealed, tag) = bytes.split_at(bytes.len() - TAG);
+        // Before anything of it is read: whoever has no key gets no further.
+        if !self.verifies(sealed, tag) {
+            return Err(Fault::Tag);
+        }
+        if sealed[4] != VERSION {
+            return Err(Fault::Version);
+        }
+        let (from, life, number, message): (Name, u64, u64, Message) =
+            postcard::from_bytes(&sealed[5..]).map_err(|_| Fault::Malformed)?;
+        let sound = |r: &Record| r.is_sound();
+        let fine = match &message {
+            Message::Ping { rider, .. }
+            | Message::Ack { rider, .. }
+            | Message::Help { rider, .. }
+            | Message::Nack { rider, .. } => rider.rumours.iter().all(sound),
+            Message::Records { records, .. } => records.iter().all(sound),
+            Message::Hello { record, .. } | Message::Join { record, .. } => {
+                record.is_sound() && record.name == from && record.life == life && record.state.lives()
+            }
+            Message::Differs { .. } | Message::Cookie { .. } => true,
+        };
+        if !fine || !(1..=MOST_NAME).contains(&from.len()) {
+            return Err(Fault::Malformed);
+        }
+        Ok(Datagram { from, life, number, message })
+    }
+}
+
+/// How many bytes a record takes.
+pub(crate) fn size(record: &Record) -> usize {
+    postcard::to_stdvec(record).map_or(MOST_BYTES, |b| b.len())
+}
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod days;
 pub mod defects;
 pub mod experiment;
+pub mod members;
 pub mod mind;
 pub mod observer;
 pub mod quota;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Parser, Subcommand};
 use granite_sim::compare::{compare, Difference};
 use granite_sim::experiment::{read_rows, write_csv, Experiment, Row, FIGURES};
+use granite_sim::members;
 use granite_sim::shrink::shrink;
 use granite_sim::story::Story;
 use granite_sim::world::play_cut;
@@ -143,6 +144,20 @@
         #[arg(long, default_value = "skewed")]
         world: String,
     },
+    /// Plays random days of a fleet's own view: each must end with one view within its bound
+    Members {
+        #[arg(long, default_value = "0..100", value_parser = range)]
+        seeds: (u64, u64),
+        /// How many members, 2 to 5000
+        #[arg(long, default_value_t = 64, value_parser = clap::value_parser!(u64).range(2..=5000))]
+        size: u64,
+        /// Print the figures as one JSON object on the last line
+        #[arg(long)]
+        json: bool,
+        /// How many run side by side; 0 for one a core
+        #[arg(long, default_value_t = 0)]
+        jobs: usize,
+    },
 }
 
 fn range(text: &str) -> Result<(u64, u64), String> {
@@ -155,6 +170,56 @@
     let _ = writeln!(std::io::stdout(), "{line}");
 }
 
+/// Random days of the view, side by side.
+fn explore_members((from, to): (u64, u64), size: usize, jobs: usize) -> Vec<members::Played> {
+    let (next, all) = (AtomicU64::new(from), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..cores(jobs) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= to {
+                    return;
+                }
+                let played = members::random(size, seed);
+                all.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push(played);
+            });
+        }
+    });
+    let mut all = all.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    all.sort_by_key(|p| p.seed);
+    all
+}
+
+fn members_figures(all: &[members::Played], json: bool) -> ExitCode {
+    let broken: Vec<_> = all.iter().filter(|p| p.settled_ms.is_none()).collect();
+    for played in broken.iter().take(10) {
+        say(&format!("BROKEN: seed {}: no one view within the bound: {:?}", played.seed, played.faults));
+    }
+    let mut times: Vec<u64> = all.iter().filter_map(|p| p.settled_ms).collect();
+    times.sort_unstable();
+    let at = |part: f64| times.get((times.len() as f64 * part) as usize).or(times.last()).copied();
+    let mean = |of: fn(&members::Played) -> f64| all.iter().map(of).sum::<f64>() / all.len().max(1) as f64;
+    let (datagrams, bytes) = (mean(|p| p.datagrams_a_second), mean(|p| p.bytes_a_second));
+    if json {
+        say(&json!({
+            "days": all.len(), "broken": broken.len(), "settled_ms_p50": at(0.5), "settled_ms_p99": at(0.99),
+            "settled_ms_most": times.last(), "datagrams_a_second": datagrams, "bytes_a_second": bytes,
+        })
+        .to_string());
+    } else {
+        say(&format!(
+            "{} days, {} without one view in time; settled after {:?} ms (p50), {:?} (p99), {:?} at most; \
+             {datagrams:.1} datagrams, {bytes:.0} bytes a second a member",
+            all.len(),
+            broken.len(),
+            at(0.5),
+            at(0.99),
+            times.last()
+        ));
+    }
+    ExitCode::from(u8::from(!broken.is_empty()))
+}
+
 fn wrong(what: &str) -> ExitCode {
     eprintln!("granitethread-sim: {what}");
     ExitCode::from(2)
@@ -451,6 +516,9 @@
                 names.iter().try_fold(true, |good, day| Ok(side_by_side(day, seed, seconds, json)? && good)),
             )
         }
+        Command::Members { seeds, size, json, jobs } => {
+            members_figures(&explore_members(seeds, size as usize, jobs), json)
+        }
         Command::Placement { seeds, world } => {
             let Some(with) = Spec::named(&world) else { return wrong("no world has this name") };
             let without = Spec { placement: false, ..with.clone() };
--- /dev/null
+++ b/crates/sim/src/members.rs
@@ -0,0 +1,397 @@
+//! The world `members`: views of a fleet on a virtual network that loses, delays, doubles, cuts and replays, with
+//! members that are killed, stopped, restarted and told to leave. Everything comes from the seed.
+
+use granite_fleet::wire::Message;
+use granite_fleet::{Config, Input, Keys, Output, State, Time, View};
+use serde::Serialize;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddr};
+
+pub const MS: Time = 1_000_000;
+pub const S: Time = 1_000 * MS;
+/// Members of a large world start over so long.
+const KEY: &[u8] = b"the key of a virtual fleet";
+
+/// A place in the fleet: one name, whatever lives there.
+pub struct Node {
+    pub name: String,
+    pub view: Option<View>,
+    life: u64,
+    /// While it is stopped: until when, and what comes meanwhile.
+    stopped: Option<Time>,
+    inbox: Vec<Vec<u8>>,
+    due: Time,
+    pub datagrams: u64,
+    pub bytes: u64,
+    /// Versions of the settled view that were made.
+    pub versions: u64,
+    pub superseded: bool,
+}
+
+/// When a datagram comes, its number, to whom, what it holds.
+type Carried = (Time, u64, usize, Vec<u8>);
+
+/// Which side of a cut a node is on, and what the network does.
+pub struct Net {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub group: Vec<u32>,
+    /// Ordered pairs of which nothing gets through.
+    pub silent: BTreeSet<(usize, usize)>,
+    /// Chances.
+    pub loss: f64,
+    pub doubled: f64,
+    /// The longest way, and since when it is so slow for whom.
+    pub delay: Time,
+    pub slow: BTreeSet<usize>,
+    /// Whether what comes to a stopped member is lost, as on a machine that is suspended.
+    pub suspends: bool,
+    rng: fastrand::Rng,
+    queue: BinaryHeap<Reverse<Carried>>,
+    wakes: BinaryHeap<Reverse<(Time, usize)>>,
+    sent: u64,
+    /// All that was ever sent to somebody, if it is to be played again.
+    pub tape: Option<Vec<(usize, Vec<u8>)>>,
+    /// Deaths believed of somebody who ran and could be reached by all: (who believes, whom).
+    pub wronged: Vec<(usize, usize)>,
+}
+
+pub fn address(n: usize) -> SocketAddr {
+    (Ipv4Addr::new(10, 0, (n / 250) as u8, (n % 250) as u8 + 1), 7000).into()
+}
+
+fn number(to: SocketAddr) -> Option<usize> {
+    match to.ip() {
+        std::net::IpAddr::V4(ip) => {
+            let [_, _, high, low] = ip.octets();
+            Some(usize::from(high) * 250 + usize::from(low).checked_sub(1)?)
+        }
+        std::net::IpAddr::V6(_) => None,
+    }
+}
+
+/// What a datagram of this fleet says.
+pub fn read(bytes: &[u8]) -> Option<Message> {
+    Some(Keys::new(vec![KEY.to_vec()]).ok()?.open(bytes).ok()?.message)
+}
+
+impl Net {
+    /// So many places, of which none runs yet.
+    pub fn new(size: usize, seed: u64) -> Self {
+        let node = |n| Node {
+            name: format!("m{n:04}"),
+            view: None,
+            life: 0,
+            stopped: None,
+            inbox: Vec::new(),
+            due: 0,
+            datagrams: 0,
+            bytes: 0,
+            versions: 0,
+            superseded: false,
+        };
+        Net {
+            now: 0,
+            nodes: (0..size).map(node).collect(),
+            group: vec![0; size],
+            silent: BTreeSet::new(),
+            loss: 0.0,
+            doubled: 0.0,
+            delay: 2 * MS,
+            slow: BTreeSet::new(),
+            suspends: false,
+            rng: fastrand::Rng::with_seed(seed),
+            queue: BinaryHeap::new(),
+            wakes: BinaryHeap::new(),
+            sent: 0,
+            tape: None,
+            wronged: Vec::new(),
+        }
+    }
+
+    /// Starts a life at this place, a later one than any before, with the first three places as seeds.
+    pub fn start(&mut self, n: usize) {
+        let life = (1_700_000_000_000 + self.now / MS).max(self.nodes[n].life + 1);
+        self.start_with(n, life, &self.nodes[n].name.clone());
+    }
+
+    pub fn start_with(&mut self, n: usize, life: u64, name: &str) {
+        let mut config = Config::new(name, life, address(n));
+        config.seeds = (0..3).map(address).collect();
+        let keys = Keys::new(vec![KEY.to_vec()]).expect("long enough");
+        let view = View::new(config, keys, self.rng.u64(..), self.rng.u128(..).to_be_bytes(), self.now);
+        let node = &mut self.nodes[n];
+        (node.life, node.stopped, node.superseded) = (life, None, false);
+        node.inbox.clear();
+        node.view = Some(view);
+        self.schedule(n);
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.nodes[n].view = None;
+    }
+
+    pub fn leave(&mut self, n: usize) {
+        self.hand(n, Input::Leave);
+        self.kill(n);
+    }
+
+    /// It does nothing until then, and knows nothing of it.
+    pub fn stop(&mut self, n: usize, until: Time) {
+        self.nodes[n].stopped = Some(until);
+        self.wakes.push(Reverse((until, n)));
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        let runs = |n: &usize| self.nodes[*n].view.is_some() && self.nodes[*n].stopped.is_none();
+        (0..self.nodes.len()).filter(runs).collect()
+    }
+
+    /// Gives somebody bytes from nowhere.
+    pub fn inject(&mut self, to: usize, bytes: Vec<u8>) {
+        self.sent += 1;
+        self.queue.push(Reverse((self.now, self.sent, to, bytes)));
+    }
+
+    fn schedule(&mut self, n: usize) {
+        let due = self.nodes[n].view.as_ref().and_then(View::next_due).unwrap_or(Time::MAX);
+        self.nodes[n].due = due;
+        if due < Time::MAX {
+            self.wakes.push(Reverse((due.max(self.now), n)));
+        }
+    }
+
+    fn hand(&mut self, n: usize, input: Input<'_>) {
+        let mut out = Vec::new();
+        let now = self.now;
+        let Some(view) = &mut self.nodes[n].view else { return };
+        view.handle(now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Send { to, bytes } => self.carry(n, to, bytes),
+                Output::Settled(_) => self.nodes[n].versions += 1,
+                Output::Superseded { .. } => self.nodes[n].superseded = true,
+            }
+        }
+        self.schedule(n);
+    }
+
+    fn carry(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
+        let node = &mut self.nodes[from];
+        node.datagrams += 1;
+        node.bytes += bytes.len() as u64;
+        let Some(to) = number(to).filter(|n| *n < self.nodes.len()) else { return };
+        if let Some(tape) = &mut self.tape {
+            tape.push((to, bytes.clone()));
+        }
+        let cut = self.group[from] != self.group[to] || self.silent.contains(&(from, to));
+        if cut || self.rng.f64() < self.loss {
+            return;
+        }
+        let times = 1 + usize::from(self.rng.f64() < self.doubled);
+        for _ in 0..times {
+            let slow = if self.slow.contains(&from) || self.slow.contains(&to) { 150 * MS } else { 0 };
+            let at = self.now + MS / 10 + self.rng.u64(0..self.delay) + slow;
+            self.sent += 1;
+            self.queue.push(Reverse((at, self.sent, to, bytes.clone())));
+        }
+    }
+
+    /// Plays until then.
+    pub fn play(&mut self, until: Time) {
+        loop {
+            let wake = self.wakes.peek().map_or(Time::MAX, |Reverse((at, _))| *at);
+            let come = self.queue.peek().map_or(Time::MAX, |Reverse((at, ..))| *at);
+            if wake.min(come) > until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(wake.min(come));
+            if come <= wake {
+                let Some(Reverse((_, _, to, bytes))) = self.queue.pop() else { continue };
+                if self.nodes[to].stopped.is_some() {
+                    // What a socket holds is bounded.
+                    if self.nodes[to].inbox.len() < 200 && !self.suspends {
+                        self.nodes[to].inbox.push(bytes);
+                    }
+                } else {
+                    self.hand(to, Input::Datagram(&bytes));
+                }
+                continue;
+            }
+            let Some(Reverse((at, n))) = self.wakes.pop() else { continue };
+            if self.nodes[n].stopped.is_some_and(|until| until > at) {
+                continue;
+            }
+            if self.nodes[n].stopped.take().is_some() {
+                for bytes in std::mem::take(&mut self.nodes[n].inbox) {
+                    self.hand(n, Input::Datagram(&bytes));
+                }
+            }
+            if self.nodes[n].due <= self.now {
+                self.hand(n, Input::Tick);
+            }
+        }
+    }
+
+    /// Whether all that run and can reach each other see each other and nobody else.
+    pub fn settled(&self) -> bool {
+        let running = self.running();
+        let groups: BTreeSet<u32> = running.iter().map(|n| self.group[*n]).collect();
+        groups.into_iter().all(|group| {
+            let of: Vec<usize> = running.iter().copied().filter(|n| self.group[*n] == group).collect();
+            let digests: BTreeSet<u64> =
+                of.iter().filter_map(|n| Some(self.nodes[*n].view.as_ref()?.digest())).collect();
+            let seen = of.first().and_then(|n| self.nodes[*n].view.as_ref());
+            digests.len() == 1
+                && seen.is_some_and(|v| v.members().filter(|m| m.record.state.lives()).count() == of.len())
+        })
+    }
+
+    /// Plays on until that holds; how long it took. None if it does not within `most`.
+    pub fn until_settled(&mut self, most: Time) -> Option<Time> {
+        let began = self.now;
+        while !self.settled() {
+            if self.now >= began + most {
+                return None;
+            }
+            self.play(self.now + 20 * MS);
+        }
+        Some(self.now - began)
+    }
+
+    /// Whom some running member believes dead though it runs.
+    pub fn wronged(&self) -> usize {
+        let running = self.running();
+        let dead = |n: &usize| {
+            let view = self.nodes[*n].view.as_ref();
+            let of = |m: granite_fleet::Member| {
+                let state = m.record.state == State::Dead;
+                state
+                    && running.iter().any(|r| {
+                        *self.nodes[*r].name == *m.record.name && self.nodes[*r].life == m.record.life
+                    })
+            };
+            view.map_or(0, |v| v.members().filter(|m| of(m.clone())).count())
+        };
+        running.iter().map(dead).sum()
+    }
+}
+
+/// What a seed came to.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Played {
+    pub seed: u64,
+    /// What was done, in order, with the time in milliseconds.
+    pub faults: Vec<(u64, String)>,
+    /// From the last fault until all that reach each other had one view; none: not within the bound.
+    pub settled_ms: Option<u64>,
+    pub datagrams_a_second: f64,
+    pub bytes_a_second: f64,
+}
+
+/// So long after the last fault there must be one view.
+pub const BOUND: Time = 8 * S;
+
+/// A random day: so many members start, faults come and go, the last one is mended; then one view within the bound.
+pub fn random(size: usize, seed: u64) -> Played {
+    let (mut played, mut net) = random_net(size, seed);
+    let (datagrams, bytes) = traffic(&mut net, 10 * S);
+    (played.datagrams_a_second, played.bytes_a_second) = (datagrams, bytes);
+    played
+}
+
+/// The same with the network as it is then.
+pub fn random_net(size: usize, seed: u64) -> (Played, Net) {
+    let mut net = Net::new(size, seed);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
+    let mut played = Played { seed, ..Played::default() };
+    (0..size).for_each(|n| net.start(n));
+    net.play(3 * S);
+    for _ in 0..rng.usize(2..6) {
+        let some = |rng: &mut fastrand::Rng, part: f64| {
+            let count = (size as f64 * part) as usize;
+            rng.choose_multiple(0..size, count.max(1))
+        };
+        let what = match rng.u32(0..9) {
+            0 => {
+                let part = rng.f64() * 0.7;
+                let killed = some(&mut rng, part);
+                killed.iter().for_each(|n| net.kill(*n));
+                format!("{} killed", killed.len())
+            }
+            1 => {
+                let back: Vec<usize> = (0..size).filter(|n| net.nodes[*n].view.is_none()).collect();
+                back.iter().for_each(|n| net.start(*n));
+                format!("{} started again", back.len())
+            }
+            2 => {
+                let part = 0.1 + rng.f64() * 0.4;
+                let cut = some(&mut rng, part);
+                cut.iter().for_each(|n| net.group[*n] = 1);
+                format!("{} cut off", cut.len())
+            }
+            3 => {
+                net.group.fill(0);
+                net.silent.clear();
+                "healed".into()
+            }
+            4 => {
+                let part = rng.f64() * 0.2;
+                let stopped = some(&mut rng, part);
+                let until = net.now + rng.u64(500 * MS..6 * S);
+                stopped.iter().for_each(|n| net.stop(*n, until));
+                format!("{} stopped", stopped.len())
+            }
+            5 => {
+                (net.loss, net.doubled) = (rng.f64() * 0.3, rng.f64() * 0.1);
+                format!("loss {:.2}", net.loss)
+            }
+            6 => {
+                let left = some(&mut rng, 0.05);
+                left.iter().for_each(|n| net.leave(*n));
+                format!("{} left", left.len())
+            }
+            7 => {
+                let restarted = some(&mut rng, 0.3);
+                restarted.iter().for_each(|n| {
+                    net.kill(*n);
+                    net.start(*n);
+                });
+                format!("{} restarted at once", restarted.len())
+            }
+            _ => {
+                let (a, b) = (rng.usize(0..size), rng.usize(0..size));
+                net.silent.insert((a, b));
+                format!("{a} is not heard at {b}")
+            }
+        };
+        played.faults.push((net.now / MS, what));
+        let next = net.now + rng.u64(200 * MS..8 * S);
+        net.play(next);
+    }
+    // The last fault ends: whoever runs can reach everybody; nobody is stopped any more.
+    net.group.fill(0);
+    net.silent.clear();
+    (net.loss, net.doubled) = (0.0, 0.0);
+    let awake = net.nodes.iter().filter_map(|n| n.stopped).max().unwrap_or(net.now);
+    net.play(awake.max(net.now));
+    if net.running().is_empty() {
+        net.start(0);
+    }
+    played.faults.push((net.now / MS, "all is mended".into()));
+    played.settled_ms = net.until_settled(BOUND).map(|t| t / MS);
+    (played, net)
+}
+
+/// What a running member sends in a second of so long, in the mean: datagrams and bytes.
+pub fn traffic(net: &mut Net, time: Time) -> (f64, f64) {
+    let sum = |net: &Net| net.nodes.iter().fold((0, 0), |(d, b), n| (d + n.datagrams, b + n.bytes));
+    let before = sum(net);
+    let until = net.now + time;
+    net.play(until);
+    let after = sum(net);
+    let share = net.running().len().max(1) as f64 * time as f64 / S as f64;
+    ((after.0 - before.0) as f64 / share, (after.1 - before.1) as f64 / share)
+}
--- /dev/null
+++ b/crates/sim/tests/members.rs
@@ -0,0 +1,414 @@
+//! Stories of a fleet's view on a virtual network, each with the bound that it promises; and that each planted defect
+//! is seen by one of them.
+
+use granite_fleet::defects::{plant, Defect, ALL};
+use granite_fleet::wire::Message;
+use granite_fleet::State;
+use granite_sim::members::{address, random, read, traffic, Net, MS, S};
+
+/// So many that have found each other.
+fn fleet(size: usize, seed: u64) -> Result<Net, String> {
+    let mut net = Net::new(size, seed);
+    (0..size).for_each(|n| net.start(n));
+    within(&mut net, 3000, "all start at once")?;
+    Ok(net)
+}
+
+fn within(net: &mut Net, ms: u64, what: &str) -> Result<u64, String> {
+    net.until_settled(ms * MS).map(|t| t / MS).ok_or_else(|| format!("{what}: no one view within {ms} ms"))
+}
+
+fn ensure(holds: bool, what: impl Into<String>) -> Result<(), String> {
+    if holds {
+        Ok(())
+    } else {
+        Err(what.into())
+    }
+}
+
+fn state(net: &Net, at: usize, of: &str) -> Option<State> {
+    let view = net.nodes[at].view.as_ref()?;
+    let found = view.members().find(|m| *m.record.name == *of).map(|m| m.record.state);
+    found
+}
+
+type Story = fn(u64) -> Result<(), String>;
+
+fn a_crash_is_known_to_all(seed: u64) -> Result<(), String> {
+    let mut net = fleet(24, seed)?;
+    net.play(5 * S);
+    net.kill(11);
+    within(&mut net, 2500, "one is killed")?;
+    Ok(())
+}
+
+fn seven_in_ten_are_killed_at_once(seed: u64) -> Result<(), String> {
+    let mut net = fleet(24, seed)?;
+    net.play(5 * S);
+    let versions: u64 = net.nodes.iter().map(|n| n.versions).sum();
+    (0..17).for_each(|n| net.kill(n));
+    within(&mut net, 4000, "seven in ten are killed")?;
+    net.play(net.now + 3 * S);
+    // A wave is few versions, not one for each of the dead.
+    let made = net.nodes.iter().map(|n| n.versions).sum::<u64>() - versions;
+    ensure(made <= 7 * 3, format!("{made} versions at seven members"))
+}
+
+fn halves_that_are_cut_off_meet_again(seed: u64) -> Result<(), String> {
+    let mut net = fleet(24, seed)?;
+    net.play(5 * S);
+    (0..24).for_each(|n| net.group[n] = n as u32 % 2);
+    net.play(9 * S);
+    // Joins and deaths on both sides meanwhile.
+    net.kill(3);
+    net.kill(14);
+    net.play(11 * S);
+    net.start(14);
+    net.play(15 * S);
+    ensure(net.settled(), "each half sees itself and nobody else")?;
+    net.group.fill(0);
+    let wronged = net.wronged();
+    within(&mut net, 4000, "the halves meet")?;
+    ensure(wronged > 0, "they had given each other up")
+}
+
+/// What the other half holds for dead is asked, not buried.
+fn halves_that_meet_bury_nobody_of_their_own(seed: u64) -> Result<(), String> {
+    let mut net = fleet(24, seed)?;
+    net.play(5 * S);
+    (0..24).for_each(|n| net.group[n] = n as u32 % 2);
+    net.play(15 * S);
+    net.group.fill(0);
+    for _ in 0..200 {
+        net.play(net.now + 20 * MS);
+        for (a, b) in (0..24).flat_map(|a| (0..24).map(move |b| (a, b))).filter(|(a, b)| a % 2 == b % 2) {
+            let dead = state(&net, a, &format!("m{b:04}")) == Some(State::Dead);
+            ensure(!dead, format!("{a} buries {b}, which it has heard all the time"))?;
+        }
+    }
+    ensure(net.settled(), "the halves meet")
+}
+
+fn a_join_is_known_to_all(seed: u64) -> Result<(), String> {
+    let mut net = fleet(23, seed)?;
+    net.nodes.len();
+    net.play(5 * S);
+    net.kill(7);
+    net.play(12 * S);
+    net.start(7);
+    within(&mut net, 1500, "one joins")?;
+    Ok(())
+}
+
+fn a_restart_quicker_than_its_own_suspicion(seed: u64) -> Result<(), String> {
+    let mut net = fleet(12, seed)?;
+    net.play(5 * S);
+    let old = net.nodes[5].view.as_ref().map(|v| v.members().next().map(|m| m.record.life));
+    net.kill(5);
+    net.play(net.now + 300 * MS);
+    net.start(5);
+    within(&mut net, 2500, "a new life")?;
+    let new = net.nodes[5].view.as_ref().map(|v| v.members().next().map(|m| m.record.life));
+    ensure(old < new, "its life is a later one")?;
+    // And stays: nobody goes back to the older.
+    for _ in 0..50 {
+        net.play(net.now + 100 * MS);
+        ensure(net.settled(), "the old life is void")?;
+    }
+    Ok(())
+}
+
+fn nobody_healthy_is_dead_under_loss(seed: u64) -> Result<(), String> {
+    let mut net = fleet(24, seed)?;
+    net.loss = 0.2;
+    for _ in 0..300 {
+        net.play(net.now + 100 * MS);
+        let wronged = net.wronged();
+        ensure(wronged == 0, format!("{wronged} beliefs in a death of somebody healthy"))?;
+    }
+    net.loss = 0.0;
+    within(&mut net, 4000, "after the loss")?;
+    Ok(())
+}
+
+fn one_that_does_not_hear_another_has_others_ask(seed: u64) -> Result<(), String> {
+    let mut net = fleet(12, seed)?;
+    net.play(5 * S);
+    // A hears B, B hears C, C not A, and not the other way round either.
+    for (a, b) in [(1, 2), (2, 1), (2, 3), (4, 1), (6, 7), (7, 6), (8, 9)] {
+        net.silent.insert((a, b));
+    }
+    for _ in 0..200 {
+        net.play(net.now + 100 * MS);
+        ensure(net.wronged() == 0, "helpers reach whom one does not")?;
+    }
+    // Seldom even suspected: others were asked.
+    let suspected = |net: &Net| {
+        (0..12)
+            .map(|n| {
+                net.nodes[n]
+                    .view
+                    .as_ref()
+                    .map_or(0, |v| v.members().filter(|m| m.record.state == State::Suspect).count())
+            })
+            .sum::<usize>()
+    };
+    let mut seen = 0;
+    for _ in 0..100 {
+        net.play(net.now + 100 * MS);
+        seen += suspected(&net);
+    }
+    ensure(seen < 40, format!("{seen} suspicions in a hundred looks"))
+}
+
+fn one_that_is_cut_off_says_so_and_buries_nobody(seed: u64) -> Result<(), String> {
+    let mut net = fleet(12, seed)?;
+    net.play(5 * S);
+    net.group[4] = 1;
+    net.play(20 * S);
+    let view = net.nodes[4].view.as_ref().ok_or("it runs")?;
+    ensure(view.health().cut_off.is_some(), "it says that it is cut off")?;
+    let dead = view.members().filter(|m| m.record.state == State::Dead).count();
+    ensure(dead <= 1, format!("it holds {dead} for dead"))?;
+    ensure(net.nodes[5].view.as_ref().is_some_and(|v| v.health().cut_off.is_none()), "the others don't")?;
+    net.group.fill(0);
+    within(&mut net, 4000, "it is back")?;
+    net.play(net.now + S);
+    ensure(net.nodes[4].view.as_ref().is_some_and(|v| v.health().cut_off.is_none()), "and says so no more")
+}
+
+fn one_that_was_stopped_blames_nobody(seed: u64) -> Result<(), String> {
+    let mut net = fleet(12, seed)?;
+    net.play(5 * S);
+    for round in 0..4 {
+        net.stop(6, net.now + 5 * S);
+        // Somebody dies before it sleeps, so that it falls asleep with suspicions.
+        net.play(net.now + 5 * S + 5 * MS);
+        let view = net.nodes[6].view.as_ref().ok_or("it runs")?;
+        let blamed = view.members().filter(|m| m.record.state != State::Alive).count();
+        ensure(blamed == 0, format!("round {round}: it wakes and blames {blamed}"))?;
+        for _ in 0..20 {
+            net.play(net.now + 50 * MS);
+            let view = net.nodes[6].view.as_ref().ok_or("it runs")?;
+            let dead = view.members().filter(|m| m.record.state == State::Dead).count();
+            ensure(dead == 0, format!("round {round}: it holds {dead} for dead"))?;
+        }
+        within(&mut net, 4000, "it is back")?;
+    }
+    Ok(())
+}
+
+fn one_that_sleeps_through_a_refutation_believes_it_all_the_same(seed: u64) -> Result<(), String> {
+    let mut net = fleet(12, seed)?;
+    net.suspends = true;
+    net.play(5 * S);
+    net.stop(2, net.now + 5 * S);
+    let mut looks = 0;
+    while state(&net, 6, "m0002") != Some(State::Suspect) {
+        net.play(net.now + 5 * MS);
+        looks += 1;
+        ensure(looks < 800, "somebody who is stopped is suspected")?;
+    }
+    net.stop(2, net.now + 400 * MS);
+    net.play(net.now + 350 * MS);
+    let before = state(&net, 6, "m0002");
+    // So short that those whom it heard before still count as heard: it is not cut off in its own eyes.
+    net.stop(6, net.now + 1500 * MS);
+    net.play(net.now + 1500 * MS);
+    let dead = state(&net, 6, "m0002") == Some(State::Dead);
+    ensure(!dead || before == Some(State::Dead), "it was asleep, not the other dead")?;
+    within(&mut net, 4000, "it is back")?;
+    Ok(())
+}
+
+fn a_leave_is_known_sooner_than_a_death(seed: u64) -> Result<(), String> {
+    let mut net = fleet(24, seed)?;
+    net.play(5 * S);
+    net.leave(9);
+    within(&mut net, 1200, "one leaves")?;
+    ensure(state(&net, 3, "m0009") == Some(State::Left), "it is not held for dead")
+}
+
+fn of_two_with_one_name_the_later_stands(seed: u64) -> Result<(), String> {
+    let mut net = Net::new(8, seed);
+    (0..7).for_each(|n| net.start(n));
+    within(&mut net, 3000, "all start at once")?;
+    net.play(5 * S);
+    net.start_with(7, 1_800_000_000_000, "m0004");
+    net.play(10 * S);
+    ensure(net.nodes[4].superseded && !net.nodes[7].superseded, "the earlier says that it was superseded")?;
+    ensure(net.nodes[7].view.is_some(), "the later runs")?;
+    let at = net.nodes[2].view.as_ref().and_then(|v| v.members().find(|m| &*m.record.name == "m0004"));
+    ensure(at.is_some_and(|m| m.record.address == address(7)), "the others know where it is now")
+}
+
+fn a_clock_that_was_put_back_locks_nobody_out(seed: u64) -> Result<(), String> {
+    let mut net = fleet(8, seed)?;
+    net.play(5 * S);
+    net.kill(4);
+    net.play(8 * S);
+    net.start_with(4, 1_000, "m0004");
+    within(&mut net, 2500, "it joins all the same")?;
+    Ok(())
+}
+
+fn old_datagrams_change_nothing(seed: u64) -> Result<(), String> {
+    let mut net = Net::new(8, seed);
+    net.tape = Some(Vec::new());
+    (0..8).for_each(|n| net.start(n));
+    net.play(3 * S);
+    // A member that is gone for good, known in all that is on the tape.
+    net.kill(6);
+    net.play(10 * S);
+    let tape = net.tape.take().ok_or("a tape")?;
+    let sent = |net: &Net| net.nodes.iter().map(|n| n.datagrams).sum::<u64>();
+    // Longer than the dead are kept.
+    net.play(700 * S);
+    let (before, took) = (sent(&net), net.now);
+    net.play(took + S);
+    let usual = sent(&net) - before;
+    let count = tape.len();
+    for (to, bytes) in tape {
+        if net.nodes[to].view.is_some() {
+            net.inject(to, bytes);
+        }
+    }
+    let before = sent(&net);
+    net.play(net.now + S);
+    let after = sent(&net) - before;
+    ensure(net.settled(), "the dead stay dead")?;
+    ensure(
+        after < usual + count as u64 / 10,
+        format!("{after} datagrams beside {usual}: old ones are answered"),
+    )
+}
+
+fn a_stranger_gets_one_short_answer_and_is_forgotten(seed: u64) -> Result<(), String> {
+    let mut net = Net::new(6, seed);
+    net.tape = Some(Vec::new());
+    (0..4).for_each(|n| net.start(n));
+    net.play(3 * S);
+    // Somebody with the key whom no answer reaches.
+    net.group[5] = 1;
+    net.start(5);
+    net.play(3 * S + 400 * MS);
+    let tape = net.tape.take().ok_or("a tape")?;
+    net.kill(5);
+    let hello: Vec<_> =
+        tape.into_iter().filter(|(_, b)| matches!(read(b), Some(Message::Hello { .. }))).collect();
+    ensure(!hello.is_empty(), "it has greeted its seeds")?;
+    let sent = net.nodes[0].bytes;
+    let (mut took, mut got) = (0, 0);
+    for (_, bytes) in hello {
+        took += bytes.len() as u64;
+        net.inject(0, bytes);
+        got += 1;
+    }
+    net.play(net.now + MS);
+    ensure(net.nodes[0].bytes - sent <= took, format!("{got} greetings are answered by more"))?;
+    ensure(state(&net, 0, "m0005").is_none(), "nothing is kept of it")
+}
+
+fn any_bytes_are_dropped_and_counted(seed: u64) -> Result<(), String> {
+    let mut net = fleet(4, seed)?;
+    let mut rng = fastrand::Rng::with_seed(seed);
+    net.tape = Some(Vec::new());
+    net.play(net.now + S);
+    let tape = net.tape.take().ok_or("a tape")?;
+    for n in 0..2000 {
+        let (to, mut bytes) = tape[rng.usize(0..tape.len())].clone();
+        match n % 4 {
+            0 => bytes = (0..rng.usize(0..3000)).map(|_| rng.u8(..)).collect(),
+            1 => bytes.truncate(rng.usize(0..bytes.len())),
+            2 => {
+                let at = rng.usize(0..bytes.len());
+                bytes[at] ^= 1 << rng.u32(0..8);
+            }
+            _ => bytes.extend(std::iter::repeat_n(0, 1300)),
+        }
+        net.inject(to, bytes);
+    }
+    net.play(net.now + 10 * MS);
+    let dropped: u64 =
+        net.nodes.iter().filter_map(|n| n.view.as_ref()).flat_map(|v| v.faults()).map(|(_, n)| n).sum();
+    ensure(dropped >= 2000, format!("{dropped} dropped"))?;
+    ensure(net.settled(), "nothing has changed")
+}
+
+const STORIES: &[(&str, Story)] = &[
+    ("a crash is known to all", a_crash_is_known_to_all),
+    ("seven in ten are killed at once", seven_in_ten_are_killed_at_once),
+    ("halves that are cut off meet again", halves_that_are_cut_off_meet_again),
+    ("halves that meet bury nobody of their own", halves_that_meet_bury_nobody_of_their_own),
+    ("a join is known to all", a_join_is_known_to_all),
+    ("a restart quicker than its own suspicion", a_restart_quicker_than_its_own_suspicion),
+    ("nobody healthy is dead under loss", nobody_healthy_is_dead_under_loss),
+    ("one that does not hear another has others ask", one_that_does_not_hear_another_has_others_ask),
+    ("one that is cut off says so and buries nobody", one_that_is_cut_off_says_so_and_buries_nobody),
+    ("one that was stopped blames nobody", one_that_was_stopped_blames_nobody),
+    (
+        "one that sleeps through a refutation believes it all the same",
+        one_that_sleeps_through_a_refutation_believes_it_all_the_same,
+    ),
+    ("a leave is known sooner than a death", a_leave_is_known_sooner_than_a_death),
+    ("of two with one name the later stands", of_two_with_one_name_the_later_stands),
+    ("a clock that was put back locks nobody out", a_clock_that_was_put_back_locks_nobody_out),
+    ("old datagrams change nothing", old_datagrams_change_nothing),
+    ("a stranger gets one short answer and is forgotten", a_stranger_gets_one_short_answer_and_is_forgotten),
+    ("any bytes are dropped and counted", any_bytes_are_dropped_and_counted),
+];
+
+fn seeds(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn every_story_keeps_its_bound() {
+    let mut broken = Vec::new();
+    for (name, story) in STORIES {
+        for seed in 0..seeds("STORIES", 10) {
+            if let Err(what) = story(seed) {
+                broken.push(format!("{name}, seed {seed}: {what}"));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{} broken\n{}", broken.len(), broken.join("\n"));
+}
+
+#[test]
+fn every_planted_defect_breaks_a_story() {
+    for (defect, what) in ALL {
+        plant(Some(*defect));
+        let found = STORIES.iter().find(|(_, story)| (0..3).any(|seed| story(seed).is_err()));
+        plant(None);
+        assert!(found.is_some(), "{what} ({defect:?}): no story shows it");
+        println!("{defect:?}: {}", found.map_or("", |(name, _)| name));
+    }
+    assert_eq!(ALL.len(), 12);
+    assert!(!granite_fleet::defects::active(Defect::LeaveNotTold));
+}
+
+#[test]
+fn random_days_end_with_one_view() {
+    for seed in 0..seeds("DAYS", 40) {
+        let played = random(32, seed);
+        assert!(played.settled_ms.is_some(), "{played:#?}");
+    }
+}
+
+/// Bytes and datagrams of a member don't grow with the fleet.
+#[test]
+fn traffic_of_a_member_is_the_same_in_a_small_and_a_large_fleet() {
+    let of = |size| {
+        let mut net = Net::new(size, 1);
+        (0..size).for_each(|n| net.start(n));
+        net.until_settled(20 * S).expect("one view");
+        // Until all has been told that there was to tell.
+        net.play(net.now + 90 * S);
+        traffic(&mut net, 5 * S)
+    };
+    let (small, large) = (of(20), of(200));
+    println!("20: {small:?}, 200: {large:?}");
+    assert!((large.0 / small.0 - 1.0).abs() < 0.1, "{small:?} {large:?}");
+    assert!((large.1 / small.1 - 1.0).abs() < 0.1, "{small:?} {large:?}");
+}
