Gateways keep the view on UDP; fleet status; a bed of faults with 24 real processes

Need: the deciding part stood without a carrier; operators could ask nobody who lives.

Change: [fleet] in the operators' file (name, listen, advertise, seeds, keys, times; off when absent), the view's socket in the program, GET /status/fleet and granitethread fleet status [--json].

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,7 +32,7 @@
 pub use record::{Name, Record, Role, State, MOST_NAME, MOST_ZONE};
 pub use settled::Settled;
 pub use view::{Config, Health, Input, Member, Output, View};
-pub use wire::{Fault, Keys};
+pub use wire::{Fault, Keys, MOST_BYTES};
 
 /// Nanoseconds, on any clock that only runs forwards.
 pub type Time = u64;
--- a/crates/fleet/src/view/coming.rs
+++ b/crates/fleet/src/view/coming.rs
@@ -232,6 +232,9 @@
     }
 
     pub(super) fn absorb(&mut self, now: Time, from: &Name, rider: Rider, out: &mut Vec<Output>) {
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.health = rider.health.min(WORST);
+        }
         for record in rider.rumours {
             self.merge(now, record, out);
         }
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -113,8 +113,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     pub record: Record,
-    /// Since when it is in this state here.
+    /// Since when it is in this state here; 0 for this one.
     pub since: Time,
+    /// Its own health, as it said last.
+    pub health: u8,
 }
 
 /// How this member stands itself.
@@ -165,6 +167,7 @@
     since: Time,
     window: Window,
     bucket: Bucket,
+    health: u8,
     suspicion: Option<Suspicion>,
     /// Where the life before this one was reached, if elsewhere: it may still run there.
     before: Option<SocketAddr>,
@@ -173,7 +176,15 @@
 impl Peer {
     fn new(record: Record, now: Time) -> Self {
         let bucket = Bucket::new(200.0, 100.0, now);
-        Peer { record, since: now, window: Window::default(), bucket, suspicion: None, before: None }
+        Peer {
+            record,
+            since: now,
+            window: Window::default(),
+            bucket,
+            health: 0,
+            suspicion: None,
+            before: None,
+        }
     }
 }
 
@@ -300,8 +311,12 @@
 
     /// All that are known, this one first.
     pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
-        let me = Member { record: self.me.clone(), since: 0 };
-        let others = self.peers.values().map(|p| Member { record: p.record.clone(), since: p.since });
+        let me = Member { record: self.me.clone(), since: 0, health: self.health };
+        let others = self.peers.values().map(|p| Member {
+            record: p.record.clone(),
+            since: p.since,
+            health: p.health,
+        });
         std::iter::once(me).chain(others)
     }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -32,6 +32,8 @@
     /// Absent: this process is no planner, or no forwarder.
     pub planner: Option<Planner>,
     pub forwarder: Option<Forwarder>,
+    /// Absent: this process keeps no view of the fleet.
+    pub fleet: Option<Fleet>,
     /// `log.format`, "plain" or "json", default plain: words, or one JSON object a line with fields.
     pub log: LogFormat,
     /// `[[pool]]`: absent, all servers are one pool.
@@ -127,6 +129,30 @@
     pub key_file: PathBuf,
 }
 
+/// `[fleet]`: this process keeps a view of the fleet with the others (docs/design/fleet.md).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// `name`, 1 to 64 bytes: this member's, unlike any other's and the same after a restart.
+    pub name: String,
+    /// `zone`, up to 32 bytes, default none: said to the others.
+    pub zone: String,
+    /// `listen`: a UDP address and port.
+    pub listen: SocketAddr,
+    /// `advertise`, default `listen`: where the others reach it, through relays and address translation.
+    pub advertise: SocketAddr,
+    /// `seeds`: addresses of some members, up to 64; its own among them does no harm.
+    pub seeds: Vec<SocketAddr>,
+    /// `key_file`: the shared key; readable by its owner alone. `old_key_file`: one that is still taken while keys change.
+    pub key_file: PathBuf,
+    pub old_key_file: Option<PathBuf>,
+    /// `period_ms`, 50 to 5000, default 200: between two probes; the same at all.
+    pub period: Duration,
+    /// `keep_dead_s`, 10 to 86400, default 600: so long the dead are kept and tried.
+    pub keep_dead: Duration,
+    /// `most_members`, 2 to 20000, default 4096: kept at a time, some 300 bytes each.
+    pub most_members: usize,
+}
+
 /// `[lifecycle]`: the figures of a request's life.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lifecycle {
@@ -175,6 +201,7 @@
     allowances: AllowancesTable,
     planner: Option<PlannerTable>,
     forwarder: Option<ForwarderTable>,
+    fleet: Option<FleetTable>,
     log: LogTable,
     pool: Vec<Spanned<PoolTable>>,
     route: Vec<Spanned<RouteTable>>,
@@ -242,6 +269,22 @@
     key_file: PathBuf,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetTable {
+    name: Spanned<String>,
+    zone: Option<Spanned<String>>,
+    listen: Spanned<String>,
+    advertise: Option<Spanned<String>>,
+    #[serde(default)]
+    seeds: Vec<Spanned<String>>,
+    key_file: PathBuf,
+    old_key_file: Option<PathBuf>,
+    period_ms: Option<Spanned<i64>>,
+    keep_dead_s: Option<Spanned<i64>>,
+    most_members: Option<Spanned<i64>>,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
 struct LifecycleTable {
@@ -275,6 +318,7 @@
         },
         planner: file.planner.map(|t| planner(text, t)).transpose()?,
         forwarder: file.forwarder.map(|t| forwarder(text, t, &allowances)).transpose()?,
+        fleet: file.fleet.map(|t| fleet(text, t)).transpose()?,
         allowances,
         log: file.log.format,
         routes: file.route.into_iter().map(|t| route(text, t, &pools)).collect::<Result<_, _>>()?,
@@ -354,6 +398,42 @@
     Ok(Forwarder { seat, planners, key_file: table.key_file })
 }
 
+fn fleet(text: &str, table: FleetTable) -> Result<Fleet, Trouble> {
+    let words = |value: &Spanned<String>, least: usize, most: usize| {
+        let n = value.get_ref().len();
+        if (least..=most).contains(&n) && !value.get_ref().contains(char::is_control) {
+            return Ok(value.get_ref().clone());
+        }
+        Err(trouble(
+            text,
+            value.span().start,
+            format!("{n} bytes: {least} to {most} printable ones are wanted"),
+        ))
+    };
+    let listen = address(text, &table.listen)?;
+    let advertise = table.advertise.as_ref().unwrap_or(&table.listen);
+    let reached = address(text, advertise)?;
+    if reached.ip().is_unspecified() || reached.port() == 0 {
+        let what = format!("{reached}: nobody is reached there; advertise is wanted");
+        return Err(trouble(text, advertise.span().start, what));
+    }
+    if let Some(more) = table.seeds.get(64) {
+        return Err(trouble(text, more.span().start, "more than 64 seeds".into()));
+    }
+    Ok(Fleet {
+        name: words(&table.name, 1, 64)?,
+        zone: table.zone.as_ref().map_or(Ok(String::new()), |z| words(z, 0, 32))?,
+        listen,
+        advertise: reached,
+        seeds: table.seeds.iter().map(|s| address(text, s)).collect::<Result<_, _>>()?,
+        key_file: table.key_file,
+        old_key_file: table.old_key_file,
+        period: milliseconds(text, table.period_ms, 50..=5000, Duration::from_millis(200))?,
+        keep_dead: Duration::from_secs(number(text, table.keep_dead_s, 10..=86_400, 600)?.unsigned_abs()),
+        most_members: number(text, table.most_members, 2..=20_000, 4096)? as usize,
+    })
+}
+
 fn address(text: &str, value: &Spanned<String>) -> Result<SocketAddr, Trouble> {
     let wrong = |_| {
         let what = format!("{:?}: an address and port are wanted", value.get_ref());
@@ -452,6 +532,20 @@
         assert!(wrong("[allowances]\ntick_ms = 100\nlease_ms = 200\n").contains("300 to 10000 is wanted"));
     }
 
+    #[test]
+    fn a_view_of_the_fleet_is_absent_or_whole() {
+        let text = "[fleet]\nname = \"g1\"\nlisten = \"127.0.0.1:7100\"\nkey_file = \"key\"\n\
+                    seeds = [\"127.0.0.1:7101\"]\n";
+        let fleet = read(text).unwrap().fleet.expect("it is there");
+        assert_eq!((fleet.advertise, fleet.seeds.len()), (fleet.listen, 1));
+        assert!(wrong("[fleet]\nname = \"g1\"\nkey_file = \"key\"\n").contains("missing field `listen`"));
+        assert!(wrong(&text.replace("7101", "seven")).starts_with("5: fleet.seeds: "));
+        assert!(wrong(&text.replace("g1", "")).ends_with("0 bytes: 1 to 64 printable ones are wanted"));
+        let nowhere = wrong(&text.replace("127.0.0.1:7100", "0.0.0.0:7100"));
+        assert_eq!(nowhere, "3: fleet.listen: 0.0.0.0:7100: nobody is reached there; advertise is wanted");
+        assert!(wrong(&(text.to_string() + "period_ms = 10\n")).ends_with("50 to 5000 is wanted"));
+    }
+
     #[test]
     fn pools_and_routes_are_read_with_their_lines() {
         let text = "[[pool]]\nname = \"pricing\"\ngroup = [1, 2]\n[[pool]]\nname = \"booking\"\n\
--- /dev/null
+++ b/crates/rig/src/bed.rs
@@ -0,0 +1,173 @@
+//! A bed for faults between processes: one relay for each process, through which all others reach it, telling senders
+//! apart; for each ordered pair silence, loss, doubling, delay (which reorders). Processes are killed, stopped, woken
+//! and started again by their own id.
+//!
+//! Datagrams only: a process sends from the address on which it listens, and that tells the relay who speaks.
+
+use crate::fleet::lock;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// What befalls datagrams from one process to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Link {
+    pub silent: bool,
+    /// Chances.
+    pub loss: f64,
+    pub doubled: f64,
+    /// Each waits up to so long, and so some pass others.
+    pub delay: Duration,
+}
+
+#[derive(Default)]
+struct Counted {
+    datagrams: u64,
+    bytes: u64,
+}
+
+struct Network {
+    links: Vec<Vec<Link>>,
+    /// Where each process listens itself.
+    places: Vec<SocketAddr>,
+    senders: HashMap<SocketAddr, usize>,
+    sent: Vec<Counted>,
+    rng: fastrand::Rng,
+}
+
+type Late = (Instant, u64, usize, Vec<u8>);
+
+/// Datagrams that wait.
+#[derive(Default)]
+struct Waiting {
+    queue: Mutex<(BinaryHeap<Reverse<Late>>, u64)>,
+    news: Condvar,
+}
+
+/// Relays for so many processes.
+pub struct Relays {
+    /// Where the others reach each process.
+    pub advertised: Vec<SocketAddr>,
+    network: Arc<Mutex<Network>>,
+    over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Relays {
+    /// # Errors
+    /// One line, if there are no ports to be had.
+    pub fn new(processes: usize, seed: u64) -> Result<Self, String> {
+        let wrong = |e: std::io::Error| format!("relays: {e}");
+        let mut places = Vec::new();
+        // An address of its own for each: the port that was free stays free until the process takes it.
+        let block = fastrand::Rng::new().u8(2..250);
+        for n in 0..processes {
+            let probe = UdpSocket::bind((format!("127.{block}.{}.{}", n / 200, n % 200 + 1).as_str(), 0));
+            places.push(probe.map_err(wrong)?.local_addr().map_err(wrong)?);
+        }
+        let senders = places.iter().enumerate().map(|(n, a)| (*a, n)).collect();
+        let network = Arc::new(Mutex::new(Network {
+            links: vec![vec![Link::default(); processes]; processes],
+            places,
+            senders,
+            sent: (0..processes).map(|_| Counted::default()).collect(),
+            rng: fastrand::Rng::with_seed(seed),
+        }));
+        let (over, waiting) = (Arc::<AtomicBool>::default(), Arc::<Waiting>::default());
+        let (mut sockets, mut advertised, mut threads) = (Vec::new(), Vec::new(), Vec::new());
+        for to in 0..processes {
+            let socket = UdpSocket::bind("127.0.0.1:0").map_err(wrong)?;
+            socket.set_read_timeout(Some(Duration::from_millis(50))).map_err(wrong)?;
+            advertised.push(socket.local_addr().map_err(wrong)?);
+            let socket = Arc::new(socket);
+            sockets.push(socket.clone());
+            let (network, over, waiting) = (network.clone(), over.clone(), waiting.clone());
+            threads.push(thread::spawn(move || relay(to, &socket, &network, &waiting, &over)));
+        }
+        let (network_, over_) = (network.clone(), over.clone());
+        threads.push(thread::spawn(move || deliver(&sockets, &network_, &waiting, &over_)));
+        Ok(Relays { advertised, network, over, threads })
+    }
+
+    /// Where this process listens itself.
+    pub fn place(&self, n: usize) -> SocketAddr {
+        lock(&self.network).places[n]
+    }
+
+    /// Changes the links from one process to another, for all ordered pairs.
+    pub fn set(&self, link: impl Fn(usize, usize) -> Link) {
+        let mut network = lock(&self.network);
+        let all = network.links.len();
+        for (from, to) in (0..all).flat_map(|a| (0..all).map(move |b| (a, b))) {
+            network.links[from][to] = link(from, to);
+        }
+    }
+
+    /// What this process has sent so far: datagrams and bytes.
+    pub fn sent(&self, n: usize) -> (u64, u64) {
+        let network = lock(&self.network);
+        (network.sent[n].datagrams, network.sent[n].bytes)
+    }
+}
+
+impl Drop for Relays {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|t| drop(t.join()));
+    }
+}
+
+/// Takes what others send to this process.
+fn relay(to: usize, socket: &UdpSocket, network: &Mutex<Network>, waiting: &Waiting, over: &AtomicBool) {
+    let mut buffer = [0; 2048];
+    while !over.load(Ordering::Relaxed) {
+        // Nothing for a while, or word that an earlier one found a closed port.
+        let Ok((length, source)) = socket.recv_from(&mut buffer) else { continue };
+        let bytes = &buffer[..length];
+        let mut network = lock(network);
+        let Some(&from) = network.senders.get(&source) else { continue };
+        network.sent[from].datagrams += 1;
+        network.sent[from].bytes += length as u64;
+        let link = network.links[from][to];
+        if link.silent || network.rng.f64() < link.loss {
+            continue;
+        }
+        let times = 1 + usize::from(network.rng.f64() < link.doubled);
+        for _ in 0..times {
+            if link.delay.is_zero() {
+                let _ = socket.send_to(bytes, network.places[to]);
+                continue;
+            }
+            let at = Instant::now() + link.delay.mul_f64(network.rng.f64());
+            let mut queue = lock(&waiting.queue);
+            queue.1 += 1;
+            let number = queue.1;
+            queue.0.push(Reverse((at, number, to, bytes.to_vec())));
+            waiting.news.notify_one();
+        }
+    }
+}
+
+/// Sends on what waits, each in its time.
+fn deliver(sockets: &[Arc<UdpSocket>], network: &Mutex<Network>, waiting: &Waiting, over: &AtomicBool) {
+    let mut queue = lock(&waiting.queue);
+    while !over.load(Ordering::Relaxed) {
+        let due = queue.0.peek().map(|Reverse((at, ..))| *at);
+        let wait = due.map_or(Duration::from_millis(50), |at| at.saturating_duration_since(Instant::now()));
+        if !wait.is_zero() {
+            let most = wait.min(Duration::from_millis(50));
+            queue =
+                waiting.news.wait_timeout(queue, most).map(|(q, _)| q).unwrap_or_else(|e| e.into_inner().0);
+            continue;
+        }
+        let Some(Reverse((_, _, to, bytes))) = queue.0.pop() else { continue };
+        drop(queue);
+        let place = lock(network).places[to];
+        let _ = sockets[to].send_to(&bytes, place);
+        queue = lock(&waiting.queue);
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! `granitethread-rig` plays the scenarios.
 #![forbid(unsafe_code)]
 
+pub mod bed;
 pub mod crowd;
 pub mod demo;
 pub mod fleet;
@@ -13,3 +14,4 @@
 pub mod program;
 pub mod scenario;
 pub mod upgrade;
+pub mod view;
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -109,6 +109,21 @@
         Program::from(command, file)
     }
 
+    /// One with an operators' file that takes operators' calls too.
+    ///
+    /// # Errors
+    /// One line, if it does not come up.
+    pub fn start_member(
+        program: &Path,
+        config: &str,
+        discovery: SocketAddr,
+        operator: &Path,
+    ) -> Result<Self, String> {
+        let (mut command, file) = command(program, config, discovery)?;
+        command.env("LB_OPERATOR", "127.0.0.1:0").env("GRANITETHREAD_OPERATOR", operator);
+        Program::from(command, file)
+    }
+
     fn from(mut command: Command, config: PathBuf) -> Result<Self, String> {
         match spawn(&mut command) {
             Ok((child, address, operators, log)) => {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -67,4 +67,5 @@
     crate::crowd::SCENARIO,
     crate::planners::SCENARIO,
     crate::planning_cost::SCENARIO,
+    crate::view::SCENARIO,
 ];
--- a/src/bin/granitethread/admin/mod.rs
+++ b/src/bin/granitethread/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The second address: status, figures, maintenance by hand. It asks the engine and decides nothing.
 
 use crate::driver::Driver;
+use crate::fleet::Fleet;
 use crate::fronts::http1::Server;
 use crate::handover::Link;
 use bytes::Bytes;
@@ -35,6 +36,7 @@
     pub driver: Rc<Driver>,
     pub server: Rc<Server>,
     pub link: Rc<Link>,
+    pub fleet: Option<Rc<Fleet>>,
 }
 
 #[derive(Deserialize)]
@@ -91,7 +93,7 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Reply {
         let wanted = match request.uri().path() {
-            "/status" | "/status/metrics" => Method::GET,
+            "/status" | "/status/metrics" | "/status/fleet" => Method::GET,
             "/maintenance/enter" | "/maintenance/exit" => Method::POST,
             _ => return no(StatusCode::NOT_FOUND, "no such call"),
         };
@@ -103,6 +105,10 @@
                 (StatusCode::OK, json!({"serving": true}).to_string())
             }
             "/status" => no(StatusCode::SERVICE_UNAVAILABLE, "takes no clients"),
+            "/status/fleet" => match &self.fleet {
+                Some(fleet) => (StatusCode::OK, fleet.status().to_string()),
+                None => no(StatusCode::NOT_FOUND, "no view of the fleet is kept: [fleet] is absent"),
+            },
             "/status/metrics" => (StatusCode::OK, self.figures()),
             path => {
                 let enter = path == "/maintenance/enter";
--- a/src/bin/granitethread/allowance/mod.rs
+++ b/src/bin/granitethread/allowance/mod.rs
@@ -62,7 +62,7 @@
 }
 
 /// Random bytes from the operating system, which nobody can guess and which don't come again.
-fn random<const N: usize>() -> Result<[u8; N], String> {
+pub fn random<const N: usize>() -> Result<[u8; N], String> {
     let mut bytes = [0; N];
     getrandom::fill(&mut bytes).map_err(|e| format!("no random bytes: {e}"))?;
     Ok(bytes)
--- /dev/null
+++ b/src/bin/granitethread/fleet.rs
@@ -0,0 +1,176 @@
+//! The view of the fleet on a socket: datagrams and the time go in, what it says goes out. Nothing is decided here.
+
+use crate::allowance;
+use granite_fleet::{Config, Input, Keys, Output, Role, Settled, State, Time, View, MOST_BYTES};
+use granite_operator::Fleet as Table;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, Instant};
+use tracing::{info, warn};
+
+/// So many datagrams are read before requests have their turn.
+const AT_ONCE: usize = 64;
+/// The view's clock begins here, so that nothing lies before it.
+const START: Time = 1_000_000_000;
+/// A socket that fails at once, for want of a route say, is not asked again sooner.
+const PAUSE: Duration = Duration::from_millis(100);
+
+pub struct Fleet {
+    view: RefCell<View>,
+    socket: UdpSocket,
+    began: Instant,
+    /// Datagrams and bytes sent; datagrams that the system did not take.
+    sent: Cell<(u64, u64, u64)>,
+    moved: Notify,
+}
+
+impl Fleet {
+    /// Reads the keys and takes the address.
+    pub fn prepare(table: &Table, role: Role) -> Result<Rc<Self>, String> {
+        let mut keys = vec![allowance::key(&table.key_file)?];
+        keys.extend(table.old_key_file.as_deref().map(allowance::key).transpose()?);
+        let open = || {
+            let socket = std::net::UdpSocket::bind(table.listen)?;
+            socket.set_nonblocking(true)?;
+            UdpSocket::from_std(socket)
+        };
+        let socket = open().map_err(|e| format!("fleet.listen {}: {e}", table.listen))?;
+        let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let mut config = Config::new(&table.name, life, table.advertise);
+        config.zone.clone_from(&table.zone);
+        config.role = role;
+        config.seeds.clone_from(&table.seeds);
+        config.period = table.period.as_nanos() as Time;
+        config.answer = config.period * 2 / 5;
+        config.keep_dead = table.keep_dead.as_nanos() as Time;
+        config.most_members = table.most_members;
+        let secret = allowance::random()?;
+        let view = View::new(config, Keys::new(keys)?, allowance::nonce()?, secret, START);
+        let (view, began) = (RefCell::new(view), Instant::now());
+        Ok(Rc::new(Fleet { view, socket, began, sent: Cell::default(), moved: Notify::new() }))
+    }
+
+    fn now(&self) -> Time {
+        START + self.began.elapsed().as_nanos() as Time
+    }
+
+    /// For as long as the process lives.
+    pub async fn run(self: Rc<Self>) {
+        if let Ok(address) = self.socket.local_addr() {
+            info!(%address, "fleet: on {address}");
+        }
+        let mut buffer = [0; MOST_BYTES + 1];
+        loop {
+            let due = self.view.borrow().next_due();
+            let far = Instant::now() + Duration::from_secs(3600);
+            let due = due.map_or(far, |at| self.began + Duration::from_nanos(at.saturating_sub(START)));
+            // What has come is read before the time counts: an answer may lie in the socket behind it.
+            tokio::select! {
+                biased;
+                ready = self.socket.readable() => {
+                    if ready.is_err() {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                    for _ in 0..AT_ONCE {
+                        match self.socket.try_recv_from(&mut buffer) {
+                            Ok((length, _)) => self.handle(Input::Datagram(&buffer[..length])),
+                            // A peer's port was closed: the system tells so of an earlier datagram.
+                            Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+                            Err(_) => break,
+                        }
+                    }
+                }
+                () = sleep_until(due) => {}
+                () = self.moved.notified() => {}
+            }
+            let now = self.now();
+            if self.view.borrow().next_due().is_some_and(|at| at <= now) {
+                self.handle(Input::Tick);
+            }
+        }
+    }
+
+    /// This process ends: the others need not find out.
+    pub fn leave(&self) {
+        self.handle(Input::Leave);
+        self.moved.notify_one();
+    }
+
+    fn handle(&self, input: Input<'_>) {
+        let mut out = Vec::new();
+        self.view.borrow_mut().handle(self.now(), input, &mut out);
+        for output in out {
+            match output {
+                Output::Send { to, bytes } => {
+                    let (mut datagrams, mut all, mut lost) = self.sent.get();
+                    match self.socket.try_send_to(&bytes, to) {
+                        Ok(_) => (datagrams, all) = (datagrams + 1, all + bytes.len() as u64),
+                        // As good as lost on the way.
+                        Err(_) => lost += 1,
+                    }
+                    self.sent.set((datagrams, all, lost));
+                }
+                Output::Settled(settled) => {
+                    let Settled { version, members, position, digest, .. } = settled;
+                    let living = members.len();
+                    info!(
+                        version,
+                        living, position, "fleet: version {version}, {living} live, digest {digest:016x}"
+                    );
+                }
+                Output::Superseded { life } => {
+                    warn!(
+                        life,
+                        "fleet: another process began later under this name; this one speaks no more"
+                    );
+                }
+            }
+        }
+    }
+
+    /// What `GET /status/fleet` tells.
+    pub fn status(&self) -> Value {
+        let now = self.now();
+        let view = self.view.borrow();
+        let health = view.health();
+        let settled = view.settled();
+        let ms = |since: Time| now.saturating_sub(since.max(START)) / 1_000_000;
+        let member = |m: granite_fleet::Member| {
+            let r = m.record;
+            json!({
+                "name": &*r.name, "life": r.life, "state": word(r.state), "for_ms": ms(m.since),
+                "address": r.address, "zone": &*r.zone, "role": if r.role == Role::Planner { "planner" } else { "gateway" },
+                "health": m.health, "versions": [r.versions.0, r.versions.1],
+            })
+        };
+        let dropped: serde_json::Map<_, _> =
+            view.faults().map(|(fault, n)| (fault.to_string(), json!(n))).collect();
+        let (datagrams, bytes, lost) = self.sent.get();
+        json!({
+            "joined": health.joined, "superseded": health.superseded, "health": health.health,
+            "cut_off_ms": health.cut_off.map(ms),
+            "digest": format!("{:016x}", view.digest()),
+            "settled": {
+                "version": settled.version, "members": settled.members.len(), "position": settled.position,
+                "digest": format!("{:016x}", settled.digest), "age_ms": ms(settled.at),
+            },
+            "members": view.members().map(member).collect::<Vec<_>>(),
+            "sent": {"datagrams": datagrams, "bytes": bytes, "not_taken": lost},
+            "dropped": dropped,
+        })
+    }
+}
+
+fn word(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Dead => "dead",
+        State::Left => "left",
+    }
+}
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -3,10 +3,12 @@
 
 mod admin;
 mod allowance;
+mod ask;
 mod backends;
 mod config;
 mod discovery;
 mod driver;
+mod fleet;
 mod fronts;
 mod handover;
 mod list;
@@ -17,8 +19,10 @@
 use backends::Backends;
 use clap::{Parser, Subcommand};
 use driver::Driver;
+use fleet::Fleet;
 use fronts::{http1, Budget};
 use granite_background::{Pace, Service};
+use granite_fleet::Role;
 use granite_operator::{LogFormat, Operator};
 use handover::Link;
 use std::net::SocketAddr;
@@ -46,11 +50,33 @@
 enum Command {
     /// Reads an operators' file, or a gateway's own (.json), says what is wrong with it, and ends
     Check { file: PathBuf },
+    /// The fleet as a running gateway sees it
+    Fleet {
+        #[command(subcommand)]
+        what: FleetCommand,
+    },
+}
+
+#[derive(Subcommand)]
+enum FleetCommand {
+    /// Who lives, in its eyes
+    Status {
+        /// The gateway's second address (its operator, or LB_OPERATOR)
+        #[arg(long)]
+        at: SocketAddr,
+        /// As one JSON object
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
     let done = match Args::parse().command {
         None => start(),
+        Some(Command::Fleet { what: FleetCommand::Status { at, json } }) => {
+            log::start(LogFormat::Plain);
+            ask::fleet(at, json)
+        }
         Some(Command::Check { file }) => {
             log::start(LogFormat::Plain);
             check(&file)
@@ -104,6 +130,18 @@
     let stop = async {
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
     };
+    let role = if operator.planner.is_some() { Role::Planner } else { Role::Gateway };
+    let fleet = operator.fleet.as_ref().map(|table| Fleet::prepare(table, role)).transpose()?;
+    if let Some(fleet) = &fleet {
+        spawn_local(fleet.clone().run());
+    }
+    let leaves = fleet.clone();
+    let stop = async {
+        stop.await;
+        if let Some(fleet) = leaves {
+            fleet.leave();
+        }
+    };
     if let Some(planner) = &operator.planner {
         return allowance::planner::run(planner, &operator.allowances, &config.settings, stop).await;
     }
@@ -158,7 +196,7 @@
             info!(%address, "operators' calls on {address}");
         }
         let (driver, server, link) = (driver.clone(), server.clone(), link.clone());
-        spawn_local(Rc::new(Admin { driver, server, link }).serve(listener));
+        spawn_local(Rc::new(Admin { driver, server, link, fleet }).serve(listener));
     }
     spawn_local(link.follow(driver.clone()));
     let pace = Pace::new(service, config.seed);
