Subsets and the pace of calls to discovery may follow who lives; no room does

Need: both rest on numbers from files that are wrong once seven in ten have died.

Change: View::seen gives the place among the living gateways, none while the view is lost; [fleet] subsets and discovery, off by default. Pace::shared_by. The world lies tells each gateway any place among any number, three times a second, under faults.

--- a/crates/background/src/pace.rs
+++ b/crates/background/src/pace.rs
@@ -29,6 +29,7 @@
 /// The pace of one gateway's calls to one service.
 #[derive(Clone, Debug)]
 pub struct Pace {
+    service: Service,
     /// Over how long a first call is spread, a first repeat, and any repeat.
     first: Duration,
     least: Duration,
@@ -37,18 +38,31 @@
     rng: Rng,
 }
 
+/// Over how long a first call is spread, a first repeat, and any repeat.
+fn windows(service: Service) -> (Duration, Duration, Duration) {
+    match service {
+        Service::Local => (Duration::ZERO, LEAST, LOCAL_MOST),
+        Service::Shared { gateways, within } => {
+            // What all gateways ask for in `within` must also leave room for repeats.
+            let window = CALL.saturating_mul(gateways.saturating_sub(1)).min(within * 4 / 5);
+            (window, window.max(LEAST), within.max(LEAST))
+        }
+    }
+}
+
 impl Pace {
     /// `seed`: another one for each gateway and each start.
     pub fn new(service: Service, seed: u64) -> Self {
-        let (first, least, most) = match service {
-            Service::Local => (Duration::ZERO, LEAST, LOCAL_MOST),
-            Service::Shared { gateways, within } => {
-                // What all gateways ask for in `within` must also leave room for repeats.
-                let window = CALL.saturating_mul(gateways.saturating_sub(1)).min(within * 4 / 5);
-                (window, window.max(LEAST), within.max(LEAST))
-            }
-        };
-        Pace { first, least, most, failures: 0, rng: Rng::with_seed(seed) }
+        let (first, least, most) = windows(service);
+        Pace { service, first, least, most, failures: 0, rng: Rng::with_seed(seed) }
+    }
+
+    /// So many gateways are believed to call it. The wait that a call may have to be in time stays as it is.
+    pub fn shared_by(&mut self, gateways: u32) {
+        if let Service::Shared { gateways: told, .. } = &mut self.service {
+            *told = gateways;
+            (self.first, self.least, self.most) = windows(self.service);
+        }
     }
 
     /// The same for calls to another service of the kind.
--- a/crates/background/tests/pace.rs
+++ b/crates/background/tests/pace.rs
@@ -119,3 +119,22 @@
     let mut own = Pace::new(Service::Local, 5);
     assert!((0..50).all(|_| own.unchanged(Duration::ZERO, wait) <= Duration::from_millis(200)));
 }
+
+#[test]
+fn the_pace_follows_how_many_are_believed_to_call() {
+    let within = Duration::from_secs(8);
+    let many = Service::Shared { gateways: 100, within };
+    let longest = |pace: &mut Pace| (0..200).map(|_| pace.first()).max().expect("some");
+    let mut pace = Pace::new(many, 3);
+    assert!(longest(&mut pace) > Duration::from_secs(5));
+    pace.shared_by(10);
+    assert!(longest(&mut pace) <= Duration::from_millis(720), "seven in ten and more have died");
+    pace.shared_by(1);
+    assert_eq!(longest(&mut pace), Duration::ZERO, "alone it asks at once");
+    // A belief can be wrong: no wait grows past what was asked for.
+    pace.shared_by(u32::MAX);
+    assert!((0..200).all(|_| pace.failed() <= within));
+    let mut local = Pace::new(Service::Local, 3);
+    local.shared_by(1000);
+    assert_eq!(local.first(), Duration::ZERO, "an agent serves nobody else");
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -220,6 +220,7 @@
                 }
                 self.notice_account(out);
             }
+            Input::Neighbours { me, gateways } => self.events.push(Event::Neighbours { me, gateways }),
             Input::PlanningTick => self.planning_tick(now, out),
             Input::Wake => self.wake(now, out),
         }
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -66,6 +66,8 @@
     ListFailed,
     /// A planner: what it grants.
     Grant { planner: usize, grant: Grant },
+    /// A view of the fleet: so many gateways are believed to live, and this is the `me`th; 0: what the settings say.
+    Neighbours { me: u32, gateways: u32 },
     /// A tick of planning has passed: reports are wanted.
     PlanningTick,
     /// Time has passed: what is due is done, and the module hears what has happened.
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -349,6 +349,16 @@
         }
     }
 
+    /// What may be worked by: this member's place among the living gateways, and how many they are. None if it is no
+    /// gateway, or if the view is lost: cut off, superseded, or nobody was ever found.
+    pub fn seen(&self) -> Option<(usize, usize)> {
+        let health = self.health();
+        let lost =
+            health.cut_off.is_some() || health.superseded || !health.joined || self.settled().version == 0;
+        let (all, me) = self.settled().gateways();
+        me.filter(|_| !lost).map(|me| (me, all))
+    }
+
     /// Datagrams dropped, by cause.
     pub fn faults(&self) -> impl Iterator<Item = (Fault, u64)> + '_ {
         self.faults.iter().map(|(f, n)| (*f, *n))
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -294,6 +294,12 @@
     Placement {
         share: f64,
     },
+    /// A belief: so many gateways live, and this is the `me`th of them; 0 gateways: what the settings say. It may make
+    /// work cheaper, by which servers are kept connections to. No ceiling, cap or budget may rest on it.
+    Neighbours {
+        me: u32,
+        gateways: u32,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -149,6 +149,10 @@
     pub period: Duration,
     /// `keep_dead_s`, 10 to 86400, default 600: so long the dead are kept and tried.
     pub keep_dead: Duration,
+    /// `subsets`, default false: which servers are kept connections to follows who lives.
+    pub subsets: bool,
+    /// `discovery`, default false: how far apart calls to a shared discovery lie follows how many live.
+    pub discovery: bool,
     /// `most_members`, 2 to 20000, default 4096: kept at a time, some 300 bytes each.
     pub most_members: usize,
 }
@@ -283,6 +287,10 @@
     period_ms: Option<Spanned<i64>>,
     keep_dead_s: Option<Spanned<i64>>,
     most_members: Option<Spanned<i64>>,
+    #[serde(default)]
+    subsets: bool,
+    #[serde(default)]
+    discovery: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -430,6 +438,8 @@
         old_key_file: table.old_key_file,
         period: milliseconds(text, table.period_ms, 50..=5000, Duration::from_millis(200))?,
         keep_dead: Duration::from_secs(number(text, table.keep_dead_s, 10..=86_400, 600)?.unsigned_abs()),
+        subsets: table.subsets,
+        discovery: table.discovery,
         most_members: number(text, table.most_members, 2..=20_000, 4096)? as usize,
     })
 }
--- a/crates/sim/src/spec.rs
+++ b/crates/sim/src/spec.rs
@@ -46,6 +46,8 @@
     pub power_cut_tenths: usize,
     /// The first partner asks for twice as much as all others, from the first of these to the second.
     pub flood: Option<(Time, Time)>,
+    /// Mean time between two lies to each gateway about who lives, or none.
+    pub lies: Option<Time>,
     /// The first gateway dies at this moment and is back two seconds later.
     pub crash: Option<Time>,
 }
@@ -74,6 +76,7 @@
     power_cut: None,
     power_cut_tenths: 10,
     flood: None,
+    lies: None,
     crash: None,
 };
 
@@ -180,6 +183,15 @@
         power_cut_tenths: 6,
         ..CALM
     },
+    Spec {
+        name: "lies",
+        about: "faults, twenty servers; each gateway is told now and then that any number of gateways live",
+        servers: 20,
+        rate: 200.0,
+        fault_every: Some(800 * MS),
+        lies: Some(300 * MS),
+        ..CALM
+    },
     Spec {
         name: "large",
         about: "sixty-four gateways, a thousand servers, 100,000 customers",
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -149,6 +149,7 @@
     TimeUp { id: u64 },
     AtPlanner { planner: usize, report: Report },
     Fault,
+    Lie,
     Planned(Planned),
     Mend(Mend),
     Sweep,
@@ -390,6 +391,9 @@
         if let Some(every) = world.spec.fault_every {
             world.at(5000 * MS + every, Event::Fault);
         }
+        if world.spec.lies.is_some() {
+            world.at(0, Event::Lie);
+        }
         world.at(5000 * MS, Event::Sweep);
         world.planned();
         world
@@ -442,6 +446,7 @@
             Event::TimeUp { id } => self.time_up(id),
             Event::AtPlanner { planner, report } => self.at_planner(planner, &report),
             Event::Fault => self.fault(),
+            Event::Lie => self.lie(),
             Event::Planned(what) => self.happen(what),
             Event::Mend(what) => self.mend(&what),
             Event::Sweep => {
--- a/crates/sim/src/world/faults.rs
+++ b/crates/sim/src/world/faults.rs
@@ -49,6 +49,26 @@
         }
     }
 
+    /// Some gateway's view of the fleet says whatever it likes: no rule may rest on it.
+    pub(super) fn lie(&mut self) {
+        let Some(every) = self.spec.lies.filter(|_| self.now < self.end()) else { return };
+        let gap = exponential(&mut self.chance, every as f64 / self.processes.len() as f64) as Time;
+        self.at(self.now + gap.max(MS), Event::Lie);
+        let g = self.chance.usize(0..self.processes.len());
+        let gateways = match self.chance.u32(0..5) {
+            0 => 0,
+            1 => 1,
+            2 => self.chance.u32(2..20),
+            3 => self.chance.u32(20..5000),
+            _ => u32::MAX,
+        };
+        let me = self.chance.u32(..);
+        self.trace.tell(self.now, || format!("gateway {g} believes to be number {me} of {gateways}"));
+        if self.processes[g].up {
+            self.give(g, Input::Neighbours { me, gateways });
+        }
+    }
+
     pub(super) fn fault(&mut self) {
         let Some(every) = self.spec.fault_every.filter(|_| self.now < self.end()) else { return };
         let gap = exponential(&mut self.chance, every as f64) as Time;
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -8,7 +8,9 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
@@ -30,12 +32,22 @@
 
 /// Asks for what changed since the list that is held, or for the whole list if none is, and so on. Whatever fails,
 /// the old list stands and the next call comes on a new connection, when the pace allows.
-pub async fn watch(address: SocketAddr, held: Option<u64>, mut pace: Pace, tell: impl Fn(News)) {
+/// `callers`: how many gateways are believed to call, where somebody tells.
+pub async fn watch(
+    address: SocketAddr,
+    held: Option<u64>,
+    mut pace: Pace,
+    callers: Rc<Cell<Option<u32>>>,
+    tell: impl Fn(News),
+) {
+    let follow = |pace: &mut Pace| callers.get().into_iter().for_each(|n| pace.shared_by(n));
+    follow(&mut pace);
     let mut rev = held;
     let mut connection = None;
     sleep(pace.first()).await;
     loop {
         let began = Instant::now();
+        follow(&mut pace);
         match call(address, &mut connection, rev).await {
             // Changes apply to a list that is held, and only forwards.
             Ok(list) if list.all || rev.is_some_and(|r| list.rev >= r) => {
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -154,6 +154,13 @@
         self.list(Scope::Cached, known);
     }
 
+    /// Who is believed to live: this gateway's place among how many; none: what the settings say.
+    pub fn neighbours(self: &Rc<Self>, seen: Option<(u32, u32)>) {
+        let (me, gateways) = seen.unwrap_or_default();
+        let input = Input::Neighbours { me, gateways };
+        self.take(&mut self.state.borrow_mut(), Instant::now(), input, Brought::default());
+    }
+
     /// What discovery has to tell.
     pub fn news(self: &Rc<Self>, news: News) {
         match news {
--- a/src/bin/granitethread/fleet.rs
+++ b/src/bin/granitethread/fleet.rs
@@ -1,6 +1,7 @@
 //! The view of the fleet on a socket: datagrams and the time go in, what it says goes out. Nothing is decided here.
 
 use crate::allowance;
+use crate::driver::Driver;
 use granite_fleet::{Config, Input, Keys, Output, Role, Settled, State, Time, View, MOST_BYTES};
 use granite_operator::Fleet as Table;
 use serde_json::{json, Value};
@@ -27,6 +28,17 @@
     /// Datagrams and bytes sent; datagrams that the system did not take.
     sent: Cell<(u64, u64, u64)>,
     moved: Notify,
+    used: RefCell<Option<Used>>,
+}
+
+/// Who works by the view.
+struct Used {
+    driver: Option<Rc<Driver>>,
+    callers: Option<Rc<Cell<Option<u32>>>>,
+    /// How many gateways the settings name.
+    settings: u32,
+    /// What they were told last.
+    told: Option<(u32, u32)>,
 }
 
 impl Fleet {
@@ -52,7 +64,36 @@
         let secret = allowance::random()?;
         let view = View::new(config, Keys::new(keys)?, allowance::nonce()?, secret, START);
         let (view, began) = (RefCell::new(view), Instant::now());
-        Ok(Rc::new(Fleet { view, socket, began, sent: Cell::default(), moved: Notify::new() }))
+        Ok(Rc::new(Fleet {
+            view,
+            socket,
+            began,
+            sent: Cell::default(),
+            moved: Notify::new(),
+            used: RefCell::default(),
+        }))
+    }
+
+    /// From now on these work by the view, as far as the operators want it.
+    pub fn serves(&self, table: &Table, driver: &Rc<Driver>, settings: u32, callers: &Rc<Cell<Option<u32>>>) {
+        let driver = table.subsets.then(|| driver.clone());
+        let callers = table.discovery.then(|| callers.clone());
+        *self.used.borrow_mut() = Some(Used { driver, callers, settings, told: None });
+    }
+
+    /// Tells them what has changed.
+    fn tell(&self) {
+        let Some(used) = &mut *self.used.borrow_mut() else { return };
+        let seen = self.view.borrow().seen().map(|(me, all)| (me as u32, all as u32));
+        if std::mem::replace(&mut used.told, seen) == seen {
+            return;
+        }
+        if let Some(driver) = &used.driver {
+            driver.neighbours(seen);
+        }
+        if let Some(callers) = &used.callers {
+            callers.set(Some(seen.map_or(used.settings, |(_, all)| all)));
+        }
     }
 
     fn now(&self) -> Time {
@@ -91,6 +132,7 @@
             let now = self.now();
             if self.view.borrow().next_due().is_some_and(|at| at <= now) {
                 self.handle(Input::Tick);
+                self.tell();
             }
         }
     }
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -25,6 +25,7 @@
 use granite_fleet::Role;
 use granite_operator::{LogFormat, Operator};
 use handover::Link;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -196,11 +197,15 @@
             info!(%address, "operators' calls on {address}");
         }
         let (driver, server, link) = (driver.clone(), server.clone(), link.clone());
-        spawn_local(Rc::new(Admin { driver, server, link, fleet }).serve(listener));
+        spawn_local(Rc::new(Admin { driver, server, link, fleet: fleet.clone() }).serve(listener));
     }
     spawn_local(link.follow(driver.clone()));
     let pace = Pace::new(service, config.seed);
-    spawn_local(follow(config.discovery, held, pace, hup, driver.clone()));
+    let callers = Rc::new(Cell::new(None));
+    if let (Some(fleet), Some(table)) = (&fleet, &operator.fleet) {
+        fleet.serves(table, &driver, settings.gateways, &callers);
+    }
+    spawn_local(follow(config.discovery, held, pace, callers, hup, driver.clone()));
     spawn_local(backends.reap());
     let driver = spawn_local(async move { driver.run().await });
     tokio::select! {
@@ -218,10 +223,18 @@
 
 /// Watches discovery where the configuration says it is, also after a new one. The watch that waits at the
 /// old address is dropped at once: what that has yet to tell would come too late.
-async fn follow(address: SocketAddr, held: Option<u64>, mut pace: Pace, mut hup: Signal, driver: Rc<Driver>) {
+async fn follow(
+    address: SocketAddr,
+    held: Option<u64>,
+    mut pace: Pace,
+    callers: Rc<Cell<Option<u32>>>,
+    mut hup: Signal,
+    driver: Rc<Driver>,
+) {
     let mut begin = |address, held| {
         let driver = driver.clone();
-        spawn_local(discovery::watch(address, held, pace.fork(), move |news| driver.news(news)))
+        let callers = callers.clone();
+        spawn_local(discovery::watch(address, held, pace.fork(), callers, move |news| driver.news(news)))
     };
     let mut watch = begin(address, held);
     while hup.recv().await.is_some() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -243,6 +243,8 @@
     others: f64,
     /// This gateway's part of all work: an even one, unless a planner says otherwise.
     part: f64,
+    /// Its place among how many gateways, for the servers that it keeps to.
+    among: (u32, u32),
 }
 
 impl Gateway {
@@ -279,6 +281,7 @@
             open: 1.0,
             rng,
             part: 1.0 / f64::from(s.gateways.max(1)),
+            among: (s.me, s.gateways),
             s,
         })
     }
@@ -302,6 +305,7 @@
                 Event::Timer { token: TIMER_ASK } => out.push(Action::Subscribe { on: true }),
                 Event::Timer { token } => self.due(token, out),
                 Event::Placement { share } => self.place(share),
+                Event::Neighbours { me, gateways } => self.neighbours(me, gateways),
                 Event::Probed { .. } | Event::Counted { .. } | Event::Peer { .. } => {}
             }
         }
@@ -318,6 +322,12 @@
         self.servers.values_mut().for_each(|s| s.room = (s.room * by).max(least));
     }
 
+    /// Who is believed to live settles which servers are kept to, and nothing else: rooms stay as they are.
+    fn neighbours(&mut self, me: u32, gateways: u32) {
+        let told = if gateways == 0 { (self.s.me, self.s.gateways) } else { (me, gateways) };
+        self.fleet.stale |= std::mem::replace(&mut self.among, told) != told;
+    }
+
     // ---- From one process of this gateway to the next ----
 
     /// What the next one is to go on with, as text.
@@ -468,35 +478,31 @@
     /// How many of so many servers this gateway keeps to. Beyond the paper: among a hundred gateways each
     /// would see any one server so seldom that it never learnt of it in time, and open a connection for
     /// nearly every request. Harms where a gateway's few are worse than the rest and it can't tell.
-    fn kept(&self, servers: usize) -> usize {
+    fn kept(&self, servers: usize, gateways: u32) -> usize {
         // More than half of them is no part worth keeping to.
-        Some(subset::size(servers, self.s.gateways, COVER, KEPT))
-            .filter(|n| 2 * n <= servers)
-            .unwrap_or(servers)
+        Some(subset::size(servers, gateways, COVER, KEPT)).filter(|n| 2 * n <= servers).unwrap_or(servers)
     }
 
     /// This gateway's part of one server among so many: the fewer it keeps to, the more of each.
     fn stake(&self, servers: usize) -> f64 {
-        self.part * servers.max(1) as f64 / self.kept(servers).max(1) as f64
+        self.part * servers.max(1) as f64 / self.kept(servers, self.s.gateways).max(1) as f64
     }
 
     /// A pool's servers that take new work, in the order in which this gateway would keep to them.
     fn pool(&self, n: usize) -> Pool {
         let up = self.servers.iter().filter(|(_, s)| s.health == Health::Up && s.pools & (1 << n) != 0);
         let up: Vec<Name> = up.map(|(name, _)| name.clone()).collect();
-        let kept = self.kept(up.len());
-        let all: Arc<[Name]> = if kept < up.len() {
-            Subset::new(&up, self.s.me, self.s.gateways, up.len()).kept().into()
-        } else {
-            up.into()
-        };
+        let (me, gateways) = self.among;
+        let kept = self.kept(up.len(), gateways);
+        let all: Arc<[Name]> =
+            if kept < up.len() { Subset::new(&up, me, gateways, up.len()).kept().into() } else { up.into() };
         Pool { up: all.clone(), all, ..Pool::default() }
     }
 
     /// Brings a pool up to date: of its servers as many are kept as have the warmth and soundness of the
     /// number wanted, so that neither a cold start nor a failure of many leaves a gateway to few.
     fn keep(&self, pool: &mut Pool, bad: &[f64]) {
-        let (want, large) = (self.kept(pool.all.len()), pool.all.len() > FEW);
+        let (want, large) = (self.kept(pool.all.len(), self.among.1), pool.all.len() > FEW);
         let whole = want >= pool.all.len();
         (pool.room, pool.warmth) = (0.0, 0.0);
         pool.warm.clear();
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -871,3 +871,44 @@
         }
     }
 }
+
+/// A belief in who lives settles which servers are kept to, and comes back to the settings; rooms don't grow by it.
+#[test]
+fn who_is_believed_to_live_settles_whom_is_kept_to_and_no_room() {
+    let used = |rig: &mut Rig, tag: &str| {
+        let mut names = std::collections::BTreeSet::new();
+        for i in 0..200 {
+            rig.now += 20 * MS;
+            let (id, out) = rig.request(0, 0, &format!("{tag}{i}"), 1.0);
+            if let Some(server) = sent_to(&out).first() {
+                rig.end(id, 0, server, Ending::Pass);
+                names.insert(server.clone());
+            }
+        }
+        names
+    };
+    let mut rig = Rig::new(Settings { gateways: 100, me: 7, ..settings() }, 60);
+    let few = used(&mut rig, "a");
+    assert!(few.len() <= 8, "{few:?}");
+    rig.tell(Event::Neighbours { me: 50, gateways: 100 });
+    let others = used(&mut rig, "b");
+    assert!(others.len() <= 8 && others != few, "another place, other servers: {others:?}");
+    rig.tell(Event::Neighbours { me: 0, gateways: 3 });
+    assert!(used(&mut rig, "c").len() > 20, "three serve all sixty");
+    rig.tell(Event::Neighbours { me: 0, gateways: 0 });
+    assert_eq!(used(&mut rig, "d"), few, "as the settings say");
+    // So many fit at one server at once, whatever is believed.
+    let room = |gateways| {
+        let mut rig = Rig::new(Settings { gateways: 100, me: 7, ..settings() }, 60);
+        rig.tell(Event::Neighbours { me: 7, gateways });
+        let mut count = std::collections::BTreeMap::<String, usize>::new();
+        for i in 0..1000 {
+            let (_, out) = rig.request(0, 0, &format!("c{i}"), 1.0);
+            sent_to(&out).into_iter().for_each(|server| *count.entry(server).or_default() += 1);
+        }
+        count.into_values().max().unwrap_or(0)
+    };
+    let usual = room(100);
+    assert!(usual > 0);
+    assert!([1, 2, 30, 5000, u32::MAX].into_iter().all(|n| room(n) <= usual), "{usual}");
+}
