The simulator keeps customers to their set of gateways; cost of the view measured

Cause: world/clients.rs, route and the retry after a refused connection: with more than three gateways the set of a customer moved on by one each 8 s, while clients of the platform stay in theirs and each gateway's share of a ceiling rests on that.

Change: the set stands, the busiest of it changes; worlds of three gateways play as before.

--- a/benches/passthrough.rs
+++ b/benches/passthrough.rs
@@ -2,6 +2,7 @@
 //! each, pooled connections, the same headers, servers that answer at once.
 //!
 //! `GRANITETHREAD_BEFORE=FILE` adds an earlier build of the gateway, for a comparison of before and after.
+//! `FLEET=1` adds the gateway once more with a view of the fleet that it keeps with two others.
 //! `SERVERS`, `CONNECTIONS`, `REQUESTS` and `ROUNDS` set the sizes (10, 64, 30000, 5).
 
 use bytes::Bytes;
@@ -18,8 +19,9 @@
 use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::net::{SocketAddr, UdpSocket};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -141,6 +143,26 @@
     all[all.len() / 2]
 }
 
+/// Operators' files of three members that know each other.
+fn members(folder: &Path) -> Result<[PathBuf; 3], Fault> {
+    std::fs::create_dir_all(folder)?;
+    let key = folder.join("key");
+    std::fs::write(&key, "a key of sixteen bytes and more")?;
+    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600))?;
+    let places = [(); 3].map(|()| UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()));
+    let places: Vec<SocketAddr> = places.into_iter().collect::<Result<_, _>>()?;
+    let mut files = [(); 3].map(|()| PathBuf::new());
+    for (n, file) in files.iter_mut().enumerate() {
+        *file = folder.join(format!("member-{n}.toml"));
+        let (listen, seed, key) = (places[n], places[(n + 1) % 3], key.display());
+        let text = format!(
+            "[fleet]\nname = \"m{n}\"\nlisten = \"{listen}\"\nseeds = [\"{seed}\"]\nkey_file = \"{key}\"\nsubsets = true\n"
+        );
+        std::fs::write(file, text)?;
+    }
+    Ok(files)
+}
+
 fn main() -> Result<(), Fault> {
     if let Ok(servers) = std::env::var("BARE_SERVERS") {
         return bare(&servers);
@@ -169,6 +191,19 @@
         programs.push((name, Program::start(&file, &config.to_string(), discovery.address)?));
         discovery.called(programs.len() * 2);
     }
+    let view = number("FLEET", 0) > 0;
+    let folder = std::env::temp_dir().join(format!("granitethread-bench-{}", std::process::id()));
+    let mut others = Vec::new();
+    if view {
+        let [with, members @ ..] = members(&folder)?;
+        let file = Path::new(env!("CARGO_BIN_EXE_granitethread"));
+        programs
+            .push(("view", Program::start_as(file, &config.to_string(), discovery.address, Some(&with))?));
+        for member in members {
+            others.push(Program::start_as(file, EXAMPLE, discovery.address, Some(&member))?);
+        }
+        discovery.called((programs.len() + others.len()) * 2);
+    }
     let places: Vec<String> = addresses.iter().map(ToString::to_string).collect();
     let mut bare = Command::new(std::env::current_exe()?)
         .env("BARE_SERVERS", places.join(","))
@@ -211,5 +246,13 @@
         let ratio = median(seen[a].0.iter().zip(&seen[b].0).map(|(a, b)| a / b.max(1e-9)).collect());
         println!("after is {ratio:.3} of before");
     }
+    if let (Some(b), Some(a)) =
+        (subjects.iter().position(|s| s.0 == "gateway"), subjects.iter().position(|s| s.0 == "view"))
+    {
+        let ratio = median(seen[a].0.iter().zip(&seen[b].0).map(|(a, b)| a / b.max(1e-9)).collect());
+        println!("with a view it is {ratio:.3} of without");
+    }
+    drop(others);
+    let _ = std::fs::remove_dir_all(&folder);
     Ok(())
 }
--- a/crates/sim/src/world/clients.rs
+++ b/crates/sim/src/world/clients.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Through so many gateways a customer's requests come at the most.
+const SET: usize = 3;
+
 impl World {
     pub(super) fn arrive(&mut self) {
         if self.now >= self.end() {
@@ -25,18 +28,23 @@
         self.ask(ask);
     }
 
-    /// Most of a customer's requests come through one gateway, which changes.
+    /// Most of a customer's requests come through one gateway of its set. The set stands; which one it is changes.
     pub(super) fn route(&self, customer: usize, rng: &mut Rng) -> usize {
         let n = self.spec.gateways;
         if self.spec.skew > 0.0 && rng.f64() < self.spec.skew {
             return 0;
         }
-        let home = customer * 7 + (self.now / self.spec.moves) as usize;
-        if rng.f64() < self.spec.home {
-            home % n
-        } else {
-            (home + rng.usize(0..n.min(3))) % n
-        }
+        let (set, turn) = (n.min(SET), (self.now / self.spec.moves) as usize);
+        let drawn = if rng.f64() < self.spec.home { 0 } else { rng.usize(0..set) };
+        (customer * 7 + (turn + drawn) % set) % n
+    }
+
+    /// Where a client goes whose connection was refused there: round in its set.
+    fn next(&self, customer: usize, gateway: usize) -> usize {
+        let n = self.spec.gateways;
+        let (set, first) = (n.min(SET), customer * 7 % n);
+        let place = (gateway + n - first) % n;
+        (first + (place + 1) % set) % n
     }
 
     pub(super) fn ask(&mut self, mut ask: Ask) {
@@ -51,11 +59,11 @@
         let mut rng = Rng::with_seed(ask.chance ^ u64::from(ask.tries));
         let mut gateway = self.route(ask.customer, &mut rng);
         // A connection that is refused is tried elsewhere at once.
-        for _ in 0..self.spec.gateways {
+        for _ in 0..SET {
             if self.processes[gateway].up {
                 break;
             }
-            gateway = (gateway + 1) % self.spec.gateways;
+            gateway = self.next(ask.customer, gateway);
         }
         let p = &self.processes[gateway];
         if !p.up || p.paused_until > self.now {
@@ -76,7 +84,7 @@
             customer: customer_name(ask.customer),
             timeout,
             units: ask.units,
-            spread: self.spec.gateways.min(3) as u32,
+            spread: self.spec.gateways.min(SET) as u32,
             repeat: ask.tries > 0,
             pool: 0,
         };
