What strangers and earlier lives are answered stands in one place each

Read once more as the next maintainer: two functions took eight arguments, and the way to a cookie stood three times. Change: who sent a datagram is one value; one way to a cookie, one to an earlier life's answer. Nothing that goes out changes.

--- a/crates/fleet/src/view/coming.rs
+++ b/crates/fleet/src/view/coming.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// Whose a datagram is, and how long it was.
+struct Sender {
+    name: Name,
+    life: u64,
+    length: usize,
+}
+
 impl View {
     pub(super) fn datagram(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Output>) -> Result<(), Fault> {
         let datagram = self.keys.open(bytes)?;
@@ -30,66 +37,59 @@
             Some(peer) if peer.record.life > life => {
                 let (record, before) = (peer.record.clone(), peer.before);
                 if self.strangers.take(now) {
-                    self.earlier_life(now, &from, life, (message, bytes.len()), record, before, out);
+                    let sender = Sender { name: from, life, length: bytes.len() };
+                    self.earlier_life(now, &sender, message, (record, before), out);
                 }
                 Err(Fault::OldLife)
             }
-            _ => self.stranger(now, from, life, number, (message, bytes.len()), out),
+            _ => {
+                let sender = Sender { name: from, life, length: bytes.len() };
+                self.stranger(now, &sender, number, message, out)
+            }
         }
     }
 
-    /// Word from a life that is over here: one whose clock was put back, or that does not know that it was taken
-    /// over.
-    #[allow(clippy::too_many_arguments)]
-    pub(super) fn earlier_life(
+    /// Word from a life that is over here, of which `record` is a later one: one whose clock was put back, or that does
+    /// not know that it was taken over.
+    fn earlier_life(
         &mut self,
         now: Time,
-        from: &Name,
-        life: u64,
-        (message, length): (Message, usize),
-        record: Record,
-        before: Option<SocketAddr>,
+        sender: &Sender,
+        message: Message,
+        (record, before): (Record, Option<SocketAddr>),
         out: &mut Vec<Output>,
     ) {
-        match message {
-            Message::Hello { record: old, .. } => self.cookie(now, from, life, old.address, length, out),
+        let (to, echo) = match message {
+            Message::Hello { record: old, .. } => return self.cookie(now, sender, old.address, out),
             Message::Join { record: old, cookie, echo } => {
-                if self.cookies.is_ours(&self.keys, now, cookie, (from, life, old.address)) {
-                    self.send(old.address, Message::Records { echo, records: vec![record] }, out);
-                }
-            }
-            // It knows us: it is where it was, or where it says.
-            Message::Ping { address, .. } => {
-                self.send(address, Message::Records { echo: 0, records: vec![record] }, out);
-            }
-            _ => {
-                if let Some(to) = before {
-                    self.send(to, Message::Records { echo: 0, records: vec![record] }, out);
+                let whose = (&*sender.name, sender.life, old.address);
+                if !self.cookies.is_ours(&self.keys, now, cookie, whose) {
+                    return;
                 }
-            }
-        }
+                (old.address, echo)
+            }
+            // It knows us: it is where it says, or where it was.
+            Message::Ping { address, .. } => (address, 0),
+            _ => match before {
+                Some(to) => (to, 0),
+                None => return,
+            },
+        };
+        self.send(to, Message::Records { echo, records: vec![record] }, out);
     }
 
-    pub(super) fn cookie(
-        &mut self,
-        now: Time,
-        from: &Name,
-        life: u64,
-        to: SocketAddr,
-        length: usize,
-        out: &mut Vec<Output>,
-    ) {
-        let cookie = self.cookies.make(&self.keys, now, from, life, to);
-        self.send_within(length, to, Message::Cookie { cookie, address: self.me.address }, out);
+    /// The one answer to whoever is not known, no longer than what it answers.
+    fn cookie(&mut self, now: Time, sender: &Sender, to: SocketAddr, out: &mut Vec<Output>) {
+        let cookie = self.cookies.make(&self.keys, now, &sender.name, sender.life, to);
+        self.send_within(sender.length, to, Message::Cookie { cookie, address: self.me.address }, out);
     }
 
-    pub(super) fn stranger(
+    fn stranger(
         &mut self,
         now: Time,
-        from: Name,
-        life: u64,
+        sender: &Sender,
         number: u64,
-        (message, length): (Message, usize),
+        message: Message,
         out: &mut Vec<Output>,
     ) -> Result<(), Fault> {
         // Who brings back a cookie has shown that it is where it says, and is heard however many ask.
@@ -98,17 +98,18 @@
         }
         match message {
             Message::Hello { record, .. } if !planted!(StrangerKept) => {
-                self.cookie(now, &from, life, record.address, length, out);
+                self.cookie(now, sender, record.address, out);
                 Ok(())
             }
             // It takes this for an earlier life, or has been forgotten here.
             Message::Ping { address, .. } => {
-                self.cookie(now, &from, life, address, length, out);
+                self.cookie(now, sender, address, out);
                 Ok(())
             }
             Message::Hello { record, .. } => self.take_in(now, record, (number, 0), out),
             Message::Join { record, cookie, echo } => {
-                if !self.cookies.is_ours(&self.keys, now, cookie, (&from, life, record.address)) {
+                if !self.cookies.is_ours(&self.keys, now, cookie, (&sender.name, sender.life, record.address))
+                {
                     return Err(Fault::Cookie);
                 }
                 self.take_in(now, record, (number, echo), out)
@@ -205,7 +206,8 @@
             }
             Message::Records { records, .. } => self.records(now, records, out),
             Message::Hello { record, .. } => {
-                self.cookie(now, from, record.life, record.address, MOST_BYTES, out);
+                let sender = Sender { name: from.clone(), life: record.life, length: MOST_BYTES };
+                self.cookie(now, &sender, record.address, out);
             }
             // Our answer to the first was lost.
             Message::Join { echo, .. } => {
