Being cut off goes by the view's period, not by 2 s for ever

Cause, read as the next maintainer would: alone.rs counted who was heard in 2 s, while period_ms goes up to 5000, so that a healthy member with a long period would call itself cut off. Ruled out for the default of 200 ms, where both are the same. Change: ten periods. The time to wait for an answer is derived from the period in the deciding part; the socket's part set it.

--- a/crates/fleet/src/alone.rs
+++ b/crates/fleet/src/alone.rs
@@ -4,8 +4,8 @@
 use crate::Time;
 use std::collections::BTreeMap;
 
-/// Who was heard in so long counts.
-const SPAN: Time = 2_000_000_000;
+/// Who was heard in so many periods counts.
+const SPAN: Time = 10;
 /// Cut off below this part of those whom a healthy member hears.
 const PART: f64 = 0.125;
 
@@ -34,8 +34,9 @@
     /// Looks again, with so many others believed to live and a period of this length. `others` dead ones that were
     /// never heard don't count.
     pub(crate) fn look(&mut self, now: Time, others: usize, period: Time) {
-        self.heard.retain(|_, at| *at + SPAN > now);
-        if others == 0 || now < self.began + SPAN {
+        let span = SPAN * period;
+        self.heard.retain(|_, at| *at + span > now);
+        if others == 0 || now < self.began + span {
             // Nobody is missed.
             if others == 0 {
                 self.since = None;
@@ -43,7 +44,7 @@
             return;
         }
         // A period brings one that was pinged and, in the mean, one that pinged.
-        let draws = 2.0 * SPAN as f64 / period as f64;
+        let draws = 2.0 * SPAN as f64;
         let others = others as f64;
         let expected = others * (1.0 - (1.0 - 1.0 / others).powf(draws));
         let few = (self.heard.len() as f64) < (expected * PART).max(1.0);
@@ -82,6 +83,18 @@
         assert_eq!(alone.since(), None);
     }
 
+    /// What counts as long ago goes by the period: a fixed 2 s would hold every member with a period of 5 s for cut off.
+    #[test]
+    fn a_long_period_cuts_nobody_off() {
+        let mut alone = Alone::new(0);
+        for n in 0..60 {
+            let now = n * 5 * S;
+            alone.heard(&format!("m{}", n % 3).into(), now);
+            alone.look(now + 4 * S, 3, 5 * S);
+            assert_eq!(alone.since(), None, "{n}");
+        }
+    }
+
     #[test]
     fn two_of_twenty_four_are_cut_off_and_seven_are_not() {
         for (hears, cut) in [(0, true), (1, true), (6, false), (12, false)] {
--- a/crates/fleet/src/view/coming.rs
+++ b/crates/fleet/src/view/coming.rs
@@ -186,7 +186,7 @@
                 self.absorb(now, from, rider, out);
                 if self.relays.len() < MOST_RELAYS && self.peers.contains_key(&target) {
                     let number = self.next_number();
-                    let until = now + self.config.answer;
+                    let until = now + self.config.period * 2 / 5;
                     self.relays.push(Relay { number, asker: from.clone(), asked: probe, until });
                     self.ping(&target, number, out);
                 }
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -62,8 +62,6 @@
     pub seeds: Vec<SocketAddr>,
     /// Between two probes.
     pub period: Time,
-    /// So long an answer may take before others are asked.
-    pub answer: Time,
     /// So long the dead are kept, and tried.
     pub keep_dead: Time,
     /// Members kept at the most, living and dead.
@@ -80,7 +78,6 @@
             role: Role::Gateway,
             seeds: Vec::new(),
             period: 200 * MS,
-            answer: 80 * MS,
             keep_dead: 600_000 * MS,
             most_members: 4096,
         }
--- a/crates/fleet/src/view/time.rs
+++ b/crates/fleet/src/view/time.rs
@@ -56,7 +56,7 @@
 
     pub(super) fn probing(&mut self, now: Time, late: Time, out: &mut Vec<Output>) {
         let stretch = Time::from(self.health) + 1;
-        let (period, answer) = (self.config.period * stretch, self.config.answer * stretch);
+        let (period, answer) = (self.config.period * stretch, self.config.period * 2 / 5 * stretch);
         if let Some(probe) = &mut self.probe {
             // An answer may wait in the socket behind this tick.
             if late > LATE && late <= ASLEEP && !probe.answered {
--- a/src/bin/granitethread/fleet.rs
+++ b/src/bin/granitethread/fleet.rs
@@ -58,7 +58,6 @@
         config.role = role;
         config.seeds.clone_from(&table.seeds);
         config.period = table.period.as_nanos() as Time;
-        config.answer = config.period * 2 / 5;
         config.keep_dead = table.keep_dead.as_nanos() as Time;
         config.most_members = table.most_members;
         let secret = allowance::random()?;
