The fleet's sums and rumours are kept up with each change, not counted anew

Cause: each change made the next datagram look at every member (digest) and sort every rumour; a wave in a world of 2,000 did not end. Change: sums by bucket are added to and taken from; rumours stand in the order in which they are told.

--- a/crates/fleet/src/rumours.rs
+++ b/crates/fleet/src/rumours.rs
@@ -1,8 +1,8 @@
 //! What is still to be told: the least told first, each so many times as the fleet's size asks.
 
-use crate::record::Record;
+use crate::record::{Name, Record};
 use crate::wire::size;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Each is told this many times the logarithm (base 2) of the fleet's size.
 const TIMES: u32 = 3;
@@ -16,33 +16,39 @@
 /// One for each member at the most: a newer one of the same member takes its place.
 #[derive(Default)]
 pub(crate) struct Rumours {
-    all: BTreeMap<crate::Name, Rumour>,
+    all: BTreeMap<Name, Rumour>,
+    /// How often each has been told: the next to tell is the first. Of thousands a datagram takes a few.
+    order: BTreeSet<(u32, Name)>,
 }
 
 impl Rumours {
     pub(crate) fn add(&mut self, record: Record) {
-        let bytes = size(&record);
-        self.all.insert(record.name.clone(), Rumour { record, bytes, told: 0 });
+        let (bytes, name) = (size(&record), record.name.clone());
+        if let Some(old) = self.all.insert(name.clone(), Rumour { record, bytes, told: 0 }) {
+            self.order.remove(&(old.told, name.clone()));
+        }
+        self.order.insert((0, name));
     }
 
     /// What fits into so many bytes, for somebody in a fleet of this size.
     pub(crate) fn take(&mut self, mut room: usize, members: usize) -> Vec<Record> {
         let most = TIMES * (usize::BITS - members.leading_zeros()).max(1);
-        let mut order: Vec<(u32, crate::Name)> = self.all.iter().map(|(n, r)| (r.told, n.clone())).collect();
-        order.sort();
-        let mut records = Vec::new();
-        for (_, name) in order {
-            let Some(rumour) = self.all.get_mut(&name) else { continue };
-            if rumour.bytes > room {
-                break;
-            }
+        let mut taken = Vec::new();
+        for (told, name) in &self.order {
+            let Some(rumour) = self.all.get(name).filter(|r| r.bytes <= room) else { break };
             room -= rumour.bytes;
-            rumour.told += 1;
-            records.push(rumour.record.clone());
-            if rumour.told >= most {
-                self.all.remove(&name);
-            }
+            taken.push((*told, name.clone()));
         }
-        records
+        let tell = |(told, name): (u32, Name)| {
+            self.order.remove(&(told, name.clone()));
+            if told + 1 >= most {
+                return Some(self.all.remove(&name)?.record);
+            }
+            let rumour = self.all.get_mut(&name)?;
+            rumour.told = told + 1;
+            self.order.insert((told + 1, name));
+            Some(rumour.record.clone())
+        };
+        taken.into_iter().filter_map(tell).collect()
     }
 }
--- a/crates/fleet/src/view/belief.rs
+++ b/crates/fleet/src/view/belief.rs
@@ -58,11 +58,16 @@
         } else {
             self.suspects.remove(&name);
         }
-        let (state, lives) = (record.state, record.state.lives());
+        let (state, life, lives) = (record.state, record.life, record.state.lives());
         peer.since = now;
         peer.record = record.clone();
         self.rumours.add(record);
         if lives != lived {
+            if lives {
+                self.sums.add(&name, life);
+            } else {
+                self.sums.remove(&name, life);
+            }
             self.has_changed(now);
         }
         if state == State::Suspect {
@@ -71,7 +76,13 @@
     }
 
     pub(super) fn insert(&mut self, now: Time, record: Record) {
-        let lived = self.peers.get(&record.name).is_some_and(|p| p.record.state.lives());
+        let lived = self.peers.get(&record.name).filter(|p| p.record.state.lives()).map(|p| p.record.life);
+        if let Some(life) = lived {
+            self.sums.remove(&record.name, life);
+        }
+        if record.state.lives() {
+            self.sums.add(&record.name, record.life);
+        }
         let mut peer = Peer::new(record.clone(), now);
         let old = self.peers.get(&record.name);
         peer.before = old.and_then(|o| o.before.or(Some(o.record.address))).filter(|a| *a != record.address);
@@ -87,7 +98,7 @@
             let at = self.rng.usize(0..=self.round.len());
             self.round.insert(at, record.name.clone());
         }
-        if lived || record.state.lives() {
+        if lived.is_some() || record.state.lives() {
             self.has_changed(now);
         }
         self.rumours.add(record);
@@ -95,7 +106,6 @@
 
     pub(super) fn has_changed(&mut self, now: Time) {
         self.changed = now;
-        self.sums.set(None);
         self.gathering.changed(now);
     }
 
@@ -115,7 +125,9 @@
     pub(super) fn another_life(&mut self, life: u64, out: &mut Vec<Output>) {
         if self.phase == (Phase::Joining { renamed: false }) {
             // The clock was put back since: this is the later one all the same.
+            self.sums.remove(&self.me.name, self.me.life);
             self.me.life = life.saturating_add(1);
+            self.sums.add(&self.me.name, self.me.life);
             self.phase = Phase::Joining { renamed: true };
             self.rumours.add(self.me.clone());
             self.has_changed(self.due);
--- a/crates/fleet/src/view/coming.rs
+++ b/crates/fleet/src/view/coming.rs
@@ -194,7 +194,7 @@
             Message::Nack { rider, .. } => self.absorb(now, from, rider, out),
             Message::Differs { buckets } => {
                 if self.answers.take(now) {
-                    let own = self.sums().buckets;
+                    let own = self.sums.buckets;
                     let wanted = |r: &&Record| {
                         let n = bucket(&r.name);
                         own[n] != buckets[n]
@@ -245,7 +245,7 @@
         if !same && quiet {
             self.next_differs = now + self.config.period;
             if let Some(to) = self.peers.get(from).map(|p| p.record.address) {
-                let buckets = self.sums().buckets;
+                let buckets = self.sums.buckets;
                 self.send(to, Message::Differs { buckets }, out);
             }
         }
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -14,7 +14,6 @@
 use crate::wire::{size, Datagram, Fault, Keys, Message, Rider, BUCKETS, MOST_BYTES};
 use crate::Time;
 use fastrand::Rng;
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -151,14 +150,31 @@
     }
 }
 
-/// Sums over those who live, this member among them.
-#[derive(Clone, Copy)]
+/// Sums over those who live, this member among them. Kept up with each change: a wave of changes in a large fleet must
+/// not cost a look at everybody for each.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Sums {
     members: usize,
     digest: u64,
     buckets: [u32; BUCKETS],
 }
 
+impl Sums {
+    fn add(&mut self, name: &Name, life: u64) {
+        let one = digest_of(name, life);
+        let bucket = &mut self.buckets[bucket(name)];
+        *bucket = bucket.wrapping_add(one as u32);
+        (self.members, self.digest) = (self.members + 1, self.digest.wrapping_add(one));
+    }
+
+    fn remove(&mut self, name: &Name, life: u64) {
+        let one = digest_of(name, life);
+        let bucket = &mut self.buckets[bucket(name)];
+        *bucket = bucket.wrapping_sub(one as u32);
+        (self.members, self.digest) = (self.members - 1, self.digest.wrapping_sub(one));
+    }
+}
+
 struct Peer {
     record: Record,
     since: Time,
@@ -220,8 +236,7 @@
     peers: BTreeMap<Name, Peer>,
     /// Those with a suspicion.
     suspects: BTreeSet<Name>,
-    /// None once the living have changed.
-    sums: Cell<Option<Sums>>,
+    sums: Sums,
     rumours: Rumours,
     alone: Alone,
     gathering: Gathering,
@@ -264,6 +279,8 @@
         };
         let mut rumours = Rumours::default();
         rumours.add(me.clone());
+        let mut sums = Sums::default();
+        sums.add(&me.name, me.life);
         let mut rng = Rng::with_seed(seed);
         // The first word is spread over a fifth of a second: hundreds may start at once.
         let first = now + rng.u64(0..200 * MS);
@@ -276,7 +293,7 @@
             health: 0,
             peers: BTreeMap::new(),
             suspects: BTreeSet::new(),
-            sums: Cell::new(None),
+            sums,
             rumours,
             alone: Alone::new(now),
             gathering: Gathering::new(me.name.clone(), me.life, me.role, now),
@@ -319,21 +336,14 @@
 
     /// Of those who live here, at this moment.
     pub fn digest(&self) -> u64 {
-        self.sums().digest
+        self.sums.digest
     }
 
-    fn sums(&self) -> Sums {
-        if let Some(sums) = self.sums.get() {
-            return sums;
-        }
-        let mut sums = Sums { members: 0, digest: 0, buckets: [0; BUCKETS] };
-        for record in self.living() {
-            let one = digest_of(&record.name, record.life);
-            let bucket = &mut sums.buckets[bucket(&record.name)];
-            *bucket = bucket.wrapping_add(one as u32);
-            (sums.members, sums.digest) = (sums.members + 1, sums.digest.wrapping_add(one));
-        }
-        self.sums.set(Some(sums));
+    /// The same counted anew.
+    #[cfg(debug_assertions)]
+    fn summed(&self) -> Sums {
+        let mut sums = Sums::default();
+        self.living().for_each(|r| sums.add(&r.name, r.life));
         sums
     }
 
--- a/crates/fleet/src/view/time.rs
+++ b/crates/fleet/src/view/time.rs
@@ -16,7 +16,7 @@
     }
 
     pub(super) fn tick(&mut self, now: Time, late: Time, out: &mut Vec<Output>) {
-        let others = self.sums().members - 1;
+        let others = self.sums.members - 1;
         self.alone.look(now, others, self.config.period);
         self.probing(now, late, out);
         self.watching(now, out);
@@ -42,6 +42,8 @@
             self.greet_seed(out);
         }
         if self.gathering.due().is_some_and(|at| at <= now) {
+            #[cfg(debug_assertions)]
+            debug_assert_eq!(self.sums, self.summed());
             let living: Vec<_> = self.living().map(|r| (r.name.clone(), r.life, r.role)).collect();
             if let Some(settled) = self.gathering.make(now, &self.me.name, living) {
                 out.push(Output::Settled(settled.clone()));
@@ -219,6 +221,7 @@
             (peer.record.state, peer.since, peer.suspicion) = (State::Dead, now, None);
             self.suspects.remove(&name);
             let record = peer.record.clone();
+            self.sums.remove(&record.name, record.life);
             self.rumours.add(record);
             self.has_changed(now);
         }
