Forwarders ask planners first that the fleet's view believes to live

Account::believe bears on whom a loan is asked of while none is held, and on nothing held or spent; every fourth turn asks all, so a wrong belief costs three turns. [forwarder] names, off by default.

--- a/crates/check/tests/leases.rs
+++ b/crates/check/tests/leases.rs
@@ -449,3 +449,27 @@
     assert!(!matches!(bad, Ok(level) if level < 1.0), "the defect shows");
     defects::plant(None);
 }
+
+// ---- Whom a forwarder asks ----
+
+/// Whom an account that has just lost its planner asks, tick by tick; nobody answers.
+fn asked(believed: &[Option<bool>], ticks: usize) -> Vec<usize> {
+    let terms = Terms::new(2, vec![slots(40.0)]);
+    let mut account = Account::new(terms.clone(), 0, 7, believed.len(), 0).unwrap();
+    account.believe(believed);
+    let at = |n: usize| n as Time * terms.tick;
+    (0..ticks).flat_map(|n| account.tick(at(n))).map(|(planner, _)| planner).collect()
+}
+
+#[test]
+fn a_planner_that_is_believed_dead_is_passed_over_but_in_every_fourth_turn() {
+    let _one = alone();
+    assert_eq!(asked(&[None, None], 10), [0, 0, 0, 0, 1, 1, 1, 1, 1, 0], "as ever, if nothing is known");
+    let known = asked(&[Some(false), Some(true)], 40);
+    assert_eq!(known[..9], [1; 9], "at once, not at the fifth tick");
+    let doubted = known.iter().filter(|p| **p == 0).count();
+    assert!((4..=10).contains(&doubted), "{known:?}");
+    assert_eq!(known.iter().position(|p| *p == 0), Some(15), "a wrong belief costs three turns: {known:?}");
+    assert_eq!(asked(&[Some(false), Some(false)], 10), asked(&[None, None], 10), "all dead: as if none were");
+    assert_eq!(asked(&[Some(false), None, Some(true)], 8), [1, 1, 1, 1, 1, 2, 2, 2]);
+}
--- a/crates/check/tests/storms.rs
+++ b/crates/check/tests/storms.rs
@@ -120,6 +120,8 @@
     asked: u64,
     granted: u64,
     bytes: u64,
+    /// What forwarders believe of planners is drawn from here, if they believe anything.
+    lies: Option<Rng>,
 }
 
 fn name(customer: usize) -> Name {
@@ -169,6 +171,7 @@
             asked: 0,
             granted: 0,
             bytes: 0,
+            lies: None,
         }
     }
 
@@ -347,6 +350,11 @@
             }
             if self.now >= self.next_tick[n] {
                 self.next_tick[n] = self.now + self.terms.tick;
+                if let Some(lies) = &mut self.lies {
+                    let mut one = || [None, Some(false), Some(true)][lies.usize(0..3)];
+                    let believed = [one(), one()];
+                    self.forwarders[n].what.believe(&believed);
+                }
                 let f = &mut self.forwarders[n];
                 for (planner, report) in f.what.tick(f.clock.at(self.now)) {
                     self.bytes += 70 + 90 * report.entries.len() as u64;
@@ -384,8 +392,9 @@
 }
 
 /// A storm of some 40 s; what was passed in it.
-fn storm(seed: u64, seats: u16) -> Option<String> {
+fn storm(seed: u64, seats: u16, lies: bool) -> Option<String> {
     let mut world = World::new(seed, seats, 2, 3, true);
+    world.lies = lies.then(|| Rng::with_seed(seed ^ 0x11e5));
     // Three times the quota of each, over all forwarders.
     let requests = (3.0 * 200.0 * 3.0 / 4.5 / 100.0 / f64::from(seats)).ceil() as usize;
     for _ in 0..4000 {
@@ -399,7 +408,7 @@
 }
 
 /// What the first of these storms passed that passed anything: some side by side, the same at every run.
-fn first_passed(seeds: std::ops::Range<u64>) -> Option<String> {
+fn first_passed(seeds: std::ops::Range<u64>, lies: bool) -> Option<String> {
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
     let (mut at, mut some) = (seeds.start, 1);
     while at < seeds.end {
@@ -411,7 +420,7 @@
                 if seed >= end {
                     return passed;
                 }
-                passed.extend(storm(seed, seats(seed)).map(|what| (seed, what)));
+                passed.extend(storm(seed, seats(seed), lies).map(|what| (seed, what)));
             }
         };
         let passed: Vec<_> = std::thread::scope(|threads| {
@@ -440,7 +449,20 @@
     defects::plant(None);
     let most = std::env::var("STORMS").ok().and_then(|n| n.parse().ok()).unwrap_or(200);
     let from = std::env::var("STORMS_FROM").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
-    assert_eq!(first_passed(from..from + most), None);
+    assert_eq!(first_passed(from..from + most, false), None);
+}
+
+#[test]
+fn no_allowance_is_passed_by_forwarders_that_believe_lies_of_planners() {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    defects::plant(None);
+    let most = std::env::var("STORMS").ok().and_then(|n| n.parse().ok()).unwrap_or(100);
+    assert_eq!(first_passed(0..most, true), None);
+    // And they do take grants that allow too much: a defect shows here as it does without lies.
+    assert!(defects::plant(Some("floor-at-once")));
+    let found = first_passed(0..200, true);
+    defects::plant(None);
+    assert!(found.is_some());
 }
 
 #[test]
@@ -450,7 +472,7 @@
     let wanted = |name: &str| one.as_deref().map_or(!TOLD.contains(&name), |one| one == name);
     for (name, _) in defects::ALL.iter().filter(|(name, _)| wanted(name)) {
         assert!(defects::plant(Some(name)));
-        let found = first_passed(0..1500);
+        let found = first_passed(0..1500, false);
         defects::plant(None);
         eprintln!("{name}: {found:?}");
         assert!(found.is_some(), "{name} is not found");
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -105,6 +105,13 @@
         self.guarded(now, |a| a.grant(now, planner, grant).is_ok()).unwrap_or_default()
     }
 
+    /// What a view of the fleet says of the planners.
+    pub fn believe(&mut self, lives: &[Option<bool>]) {
+        if let Some(account) = &mut self.account {
+            account.believe(lives);
+        }
+    }
+
     /// A tick of planning: the reports to send.
     pub fn reports(&mut self, now: Time) -> Vec<(usize, Report)> {
         self.guarded(now, |a| a.tick(now)).unwrap_or_default()
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -221,6 +221,7 @@
                 self.notice_account(out);
             }
             Input::Neighbours { me, gateways } => self.events.push(Event::Neighbours { me, gateways }),
+            Input::Planners(lives) => self.admission.believe(&lives),
             Input::PlanningTick => self.planning_tick(now, out),
             Input::Wake => self.wake(now, out),
         }
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -68,6 +68,8 @@
     Grant { planner: usize, grant: Grant },
     /// A view of the fleet: so many gateways are believed to live, and this is the `me`th; 0: what the settings say.
     Neighbours { me: u32, gateways: u32 },
+    /// A view of the fleet: which planners live, in their order; none: it says nothing of this one.
+    Planners(Vec<Option<bool>>),
     /// A tick of planning has passed: reports are wanted.
     PlanningTick,
     /// Time has passed: what is due is done, and the module hears what has happened.
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -359,11 +359,22 @@
     /// What may be worked by: this member's place among the living gateways, and how many they are. None if it is no
     /// gateway, or if the view is lost: cut off, superseded, or nobody was ever found.
     pub fn seen(&self) -> Option<(usize, usize)> {
-        let health = self.health();
-        let lost =
-            health.cut_off.is_some() || health.superseded || !health.joined || self.settled().version == 0;
         let (all, me) = self.settled().gateways();
-        me.filter(|_| !lost).map(|me| (me, all))
+        me.filter(|_| self.seen_at_all()).map(|me| (me, all))
+    }
+
+    fn seen_at_all(&self) -> bool {
+        let health = self.health();
+        health.cut_off.is_none() && !health.superseded && health.joined && self.settled().version != 0
+    }
+
+    /// Whether the member of this name lives, by the settled view. None if it is not known, or if the view is lost.
+    pub fn lives(&self, name: &str) -> Option<bool> {
+        self.seen_at_all().then_some(())?;
+        if self.settled().members.iter().any(|(n, ..)| **n == *name) {
+            return Some(true);
+        }
+        self.peers.get(name).filter(|p| !p.record.state.lives()).map(|_| false)
     }
 
     /// Datagrams dropped, by cause.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -42,6 +42,8 @@
 const PROBE: u64 = 20;
 /// So many probes answered in a row bring a forwarder back to it.
 const ANSWERED: u32 = 5;
+/// In every so many turns round the planners, those who are believed dead are asked as well: a belief may be wrong.
+const DOUBT: u32 = 4;
 /// A customer that has asked nothing for so long, in ticks, is forgotten.
 const QUIET: u64 = 200;
 
@@ -95,6 +97,8 @@
     seen: Instance,
     heard: Time,
     answered: u32,
+    /// What a view of the fleet says; none: nothing.
+    lives: Option<bool>,
 }
 
 pub struct Account {
@@ -106,6 +110,8 @@
     /// Whom the next report goes to, and since which tick.
     target: usize,
     courted: u64,
+    /// Turns round the planners.
+    turns: u32,
     /// Whether the present planner is left for one that goes before it.
     leaving: bool,
     number: u64,
@@ -153,6 +159,7 @@
             planners: vec![Known::default(); planners.max(1)],
             target: 0,
             courted: 0,
+            turns: 0,
             leaving: false,
             number: 0,
             sent: VecDeque::new(),
@@ -172,7 +179,9 @@
         let terms = self.terms.clone();
         if let Ok(anew) = Account::new(terms, self.seat, incarnation, self.planners.len(), now) {
             let panics = self.panics + 1;
+            let lives: Vec<_> = self.planners.iter().map(|k| k.lives).collect();
             *self = Account { panics, ..anew };
+            self.believe(&lives);
         }
     }
 
@@ -308,17 +317,47 @@
                 }
             }
             Mode::Cooling { .. } | Mode::Own { .. } => {
-                self.courted += 1;
-                if self.courted > PATIENCE {
-                    (self.target, self.courted) = ((self.target + 1) % self.planners.len(), 0);
-                }
-                let to = self.target;
+                let to = self.court();
                 reports.push((to, self.report(to, self.planners[to].seen.nonce, 0, false, Vec::new())));
             }
         }
         reports
     }
 
+    /// What a view of the fleet says of each planner, in their order; none: nothing. A belief, and maybe a wrong one: it
+    /// bears on whom this forwarder asks for a loan, and on nothing that it holds or spends.
+    pub fn believe(&mut self, lives: &[Option<bool>]) {
+        for (n, known) in self.planners.iter_mut().enumerate() {
+            known.lives = lives.get(n).copied().flatten();
+        }
+    }
+
+    /// Whom to ask for a loan at this tick.
+    fn court(&mut self) -> usize {
+        self.courted += 1;
+        if self.courted > PATIENCE {
+            self.next_target();
+        }
+        for _ in 1..self.planners.len() {
+            if !self.passed_over(self.target) {
+                break;
+            }
+            self.next_target();
+        }
+        self.target
+    }
+
+    fn next_target(&mut self) {
+        (self.target, self.courted) = ((self.target + 1) % self.planners.len(), 0);
+        self.turns = self.turns.wrapping_add(u32::from(self.target == 0));
+    }
+
+    fn passed_over(&self, n: usize) -> bool {
+        let dead = |k: &Known| k.lives == Some(false);
+        let doubted = self.turns % DOUBT == DOUBT - 1;
+        dead(&self.planners[n]) && !doubted && !self.planners.iter().all(dead)
+    }
+
     /// Leaves a planner for one that goes before it and has answered for a while: all pool at one again.
     fn look_ahead(&mut self, now: Time, present: usize) {
         let fresh = |k: &Known| now.saturating_sub(k.heard) < 2 * PROBE * self.terms.tick;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -126,6 +126,9 @@
     pub seat: u16,
     /// `planners`: addresses, the first before the others; 1 to 16.
     pub planners: Vec<SocketAddr>,
+    /// `names`, default none: under which names the planners stand in the fleet's view, one for each and in their order;
+    /// then those who are believed to live are asked first.
+    pub names: Vec<String>,
     pub key_file: PathBuf,
 }
 
@@ -270,6 +273,7 @@
 struct ForwarderTable {
     seat: Spanned<i64>,
     planners: Spanned<Vec<Spanned<String>>>,
+    names: Option<Spanned<Vec<String>>>,
     key_file: PathBuf,
 }
 
@@ -325,7 +329,10 @@
             gap: Duration::from_micros(number(text, table.gap_us, 0..=10_000, 0)?.unsigned_abs()),
         },
         planner: file.planner.map(|t| planner(text, t)).transpose()?,
-        forwarder: file.forwarder.map(|t| forwarder(text, t, &allowances)).transpose()?,
+        forwarder: file
+            .forwarder
+            .map(|t| forwarder(text, t, &allowances, file.fleet.is_some()))
+            .transpose()?,
         fleet: file.fleet.map(|t| fleet(text, t)).transpose()?,
         allowances,
         log: file.log.format,
@@ -395,15 +402,34 @@
     })
 }
 
-fn forwarder(text: &str, table: ForwarderTable, terms: &Allowances) -> Result<Forwarder, Trouble> {
+fn forwarder(
+    text: &str,
+    table: ForwarderTable,
+    terms: &Allowances,
+    fleet: bool,
+) -> Result<Forwarder, Trouble> {
     let seat = number(text, Some(table.seat), 0..=i64::from(terms.seats) - 1, 0)? as u16;
     let planners = table.planners.get_ref();
     if !(1..=16).contains(&planners.len()) {
         let what = format!("{} addresses: 1 to 16 are wanted", planners.len());
         return Err(trouble(text, table.planners.span().start, what));
     }
-    let planners = planners.iter().map(|p| address(text, p)).collect::<Result<_, _>>()?;
-    Ok(Forwarder { seat, planners, key_file: table.key_file })
+    let planners: Vec<SocketAddr> = planners.iter().map(|p| address(text, p)).collect::<Result<_, _>>()?;
+    if let Some(names) = &table.names {
+        let (at, count, wanted) = (names.span().start, names.get_ref().len(), planners.len());
+        if !fleet {
+            return Err(trouble(text, at, "names: a table [fleet] is wanted".into()));
+        }
+        if count != wanted {
+            return Err(trouble(
+                text,
+                at,
+                format!("{count} names: one for each of {wanted} planners is wanted"),
+            ));
+        }
+    }
+    let names = table.names.map(Spanned::into_inner).unwrap_or_default();
+    Ok(Forwarder { seat, planners, names, key_file: table.key_file })
 }
 
 fn fleet(text: &str, table: FleetTable) -> Result<Fleet, Trouble> {
@@ -539,6 +565,13 @@
         assert!(wrong(&both.replace("seat = 2", "seat = 3")).ends_with("3 is out of range: 0 to 2 is wanted"));
         assert!(wrong(&both.replace("[\"127.0.0.1:7000\"]", "[]")).contains("1 to 16 are wanted"));
         assert!(wrong(&both.replace("[\"127.0.0.1:7000\"]", "[\"here\"]")).contains("an address and port"));
+        let named = both.replace("[\"127.0.0.1:7000\"]", "[\"127.0.0.1:7000\"]\nnames = [\"p1\"]");
+        assert!(wrong(&named).ends_with("names: a table [fleet] is wanted"));
+        let fleet = "[fleet]\nname = \"g\"\nlisten = \"127.0.0.1:7100\"\nkey_file = \"key\"\n";
+        let named = named + fleet;
+        assert_eq!(super::read(&named).unwrap().forwarder.map(|f| f.names), Some(vec!["p1".to_string()]));
+        assert!(wrong(&named.replace("[\"p1\"]", "[]"))
+            .ends_with("0 names: one for each of 1 planners is wanted"));
         assert!(wrong("[allowances]\ntick_ms = 100\nlease_ms = 200\n").contains("300 to 10000 is wanted"));
     }
 
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -161,6 +161,12 @@
         self.take(&mut self.state.borrow_mut(), Instant::now(), input, Brought::default());
     }
 
+    /// What the fleet's view says of each planner.
+    pub fn planners(self: &Rc<Self>, lives: Vec<Option<bool>>) {
+        let input = Input::Planners(lives);
+        self.take(&mut self.state.borrow_mut(), Instant::now(), input, Brought::default());
+    }
+
     /// What discovery has to tell.
     pub fn news(self: &Rc<Self>, news: News) {
         match news {
--- a/src/bin/granitethread/fleet.rs
+++ b/src/bin/granitethread/fleet.rs
@@ -3,7 +3,7 @@
 use crate::allowance;
 use crate::driver::Driver;
 use granite_fleet::{Config, Input, Keys, Output, Role, Settled, State, Time, View, MOST_BYTES};
-use granite_operator::Fleet as Table;
+use granite_operator::{Fleet as Table, Operator};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
@@ -33,12 +33,15 @@
 
 /// Who works by the view.
 struct Used {
-    driver: Option<Rc<Driver>>,
+    driver: Rc<Driver>,
+    subsets: bool,
     callers: Option<Rc<Cell<Option<u32>>>>,
+    /// Names of the planners that a forwarder asks.
+    planners: Vec<String>,
     /// How many gateways the settings name.
     settings: u32,
-    /// What they were told last.
-    told: Option<(u32, u32)>,
+    /// What they were told last: the own place among how many, and which planners live.
+    told: (Option<(u32, u32)>, Vec<Option<bool>>),
 }
 
 impl Fleet {
@@ -74,24 +77,39 @@
     }
 
     /// From now on these work by the view, as far as the operators want it.
-    pub fn serves(&self, table: &Table, driver: &Rc<Driver>, settings: u32, callers: &Rc<Cell<Option<u32>>>) {
-        let driver = table.subsets.then(|| driver.clone());
+    pub fn serves(
+        &self,
+        operator: &Operator,
+        driver: &Rc<Driver>,
+        settings: u32,
+        callers: &Rc<Cell<Option<u32>>>,
+    ) {
+        let Some(table) = &operator.fleet else { return };
         let callers = table.discovery.then(|| callers.clone());
-        *self.used.borrow_mut() = Some(Used { driver, callers, settings, told: None });
+        let planners = operator.forwarder.as_ref().map(|f| f.names.clone()).unwrap_or_default();
+        let told = (None, vec![None; planners.len()]);
+        let (driver, subsets) = (driver.clone(), table.subsets);
+        *self.used.borrow_mut() = Some(Used { driver, subsets, callers, planners, settings, told });
     }
 
     /// Tells them what has changed.
     fn tell(&self) {
         let Some(used) = &mut *self.used.borrow_mut() else { return };
-        let seen = self.view.borrow().seen().map(|(me, all)| (me as u32, all as u32));
-        if std::mem::replace(&mut used.told, seen) == seen {
-            return;
-        }
-        if let Some(driver) = &used.driver {
-            driver.neighbours(seen);
+        let view = self.view.borrow();
+        let seen = view.seen().map(|(me, all)| (me as u32, all as u32));
+        let planners: Vec<_> = used.planners.iter().map(|name| view.lives(name)).collect();
+        if used.told.0 != seen {
+            used.told.0 = seen;
+            if used.subsets {
+                used.driver.neighbours(seen);
+            }
+            if let Some(callers) = &used.callers {
+                callers.set(Some(seen.map_or(used.settings, |(_, all)| all)));
+            }
         }
-        if let Some(callers) = &used.callers {
-            callers.set(Some(seen.map_or(used.settings, |(_, all)| all)));
+        if used.told.1 != planners {
+            used.told.1.clone_from(&planners);
+            used.driver.planners(planners);
         }
     }
 
@@ -192,7 +210,9 @@
         let dropped: serde_json::Map<_, _> =
             view.faults().map(|(fault, n)| (fault.to_string(), json!(n))).collect();
         let (datagrams, bytes, lost) = self.sent.get();
+        let told = self.used.borrow().as_ref().map(|u| json!({"place": u.told.0, "planners": u.told.1}));
         json!({
+            "told": told,
             "joined": health.joined, "superseded": health.superseded, "health": health.health,
             "cut_off_ms": health.cut_off.map(ms),
             "digest": format!("{:016x}", view.digest()),
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -202,8 +202,8 @@
     spawn_local(link.follow(driver.clone()));
     let pace = Pace::new(service, config.seed);
     let callers = Rc::new(Cell::new(None));
-    if let (Some(fleet), Some(table)) = (&fleet, &operator.fleet) {
-        fleet.serves(table, &driver, settings.gateways, &callers);
+    if let Some(fleet) = &fleet {
+        fleet.serves(&operator, &driver, settings.gateways, &callers);
     }
     spawn_local(follow(config.discovery, held, pace, callers, hup, driver.clone()));
     spawn_local(backends.reap());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -96,6 +96,57 @@
     assert!(!text.contains("ALONE") && !text.contains("CUT OFF"), "{text}");
 }
 
+#[test]
+fn a_forwarder_is_told_which_planners_live() {
+    let folder = Folder::new("planners");
+    let key = folder.write("key", "a key of sixteen bytes and more\n", 0o600);
+    let discovery = Discovery::new(list(1, true, &[]));
+    let (place, planner_place, address, state) = (free(), free(), free(), free());
+    let seeds = format!("\"{place}\"");
+    let planner = table("p1", &planner_place, &seeds, &key);
+    let planner = format!(
+        "{planner}[planner]\nlisten = \"{address}\"\nstate = \"{state}\"\nkey_file = \"{}\"\n",
+        key.display()
+    );
+    let forwarder = format!(
+        "{}[forwarder]\nseat = 0\nplanners = [\"{address}\", \"{state}\"]\nnames = [\"p1\", \"p2\"]\nkey_file = \"{}\"\n",
+        table("g1", &place, &seeds, &key),
+        key.display()
+    );
+    let file = folder.write("g1.toml", &forwarder, 0o600);
+    let gateway =
+        Program::start_member(Path::new(PROGRAM), EXAMPLE, discovery.address, &file).expect("it starts");
+    let told = |wanted: &serde_json::Value| {
+        let until = Instant::now() + LIMIT;
+        loop {
+            let output = status(&gateway, true);
+            let all: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+            if all["told"]["planners"] == *wanted {
+                return;
+            }
+            assert!(Instant::now() < until, "{wanted} is wanted: {all}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    told(&serde_json::json!([null, null]));
+    let config = folder.write("gateway.json", EXAMPLE, 0o600);
+    let file = folder.write("p1.toml", &planner, 0o600);
+    let mut process = Command::new(PROGRAM)
+        .env("LB_CONFIG", &config)
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .env("GRANITETHREAD_OPERATOR", &file)
+        .env_remove("LB_OPERATOR")
+        .env_remove("LB_INHERITED_FD")
+        .spawn()
+        .expect("it starts");
+    told(&serde_json::json!([true, null]));
+    // It leaves in order.
+    let told_to_end = Command::new("kill").args(["-TERM", &process.id().to_string()]).status();
+    assert!(told_to_end.is_ok_and(|s| s.success()));
+    told(&serde_json::json!([false, null]));
+    process.wait().expect("it ends");
+}
+
 #[test]
 fn without_the_table_there_is_no_view_to_ask_for() {
     let folder = Folder::new("none");
