The rig's view: defects in the real program, plain SWIM beside it, five more faults, streams

New faults with real processes: cut off, a tenth of a core, another address, two of one name, old datagrams; schedules are printed and played again; gates for streams by ordered pair; a build with the feature defects in a folder of its own. A leave is timed from its signal on (it was timed after the process had ended).

--- a/crates/fleet/src/defects.rs
+++ b/crates/fleet/src/defects.rs
@@ -16,6 +16,8 @@
     HelpersLeftOut,
     LeaveNotTold,
     SettledAtOnce,
+    /// No defect, but what SWIM is without what this crate adds: to be measured beside it.
+    PlainSwim,
 }
 
 pub const ALL: &[(Defect, &str)] = &[
@@ -42,6 +44,25 @@
     ACTIVE.set(defect);
 }
 
+/// What plain SWIM does without.
+const ADDED: &[Defect] = &[
+    Defect::DeadNeverTried,
+    Defect::DigestAlwaysEqual,
+    Defect::DeadBelievedAtOnce,
+    Defect::AloneBuriesAll,
+    Defect::SleepNotSeen,
+];
+
 pub fn active(defect: Defect) -> bool {
-    ACTIVE.get() == Some(defect)
+    match ACTIVE.get() {
+        Some(Defect::PlainSwim) => defect == Defect::PlainSwim || ADDED.contains(&defect),
+        active => active == Some(defect),
+    }
+}
+
+/// By its name in lower case with dashes.
+pub fn named(name: &str) -> Option<Defect> {
+    let plain = |text: &str| text.replace('-', "").to_lowercase();
+    let all = ALL.iter().map(|(defect, _)| *defect).chain([Defect::PlainSwim]);
+    all.into_iter().find(|d| plain(&format!("{d:?}")) == plain(name) && name == name.to_lowercase())
 }
--- a/crates/fleet/src/view/belief.rs
+++ b/crates/fleet/src/view/belief.rs
@@ -138,14 +138,16 @@
     }
 
     pub(super) fn worsens(&mut self) {
-        self.health = (self.health + 1).min(WORST);
+        if !planted!(PlainSwim) {
+            self.health = (self.health + 1).min(WORST);
+        }
     }
 
     /// A few look for themselves, so that accusers come soon, and who is wrongly accused hears of it; not all of a
     /// large fleet.
     pub(super) fn watch(&mut self, now: Time, name: &Name, out: &mut Vec<Output>) {
         let few = WATCHERS / (self.peers.len() as f64 + 1.0);
-        let drawn = self.rng.f64() < few;
+        let drawn = self.rng.f64() < few && !planted!(PlainSwim);
         let Some(suspicion) = self.peers.get_mut(name).and_then(|p| p.suspicion.as_mut()) else { return };
         if drawn {
             suspicion.watch = Some((now, 0));
--- a/crates/fleet/src/view/sending.rs
+++ b/crates/fleet/src/view/sending.rs
@@ -19,7 +19,8 @@
 
     /// What rides to this member: first what is said of itself, if it may want to refute that.
     pub(super) fn rider(&mut self, to: &Name) -> Rider {
-        let buddy = self.peers.get(to).map(|p| &p.record).filter(|r| r.state != State::Alive).cloned();
+        let said = self.peers.get(to).map(|p| &p.record).filter(|_| !planted!(PlainSwim));
+        let buddy = said.filter(|r| r.state != State::Alive).cloned();
         let taken = buddy.as_ref().map_or(0, size);
         let members = self.peers.len() + 1;
         let mut rumours = self.rumours.take(RIDER - taken, members);
--- a/crates/fleet/src/view/time.rs
+++ b/crates/fleet/src/view/time.rs
@@ -143,7 +143,7 @@
             }
             Some(suspicion) => suspicion.accusers.push(own),
             None => {
-                let watch = Some((now, 0));
+                let watch = Some((now, 0)).filter(|_| !planted!(PlainSwim));
                 peer.suspicion = Some(Suspicion { watch, ..Suspicion::new(now, vec![own]) });
                 peer.since = now;
             }
@@ -165,6 +165,9 @@
     pub(super) fn suspicion_ends(&self, peer: &Peer) -> Option<Time> {
         let suspicion = peer.suspicion.as_ref()?;
         let min = self.shortest() as f64;
+        if planted!(PlainSwim) {
+            return Some(suspicion.since + min as Time);
+        }
         let max = min * LONGEST as f64;
         // The first accuser begins it; each further one shortens it, the first of them most.
         let more = suspicion.accusers.len().saturating_sub(1) as f64;
@@ -211,7 +214,7 @@
                 continue;
             }
             // Who has not asked itself does before it buries.
-            if let Some(suspicion) = &mut peer.suspicion {
+            if let Some(suspicion) = peer.suspicion.as_mut().filter(|_| !planted!(PlainSwim)) {
                 let (_, asked) = *suspicion.watch.get_or_insert((now, 0));
                 if asked <= QUESTIONS {
                     suspicion.since += self.config.period / 2;
--- a/crates/rig/src/bed.rs
+++ b/crates/rig/src/bed.rs
@@ -2,11 +2,12 @@
 //! apart; for each ordered pair silence, loss, doubling, delay (which reorders). Processes are killed, stopped, woken
 //! and started again by their own id.
 //!
-//! Datagrams only: a process sends from the address on which it listens, and that tells the relay who speaks.
+//! For datagrams: a process sends from the address on which it listens, and that tells the relay who speaks. For streams
+//! there is [`crate::gate::Gates`], a port for each ordered pair.
 
 use crate::fleet::lock;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -37,8 +38,13 @@
     senders: HashMap<SocketAddr, usize>,
     sent: Vec<Counted>,
     rng: fastrand::Rng,
+    /// The last that came, oldest first: when, to whom, what.
+    tape: VecDeque<(Instant, usize, Vec<u8>)>,
 }
 
+/// So many datagrams are kept to be played again.
+const TAPE: usize = 20_000;
+
 type Late = (Instant, u64, usize, Vec<u8>);
 
 /// Datagrams that wait.
@@ -76,6 +82,7 @@
             senders,
             sent: (0..processes).map(|_| Counted::default()).collect(),
             rng: fastrand::Rng::with_seed(seed),
+            tape: VecDeque::with_capacity(TAPE),
         }));
         let (over, waiting) = (Arc::<AtomicBool>::default(), Arc::<Waiting>::default());
         let (mut sockets, mut advertised, mut threads) = (Vec::new(), Vec::new(), Vec::new());
@@ -107,6 +114,24 @@
         }
     }
 
+    /// Plays again what came longer ago than that, to whomever it was for, a thousand a second. How many those were.
+    pub fn replay(&self, older: Duration) -> std::io::Result<usize> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        let tape: Vec<_> = {
+            let network = lock(&self.network);
+            let old = network.tape.iter().filter(|(at, ..)| at.elapsed() > older);
+            old.map(|(_, to, bytes)| (network.places[*to], bytes.clone())).collect()
+        };
+        for (n, (place, bytes)) in tape.iter().enumerate() {
+            // Nobody may listen there any more.
+            let _ = socket.send_to(bytes, place);
+            if n % 10 == 9 {
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+        Ok(tape.len())
+    }
+
     /// What this process has sent so far: datagrams and bytes.
     pub fn sent(&self, n: usize) -> (u64, u64) {
         let network = lock(&self.network);
@@ -132,6 +157,10 @@
         let Some(&from) = network.senders.get(&source) else { continue };
         network.sent[from].datagrams += 1;
         network.sent[from].bytes += length as u64;
+        if network.tape.len() == TAPE {
+            network.tape.pop_front();
+        }
+        network.tape.push_back((Instant::now(), to, bytes.to_vec()));
         let link = network.links[from][to];
         if link.silent || network.rng.f64() < link.loss {
             continue;
--- a/crates/rig/src/crowd.rs
+++ b/crates/rig/src/crowd.rs
@@ -25,6 +25,7 @@
         ("killed", "the gateway is killed where it should be told to end"),
         ("hung-gateway", "the gateway is stopped for a while: no call is answered"),
     ],
+    planted: &[],
     run,
 };
 
--- a/crates/rig/src/gate.rs
+++ b/crates/rig/src/gate.rs
@@ -1,6 +1,8 @@
 //! A lossy link: a proxy on a port of its own whose two directions can be cut and healed. What is cut is
-//! silent; nothing is reset.
+//! silent; nothing is reset, unless it is told to break. And such links for all ordered pairs of processes: who reaches
+//! whom through which is known, since each pair has a port of its own.
 
+use crate::bed::Link;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -12,6 +14,10 @@
 struct State {
     /// Towards the server, and back.
     cut: [AtomicBool; 2],
+    /// How long what comes waits, in microseconds.
+    delay: [AtomicU64; 2],
+    /// Connections that began before the last break have ended.
+    broken: AtomicU64,
     bytes: AtomicU64,
 }
 
@@ -31,11 +37,12 @@
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let Ok(server) = TcpStream::connect(to) else { continue };
+                let life = state.broken.load(Ordering::Relaxed);
                 for (from, to, way) in [(&client, &server, 0), (&server, &client, 1)] {
                     let (Ok(from), Ok(to), state) = (from.try_clone(), to.try_clone(), state.clone()) else {
                         continue;
                     };
-                    thread::spawn(move || pump(from, to, &state, way));
+                    thread::spawn(move || pump(from, to, &state, way, life));
                 }
             }
         });
@@ -48,22 +55,47 @@
         self.state.cut[1].store(back, Ordering::Relaxed);
     }
 
+    /// From now on what comes waits for so long, towards the server and back. The order stays: it is a stream.
+    pub fn delay(&self, there: Duration, back: Duration) {
+        self.state.delay[0].store(there.as_micros() as u64, Ordering::Relaxed);
+        self.state.delay[1].store(back.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Ends every connection that is up, whatever is under way on it.
+    pub fn end_all(&self) {
+        self.state.broken.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Bytes that have passed, both ways.
     pub fn bytes(&self) -> u64 {
         self.state.bytes.load(Ordering::Relaxed)
     }
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, state: &State, way: usize) {
+fn pump(mut from: TcpStream, mut to: TcpStream, state: &State, way: usize, life: u64) {
     let _ = (to.set_nodelay(true), from.set_read_timeout(Some(Duration::from_millis(20))));
     let mut bytes = [0; 16 << 10];
     loop {
+        if state.broken.load(Ordering::Relaxed) != life {
+            let _ = (to.shutdown(Shutdown::Both), from.shutdown(Shutdown::Both));
+            return;
+        }
         if state.cut[way].load(Ordering::Relaxed) {
             thread::sleep(Duration::from_millis(5));
             continue;
         }
         match from.read(&mut bytes) {
-            Ok(n) if n > 0 && to.write_all(&bytes[..n]).is_ok() => {
+            Ok(n) if n > 0 => {
+                // Not read further meanwhile: what comes after waits behind it.
+                thread::sleep(Duration::from_micros(state.delay[way].load(Ordering::Relaxed)));
+                let ended = || state.broken.load(Ordering::Relaxed) != life;
+                while state.cut[way].load(Ordering::Relaxed) && !ended() {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                if ended() || to.write_all(&bytes[..n]).is_err() {
+                    let _ = (to.shutdown(Shutdown::Both), from.shutdown(Shutdown::Both));
+                    return;
+                }
                 state.bytes.fetch_add(n as u64, Ordering::Relaxed);
             }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
@@ -74,3 +106,99 @@
         }
     }
 }
+
+/// Links for streams between processes, one for each ordered pair.
+pub struct Gates {
+    gates: Vec<Vec<Gate>>,
+}
+
+impl Gates {
+    /// So many processes that call those which listen there.
+    ///
+    /// # Errors
+    /// If there is no port to be had.
+    pub fn new(callers: usize, servers: &[SocketAddr]) -> std::io::Result<Self> {
+        let row = |_| servers.iter().map(|server| Gate::new(*server)).collect::<Result<_, _>>();
+        Ok(Gates { gates: (0..callers).map(row).collect::<Result<_, _>>()? })
+    }
+
+    /// Where this caller reaches that server.
+    pub fn address(&self, caller: usize, server: usize) -> SocketAddr {
+        self.gates[caller][server].address
+    }
+
+    /// Changes all links: as datagrams fare from a caller to a server and back. Of what a stream knows nothing of, loss
+    /// and doubling, nothing is done: they are delays there.
+    pub fn set(&self, link: impl Fn(usize, usize) -> [Link; 2]) {
+        for (caller, row) in self.gates.iter().enumerate() {
+            for (server, gate) in row.iter().enumerate() {
+                let [there, back] = link(caller, server);
+                gate.cut(there.silent, back.silent);
+                gate.delay(there.delay, back.delay);
+            }
+        }
+    }
+
+    /// Ends every connection of these pairs.
+    pub fn end(&self, of: impl Fn(usize, usize) -> bool) {
+        for (caller, row) in self.gates.iter().enumerate() {
+            row.iter().enumerate().filter(|(server, _)| of(caller, *server)).for_each(|(_, g)| g.end_all());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Instant;
+
+    /// Sends back what it is sent.
+    fn echo() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let Ok(mut back) = stream.try_clone() else { continue };
+                thread::spawn(move || std::io::copy(&mut &stream, &mut back));
+            }
+        });
+        address
+    }
+
+    fn call(stream: &mut TcpStream, limit: Duration) -> Option<u8> {
+        let mut byte = [0];
+        stream.set_read_timeout(Some(limit)).ok()?;
+        stream.write_all(b"x").ok()?;
+        stream.read_exact(&mut byte).ok().map(|()| byte[0])
+    }
+
+    #[test]
+    fn a_link_between_two_is_no_link_of_the_others() {
+        let gates = Gates::new(2, &[echo(), echo()]).expect("ports");
+        let connect = |a, b| TcpStream::connect(gates.address(a, b)).expect("it is reached");
+        let mut streams = [connect(0, 0), connect(0, 1), connect(1, 0), connect(1, 1)];
+        let long = Duration::from_secs(5);
+        assert!(streams.iter_mut().all(|s| call(s, long) == Some(b'x')));
+        let slow = Duration::from_millis(60);
+        gates.set(|a, b| match (a, b) {
+            (0, 0) => [Link { silent: true, ..Link::default() }, Link::default()],
+            (1, 1) => [Link::default(), Link { delay: slow, ..Link::default() }],
+            _ => [Link::default(); 2],
+        });
+        let began = Instant::now();
+        assert_eq!(call(&mut streams[3], long), Some(b'x'));
+        assert!(began.elapsed() >= slow);
+        assert_eq!(call(&mut streams[0], Duration::from_millis(200)), None, "nothing gets through");
+        assert_eq!(call(&mut streams[1], long), Some(b'x'));
+        // What was held back comes when the link is healed, and nothing was lost of it.
+        gates.set(|_, _| [Link::default(); 2]);
+        let mut byte = [0];
+        streams[0].set_read_timeout(Some(long)).expect("a limit");
+        assert!(streams[0].read_exact(&mut byte).is_ok());
+        gates.end(|a, b| (a, b) == (1, 0));
+        let mut rest = Vec::new();
+        streams[2].set_read_timeout(Some(long)).expect("a limit");
+        assert!(streams[2].read_to_end(&mut rest).is_ok_and(|n| n == 0), "it has ended");
+        assert_eq!(call(&mut streams[1], long), Some(b'x'));
+    }
+}
--- a/crates/rig/src/lives.rs
+++ b/crates/rig/src/lives.rs
@@ -27,6 +27,7 @@
         ("deaf-list", "the list drains a server and does not tell the gateway"),
         ("hung-gateway", "the gateway is stopped for a while with requests in hand"),
     ],
+    planted: &[],
     run,
 };
 
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -29,6 +29,9 @@
     /// Have the rig's peers do this wrong: the scenario must fail
     #[arg(long, value_name = "NAME")]
     defect: Option<String>,
+    /// Play these faults, as an earlier run printed them
+    #[arg(long, value_name = "FAULTS")]
+    schedule: Option<String>,
     /// Print the scenario's defects
     #[arg(long)]
     list_defects: bool,
@@ -82,15 +85,19 @@
     };
     if args.list_defects {
         scenario.defects.iter().for_each(|(name, what)| say(&format!("{name:20} {what}")));
+        scenario
+            .planted
+            .iter()
+            .for_each(|(name, by)| say(&format!("{name:20} in the program; shown by {by}")));
         return ExitCode::SUCCESS;
     }
     if let Some(name) = &args.defect {
-        if scenario.defects.iter().all(|(known, _)| known != name) {
+        if scenario.defects.iter().chain(scenario.planted).all(|(known, _)| known != name) {
             return wrong(&format!("no defect is named {name:?}; --list-defects prints the names"));
         }
     }
     let time = Duration::from_secs(args.seconds.unwrap_or(scenario.seconds));
-    let play = Play { seed: args.seed, time, defect: args.defect };
+    let play = Play { seed: args.seed, time, defect: args.defect, schedule: args.schedule };
     let figures = match (scenario.run)(&play) {
         Ok(figures) => figures,
         Err(what) => {
--- a/crates/rig/src/planners.rs
+++ b/crates/rig/src/planners.rs
@@ -32,6 +32,7 @@
         ("wrong-key", "the forwarders have another key than the planners"),
         ("whole-shares", "every forwarder is told that it is the only one, and no planner is started"),
     ],
+    planted: &[],
     run,
 };
 
--- a/crates/rig/src/planning_cost.rs
+++ b/crates/rig/src/planning_cost.rs
@@ -18,6 +18,7 @@
     seconds: 20,
     test_seconds: 4,
     defects: &[("no-planner", "no planner is started: the forwarder serves from its own share alone")],
+    planted: &[],
     run,
 };
 
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -18,26 +18,31 @@
 /// # Errors
 /// One line, if it can't be built or is not there.
 pub fn locate() -> Result<PathBuf, String> {
-    let me = env::current_exe().map_err(|e| format!("where this program stands: {e}"))?;
-    let mut folder = me.parent().unwrap_or(Path::new("."));
-    let testing = folder.ends_with("deps");
-    if testing {
-        folder = folder.parent().unwrap_or(folder);
-    }
-    let program = folder.join("granitethread");
+    let (program, build) = beside()?;
     // A test's programs were built with it.
-    if let Some(cargo) = env::var_os("CARGO").filter(|_| !testing || !program.exists()) {
-        let mut build = Command::new(cargo);
-        build.args(["build", "--quiet", "--locked", "--package", "granitehub", "--bin", "granitethread"]);
-        build.current_dir(env!("CARGO_MANIFEST_DIR"));
-        if folder.ends_with("release") {
-            build.arg("--release");
-        }
-        let status = build.status().map_err(|e| format!("cargo: {e}"))?;
-        if !status.success() {
-            return Err("the gateway could not be built".into());
-        }
+    if let Some(mut build) = build {
+        cargo(&mut build)?;
     }
+    there(program)
+}
+
+/// The same program with planted defects, in a folder of its own so that it is never taken for the other.
+///
+/// # Errors
+/// One line, if it can't be built: that takes cargo, or an earlier run that had it.
+pub fn locate_with_defects() -> Result<PathBuf, String> {
+    let (program, _) = beside()?;
+    let folder = program.parent().unwrap_or(Path::new("."));
+    let profile = folder.file_name().unwrap_or_default();
+    let target = folder.parent().unwrap_or(folder).join("defects");
+    if let Some(mut build) = build(profile == "release") {
+        build.args(["--features", "defects", "--target-dir"]).arg(&target);
+        cargo(&mut build)?;
+    }
+    there(target.join(profile).join("granitethread"))
+}
+
+fn there(program: PathBuf) -> Result<PathBuf, String> {
     if program.exists() {
         Ok(program)
     } else {
@@ -45,6 +50,39 @@
     }
 }
 
+fn cargo(build: &mut Command) -> Result<(), String> {
+    let status = build.status().map_err(|e| format!("cargo: {e}"))?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err("the gateway could not be built".into())
+    }
+}
+
+/// What builds it, if cargo started this program.
+fn build(release: bool) -> Option<Command> {
+    let mut build = Command::new(env::var_os("CARGO")?);
+    build.args(["build", "--quiet", "--locked", "--package", "granitehub", "--bin", "granitethread"]);
+    build.current_dir(env!("CARGO_MANIFEST_DIR"));
+    if release {
+        build.arg("--release");
+    }
+    Some(build)
+}
+
+/// Where it stands, and what builds it if that is wanted.
+fn beside() -> Result<(PathBuf, Option<Command>), String> {
+    let me = env::current_exe().map_err(|e| format!("where this program stands: {e}"))?;
+    let mut folder = me.parent().unwrap_or(Path::new("."));
+    let testing = folder.ends_with("deps");
+    if testing {
+        folder = folder.parent().unwrap_or(folder);
+    }
+    let program = folder.join("granitethread");
+    let build = build(folder.ends_with("release")).filter(|_| !testing || !program.exists());
+    Ok((program, build))
+}
+
 /// What an upgrade in service hands to each process of one gateway.
 pub struct Shared<'a> {
     pub socket: &'a TcpListener,
@@ -109,7 +147,7 @@
         Program::from(command, file)
     }
 
-    /// One with an operators' file that takes operators' calls too.
+    /// One with an operators' file that takes operators' calls too; `defect` is for what was built with them.
     ///
     /// # Errors
     /// One line, if it does not come up.
@@ -118,9 +156,13 @@
         config: &str,
         discovery: SocketAddr,
         operator: &Path,
+        defect: Option<&str>,
     ) -> Result<Self, String> {
         let (mut command, file) = command(program, config, discovery)?;
         command.env("LB_OPERATOR", "127.0.0.1:0").env("GRANITETHREAD_OPERATOR", operator);
+        if let Some(defect) = defect {
+            command.env("GRANITETHREAD_DEFECT", defect);
+        }
         Program::from(command, file)
     }
 
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -11,6 +11,8 @@
     pub time: Duration,
     /// What the rig's own peers do wrong on purpose.
     pub defect: Option<String>,
+    /// Faults to play instead of those that the seed draws, as an earlier run printed them.
+    pub schedule: Option<String>,
 }
 
 impl Play {
@@ -58,6 +60,8 @@
     pub test_seconds: u64,
     /// Names of defects, and what is wrong then.
     pub defects: &'static [(&'static str, &'static str)],
+    /// Names of defects of the program itself, and the schedule that shows each. They take a build of their own.
+    pub planted: &'static [(&'static str, &'static str)],
     pub run: fn(&Play) -> Result<Figures, String>,
 }
 
--- a/crates/rig/src/upgrade.rs
+++ b/crates/rig/src/upgrade.rs
@@ -24,6 +24,7 @@
         ("killed-at-once", "the old process is killed where it should be told to end"),
         ("few-descriptors", "the limit that is watched is far under the one that the gateway is told"),
     ],
+    planted: &[],
     run,
 };
 
--- /dev/null
+++ b/crates/rig/src/view/members.rs
@@ -0,0 +1,203 @@
+//! Members of the fleet as real processes behind relays, and what they say of each other.
+
+use crate::bed::{Link, Relays};
+use crate::peers::Discovery;
+use crate::planners::Files;
+use crate::program::{Program, EXAMPLE};
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+use std::process::Command;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+pub const MEMBERS: usize = 24;
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+pub struct Members {
+    pub relays: Relays,
+    pub running: Vec<Option<Program>>,
+    /// Where each member is, and the one place that is free.
+    places: Vec<usize>,
+    spare: usize,
+    pub files: Files,
+    /// The table's seeds, and each member's key.
+    pub seeds: String,
+    pub keys: Vec<PathBuf>,
+    pub program: PathBuf,
+    pub defect: Option<String>,
+    pub discovery: Discovery,
+    /// Who is on the other side of a cut.
+    pub apart: BTreeSet<usize>,
+    pub stopped: BTreeSet<usize>,
+}
+
+impl Members {
+    pub fn new(
+        relays: Relays,
+        files: Files,
+        keys: Vec<PathBuf>,
+        (program, defect): (PathBuf, Option<String>),
+        discovery: Discovery,
+    ) -> Self {
+        let seeds: Vec<String> = relays.advertised[..3].iter().map(|a| format!("\"{a}\"")).collect();
+        Members {
+            relays,
+            running: (0..MEMBERS).map(|_| None).collect(),
+            places: (0..MEMBERS).collect(),
+            spare: MEMBERS,
+            files,
+            seeds: seeds.join(", "),
+            keys,
+            program,
+            defect,
+            discovery,
+            apart: BTreeSet::new(),
+            stopped: BTreeSet::new(),
+        }
+    }
+
+    /// Starts a process under this member's name where it stands.
+    fn process(&mut self, n: usize) -> Result<Program, String> {
+        let place = self.places[n];
+        let text = format!(
+            "[fleet]\nname = \"member-{n}\"\nlisten = \"{}\"\nadvertise = \"{}\"\nseeds = [{}]\nkey_file = \"{}\"\n",
+            self.relays.place(place),
+            self.relays.advertised[place],
+            self.seeds,
+            self.keys[n].display()
+        );
+        let file = self.files.add(&format!("member-{n}.toml"), &text, 0o600)?;
+        let discovery = self.discovery.address;
+        Program::start_member(&self.program, EXAMPLE, discovery, &file, self.defect.as_deref())
+    }
+
+    pub fn start(&mut self, n: usize) -> Result<(), String> {
+        self.running[n] = Some(self.process(n)?);
+        Ok(())
+    }
+
+    /// Starts another process of this name at the place that is free. The one before, if it still runs: it is no
+    /// member any more.
+    pub fn start_elsewhere(&mut self, n: usize) -> Result<Option<Program>, String> {
+        std::mem::swap(&mut self.places[n], &mut self.spare);
+        let process = self.process(n)?;
+        Ok(self.running[n].replace(process))
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut member) = self.running[n].take() {
+            member.kill();
+        }
+    }
+
+    pub fn awake(&self) -> Vec<usize> {
+        let runs = |n: &usize| self.running[*n].is_some() && !self.stopped.contains(n);
+        (0..MEMBERS).filter(runs).collect()
+    }
+
+    /// Changes the links between members, for all ordered pairs of them.
+    pub fn links(&self, link: impl Fn(usize, usize) -> Link) {
+        let who = |place| self.places.iter().position(|p| *p == place);
+        self.relays.set(|a, b| match (who(a), who(b)) {
+            (Some(a), Some(b)) => link(a, b),
+            _ => Link::default(),
+        });
+    }
+
+    /// What all members have sent so far: datagrams and bytes.
+    pub fn sent(&self) -> (u64, u64) {
+        let sent = self.places.iter().map(|p| self.relays.sent(*p));
+        sent.fold((0, 0), |sum, n| (sum.0 + n.0, sum.1 + n.1))
+    }
+
+    /// What this member says of the fleet.
+    pub fn status(&self, n: usize) -> Option<Value> {
+        status(self.running[n].as_ref()?)
+    }
+
+    /// Whether those of one side see each other and nobody else.
+    pub fn settled(&self) -> bool {
+        let awake = self.awake();
+        let (here, there): (Vec<usize>, Vec<usize>) = awake.iter().partition(|n| !self.apart.contains(n));
+        [here, there].iter().all(|side| {
+            let digests: Option<BTreeSet<String>> = side
+                .iter()
+                .map(|n| {
+                    let status = self.status(*n)?;
+                    let living = count(&status, |m| m["state"] == "alive" || m["state"] == "suspect");
+                    (living == side.len()).then(|| status["digest"].to_string())
+                })
+                .collect();
+            digests.is_some_and(|d| d.len() <= 1)
+        })
+    }
+
+    /// How long until that holds; none if it does not within `most`.
+    pub fn until_settled(&self, most: Duration) -> Option<Duration> {
+        let began = Instant::now();
+        loop {
+            if self.settled() {
+                return Some(began.elapsed());
+            }
+            if began.elapsed() > most {
+                return None;
+            }
+            thread::sleep(LOOK_EVERY);
+        }
+    }
+
+    /// Beliefs in a death of somebody who runs, on the same side.
+    pub fn wronged(&self) -> usize {
+        let awake = self.awake();
+        let (here, there): (Vec<usize>, Vec<usize>) = awake.iter().partition(|n| !self.apart.contains(n));
+        [here, there].iter().map(|side| self.wronged_by(side, side)).sum()
+    }
+
+    /// Beliefs of these in a death of those.
+    pub fn wronged_by(&self, these: &[usize], those: &[usize]) -> usize {
+        let names: BTreeSet<String> = those.iter().map(|n| format!("member-{n}")).collect();
+        let named = |m: &Value| m["name"].as_str().is_some_and(|n| names.contains(n));
+        let wronged = |s: &Value| count(s, |m| m["state"] == "dead" && named(m));
+        these.iter().filter_map(|n| self.status(*n)).map(|s| wronged(&s)).sum()
+    }
+
+    /// Versions of the settled view that all who run have made.
+    pub fn versions(&self) -> u64 {
+        let version = |n| self.status(n).and_then(|s| s["settled"]["version"].as_u64());
+        self.awake().into_iter().filter_map(version).sum()
+    }
+
+    /// Datagrams that all who run have dropped.
+    pub fn dropped(&self) -> u64 {
+        let causes = |n| self.status(n).and_then(|s| s["dropped"].as_object().cloned());
+        let sum = |all: serde_json::Map<String, Value>| all.values().filter_map(Value::as_u64).sum::<u64>();
+        self.awake().into_iter().filter_map(causes).map(sum).sum()
+    }
+
+    /// For so long this member has a tenth of a core: it runs for 10 of 100 ms.
+    pub fn slow(&self, n: usize, time: Duration) -> Option<JoinHandle<()>> {
+        let id = self.running[n].as_ref()?.child.id().to_string();
+        Some(thread::spawn(move || {
+            let until = Instant::now() + time;
+            let signal = |name: &str| drop(Command::new("kill").args([name, id.as_str()]).status());
+            while Instant::now() < until {
+                signal("-STOP");
+                thread::sleep(Duration::from_millis(90));
+                signal("-CONT");
+                thread::sleep(Duration::from_millis(10));
+            }
+        }))
+    }
+}
+
+pub fn status(member: &Program) -> Option<Value> {
+    let (status, body) = member.call("GET /status/fleet", "")?;
+    (status == 200).then_some(())?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// How many of the members that it tells of are such.
+pub fn count(status: &Value, such: impl Fn(&Value) -> bool) -> usize {
+    status["members"].as_array().map_or(0, |all| all.iter().filter(|m| such(m)).count())
+}
--- /dev/null
+++ b/crates/rig/src/view/mod.rs
@@ -0,0 +1,316 @@
+//! The scenario of the fleet's view: real gateways that find each other through relays, under a schedule of faults
+//! drawn from the seed. After each fault: how long until all that can reach each other have one view.
+
+pub mod faults;
+mod members;
+
+use crate::bed::{Link, Relays};
+use crate::peers::{list, Discovery};
+use crate::planners::Files;
+use crate::program::{locate, locate_with_defects};
+use crate::scenario::{Figures, Play, Scenario};
+use faults::{schedule, Fault};
+use members::{count, Members, MEMBERS};
+use std::collections::BTreeSet;
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const SCENARIO: Scenario = Scenario {
+    name: "view",
+    about: "24 gateways that keep a view of the fleet, killed, cut off, stopped and brought back: one view each time",
+    seconds: 120,
+    test_seconds: 20,
+    defects: &[
+        ("deaf-relay", "one relay never passes anything on: its process can't be reached"),
+        ("other-key", "one process has another key"),
+        ("never-healed", "a cut stays, and the rig says that it was healed"),
+    ],
+    planted: PLANTED,
+    run,
+};
+
+/// Defects of the program itself, and a schedule that shows each. They take a build of their own.
+pub const PLANTED: &[(&str, &str)] = &[
+    ("refutation-left-out", "loss, one-direction 5 6, stop 7"),
+    ("dead-never-tried", "halves 1"),
+    ("old-life-believed", "quick-restart 5, twice 6, quick-restart 7, moved 8, quick-restart 9"),
+    ("dead-believed-at-once", "halves 1, halves 2, halves 3"),
+    ("alone-buries-all", "cut-off 5"),
+    ("leave-not-told", "leave 5"),
+    ("settled-at-once", "seven-in-ten 1"),
+    ("replay-taken", "replay"),
+    // No defect, but what it is beside.
+    ("plain-swim", "loss, halves 1"),
+];
+
+/// On top of each bound, for 24 processes and their looks on two cores.
+const ROOM: Duration = Duration::from_millis(500);
+const KEY: &str = "the key of the rig, sixteen and more bytes\n";
+/// A member may hold so many for dead when it is cut off: those on whom it had an eye before it knew.
+const BURIED_ALONE: usize = 2;
+/// Versions that one wave may make at each who outlives it.
+const VERSIONS: f64 = 3.0;
+
+/// Times of one kind, in milliseconds, and how many had none within the bound.
+#[derive(Default)]
+struct Times(Vec<u64>, usize);
+
+struct Run<'a> {
+    members: Members,
+    play: &'a Play,
+    crash: Times,
+    leave: Times,
+    wave: Times,
+    heal: Times,
+    join: Times,
+    wronged: usize,
+    /// Deaths that a member believed in which had been stopped or cut off.
+    blamed: usize,
+    /// Members that were cut off, or whose name another took, and did not say so.
+    unsaid: usize,
+    /// Old datagrams that came once more, and those that were dropped for it.
+    replayed: (usize, u64),
+    versions: Option<f64>,
+}
+
+impl Run<'_> {
+    /// Waits for one view; what is believed wrongly meanwhile counts.
+    fn time(members: &Members, bound: u64, times: &mut Times) {
+        match members.until_settled(Duration::from_millis(bound) + ROOM) {
+            Some(took) => times.0.push(took.as_millis() as u64),
+            None => {
+                times.1 += 1;
+                // The next fault begins from one view, if there is one.
+                let _ = members.until_settled(Duration::from_secs(4));
+            }
+        }
+    }
+
+    fn bring_back(&mut self) -> Result<(), String> {
+        let gone: Vec<usize> = (0..MEMBERS).filter(|n| self.members.running[*n].is_none()).collect();
+        if gone.is_empty() {
+            return Ok(());
+        }
+        gone.iter().try_for_each(|n| self.members.start(*n))?;
+        Self::time(&self.members, 1500, &mut self.join);
+        Ok(())
+    }
+
+    fn fault(&mut self, fault: Fault) -> Result<(), String> {
+        let members = &mut self.members;
+        match fault {
+            Fault::Crash(n) => {
+                members.kill(n);
+                Self::time(members, 2500, &mut self.crash);
+            }
+            Fault::SevenInTen { draw } => {
+                let mut rng = fastrand::Rng::with_seed(draw);
+                let killed = rng.choose_multiple(0..MEMBERS, MEMBERS * 7 / 10);
+                killed.into_iter().for_each(|n| members.kill(n));
+                let before = members.versions();
+                Self::time(members, 4000, &mut self.wave);
+                // Until what has changed is a version.
+                thread::sleep(Duration::from_millis(2500));
+                let made = (members.versions() - before) as f64 / members.awake().len() as f64;
+                self.versions = Some(self.versions.unwrap_or(0.0).max((made * 100.0).round() / 100.0));
+            }
+            Fault::Halves { draw } => self.halves(&mut fastrand::Rng::with_seed(draw)),
+            Fault::OneDirection(a, b) => {
+                members.links(|from, to| Link { silent: (from, to) == (a, b), ..Link::default() });
+                self.watch(Duration::from_secs(4));
+            }
+            Fault::Loss => {
+                let delay = Duration::from_millis(10);
+                members.links(|_, _| Link { loss: 0.2, doubled: 0.05, delay, silent: false });
+                self.watch(Duration::from_secs(6));
+            }
+            Fault::Stop(n) => {
+                let Some(member) = &members.running[n] else { return Ok(()) };
+                member.signal("-STOP");
+                members.stopped.insert(n);
+                thread::sleep(Duration::from_secs(5));
+                member.signal("-CONT");
+                members.stopped.remove(&n);
+                // It must not believe what it believed.
+                self.blamed += members.status(n).map_or(0, |s| count(&s, |m| m["state"] == "dead"));
+                Self::time(members, 4000, &mut self.heal);
+            }
+            Fault::Leave(n) => {
+                let Some(mut leaves) = members.running[n].take() else { return Ok(()) };
+                // It goes on for a while, for its clients; the others know at once.
+                leaves.signal("-TERM");
+                Self::time(members, 1000, &mut self.leave);
+                leaves.drain(Duration::from_secs(6))?;
+            }
+            Fault::QuickRestart(n) => {
+                members.kill(n);
+                members.start(n)?;
+                Self::time(members, 2500, &mut self.join);
+            }
+            Fault::CutOff(n) => {
+                members.links(|a, b| Link { silent: (a == n) != (b == n), ..Link::default() });
+                thread::sleep(Duration::from_secs(8));
+                let status = members.status(n).ok_or("a member that is cut off answers its operators")?;
+                self.unsaid += usize::from(status["cut_off_ms"].is_null());
+                let buried = count(&status, |m| m["state"] == "dead");
+                self.blamed += if buried > BURIED_ALONE { buried } else { 0 };
+                members.links(|_, _| Link::default());
+                Self::time(members, 4000, &mut self.heal);
+            }
+            Fault::Slow(n) => {
+                let slow = members.slow(n, Duration::from_secs(5));
+                self.watch(Duration::from_secs(5));
+                if let Some(slow) = slow {
+                    slow.join().map_err(|_| "the one that stops and wakes it is lost")?;
+                }
+            }
+            Fault::Moved(n) => {
+                members.kill(n);
+                drop(members.start_elsewhere(n)?);
+                Self::time(members, 2500, &mut self.join);
+            }
+            Fault::Twice(n) => {
+                let before = members.start_elsewhere(n)?;
+                Self::time(members, 2500, &mut self.join);
+                // It hears of the later at the latest when it pings somebody.
+                thread::sleep(Duration::from_millis(500));
+                let said = before.as_ref().and_then(members::status);
+                self.unsaid += usize::from(said.is_none_or(|s| s["superseded"] != true));
+            }
+            Fault::Replay => {
+                let dropped = members.dropped();
+                let played =
+                    members.relays.replay(Duration::from_secs(1)).map_err(|e| format!("replay: {e}"))?;
+                thread::sleep(Duration::from_millis(200));
+                self.replayed.0 += played;
+                self.replayed.1 += members.dropped() - dropped;
+                // Nothing is to settle: it is as it was.
+                self.wronged += usize::from(!members.settled());
+            }
+        }
+        self.members.links(|_, _| Link::default());
+        self.bring_back()
+    }
+
+    fn halves(&mut self, rng: &mut fastrand::Rng) {
+        let members = &mut self.members;
+        let apart: BTreeSet<usize> = rng.choose_multiple(0..MEMBERS, MEMBERS / 2).into_iter().collect();
+        members.links(|a, b| Link { silent: apart.contains(&a) != apart.contains(&b), ..Link::default() });
+        members.apart = apart;
+        thread::sleep(Duration::from_secs(6));
+        // One dies on each side meanwhile.
+        for side in [false, true] {
+            let one = members.awake().into_iter().find(|n| members.apart.contains(n) == side);
+            if let Some(n) = one {
+                members.kill(n);
+            }
+        }
+        Self::time(members, 4000, &mut self.crash);
+        if !self.play.has("never-healed") {
+            members.links(|_, _| Link::default());
+        }
+        let (here, there): (Vec<usize>, Vec<usize>) =
+            members.awake().iter().partition(|n| !members.apart.contains(n));
+        members.apart.clear();
+        // Nobody believes the other half about its own.
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(2) && !members.settled() {
+            self.wronged += members.wronged_by(&here, &here) + members.wronged_by(&there, &there);
+        }
+        let before = began.elapsed().as_millis() as u64;
+        Self::time(members, 4000 - before.min(4000), &mut self.heal);
+        if let Some(last) = self.heal.0.last_mut() {
+            *last += before;
+        }
+    }
+
+    /// For so long nobody who runs may be held for dead.
+    fn watch(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.wronged += self.members.wronged();
+            thread::sleep(Duration::from_millis(200));
+        }
+    }
+
+    fn failed(&self) -> bool {
+        let late = self.crash.1 + self.leave.1 + self.wave.1 + self.heal.1 + self.join.1;
+        late + self.wronged + self.blamed + self.unsaid > 0
+    }
+}
+
+/// Which schedule is asked for, if one is, and which defect of the program.
+fn asked(play: &Play) -> Result<(Option<Vec<Fault>>, Option<String>), String> {
+    let planted = play.defect.as_deref().and_then(|d| PLANTED.iter().find(|(name, _)| d == *name));
+    let shown = planted.map(|(_, schedule)| *schedule);
+    let schedule = play.schedule.as_deref().or(shown).map(faults::read).transpose()?;
+    Ok((schedule, planted.map(|(name, _)| (*name).to_string())))
+}
+
+fn run(play: &Play) -> Result<Figures, String> {
+    let (asked, defect) = asked(play)?;
+    let program = if defect.is_some() { locate_with_defects()? } else { locate()? };
+    let mut files = Files(Vec::new());
+    let key = files.add("fleet.key", KEY, 0o600)?;
+    let other = files.add("other.key", "another key, sixteen and more bytes\n", 0o600)?;
+    let relays = Relays::new(MEMBERS + 1, play.seed)?;
+    let key = |n| if play.has("other-key") && n == 5 { other.clone() } else { key.clone() };
+    let keys = (0..MEMBERS).map(key).collect();
+    let discovery = Discovery::new(list(1, true, &[]));
+    let members = Members::new(relays, files, keys, (program, defect), discovery);
+    let (crash, leave, wave, heal, join) = Default::default();
+    let (wronged, blamed, unsaid, replayed, versions) = Default::default();
+    let mut run =
+        Run { members, play, crash, leave, wave, heal, join, wronged, blamed, unsaid, replayed, versions };
+    if play.has("deaf-relay") {
+        run.members.links(|_, to| Link { silent: to == 5, ..Link::default() });
+    }
+    let until = Instant::now() + play.time;
+    run.bring_back()?;
+    // At rest: what each sends.
+    let (before, began) = (run.members.sent(), Instant::now());
+    thread::sleep(Duration::from_secs(3));
+    let (after, took) = (run.members.sent(), began.elapsed().as_secs_f64() * MEMBERS as f64);
+    let mut played = Vec::new();
+    if play.has("never-healed") {
+        run.fault(Fault::Halves { draw: play.seed })?;
+    }
+    let mut rng = fastrand::Rng::with_seed(play.seed);
+    while !run.failed() && Instant::now() < until {
+        for fault in asked.clone().unwrap_or_else(|| schedule(&mut rng)) {
+            if asked.is_some() || Instant::now() < until {
+                played.push(fault.to_string());
+                run.fault(fault)?;
+            }
+        }
+        if asked.is_some() {
+            break;
+        }
+    }
+    let mut f = Figures::default();
+    f.set("schedule", played.join(", "));
+    for (name, times) in [
+        ("leave", &mut run.leave),
+        ("crash", &mut run.crash),
+        ("seven_in_ten", &mut run.wave),
+        ("heal", &mut run.heal),
+        ("join", &mut run.join),
+    ] {
+        times.0.sort_unstable();
+        f.set(&format!("{name}_ms"), times.0.clone());
+        f.none(&format!("{name}_not_in_time"), times.1);
+    }
+    f.none("healthy_held_for_dead", run.wronged);
+    f.none("blamed_by_who_was_stopped", run.blamed);
+    f.none("states_not_told", run.unsaid);
+    if let Some(versions) = run.versions {
+        f.bound("versions_of_a_wave", versions, 1.0, VERSIONS);
+    }
+    if run.replayed.0 > 0 {
+        let share = run.replayed.1 as f64 / run.replayed.0 as f64;
+        f.bound("replays_dropped", (share * 1000.0).round() / 1000.0, 0.9, 1.5);
+    }
+    f.set("datagrams_a_second", ((after.0 - before.0) as f64 / took * 10.0).round() / 10.0);
+    f.set("bytes_a_second", ((after.1 - before.1) as f64 / took).round());
+    Ok(f)
+}
--- a/crates/rig/tests/scenarios.rs
+++ b/crates/rig/tests/scenarios.rs
@@ -5,7 +5,7 @@
 
 fn play(scenario: &Scenario, seed: u64, defect: Option<&str>) -> Vec<String> {
     let time = Duration::from_secs(scenario.test_seconds);
-    let play = Play { seed, time, defect: defect.map(String::from) };
+    let play = Play { seed, time, defect: defect.map(String::from), schedule: None };
     let figures = (scenario.run)(&play).expect("it can be played");
     assert!(!figures.figures.is_empty());
     figures.broken
@@ -29,3 +29,16 @@
         }
     }
 }
+
+/// Defects of the program itself: `cargo test --release -p granite-rig --test scenarios -- --ignored`.
+#[test]
+#[ignore = "a build of its own, and some three minutes"]
+fn every_defect_of_the_program_is_seen() {
+    for scenario in ALL {
+        for (name, _) in scenario.planted {
+            let broken = play(scenario, 3, Some(name));
+            println!("{name}: {broken:?}");
+            assert!(!broken.is_empty(), "{}: {name} is not seen", scenario.name);
+        }
+    }
+}
--- a/crates/sim/tests/members.rs
+++ b/crates/sim/tests/members.rs
@@ -388,6 +388,48 @@
     assert!(!granite_fleet::defects::active(Defect::LeaveNotTold));
 }
 
+/// Beliefs in a death of somebody healthy in half a minute of 20% loss, and how long a crash took to be known (ms).
+fn under_loss(seed: u64) -> (usize, Option<u64>) {
+    let mut net = fleet(24, seed).expect("they find each other");
+    net.play(5 * S);
+    net.kill(11);
+    let crash = net.until_settled(10 * S).map(|t| t / MS);
+    net.loss = 0.2;
+    let mut wronged = 0;
+    for _ in 0..60 {
+        net.play(net.now + 500 * MS);
+        wronged += net.wronged();
+    }
+    (wronged, crash)
+}
+
+/// The same seeds, the same network, the same carrier.
+#[test]
+fn plain_swim_that_sees_a_crash_as_soon_buries_the_healthy_under_loss() {
+    let seeds = 0..seeds("PLAIN", 4);
+    let play = |seeds: std::ops::Range<u64>| {
+        let all: Vec<_> = seeds.map(under_loss).collect();
+        let crash: Vec<_> = all.iter().filter_map(|(_, ms)| *ms).collect();
+        (all.iter().map(|(n, _)| n).sum::<usize>(), crash)
+    };
+    let ours = play(seeds.clone());
+    plant(Some(Defect::PlainSwim));
+    let plain = play(seeds.clone());
+    plant(None);
+    let mean = |ms: &[u64]| ms.iter().sum::<u64>() / ms.len().max(1) as u64;
+    println!(
+        "wrong beliefs: {} beside {}; a crash: {} ms beside {}",
+        ours.0,
+        plain.0,
+        mean(&ours.1),
+        mean(&plain.1)
+    );
+    assert_eq!(ours.0, 0);
+    assert!(plain.0 > 0);
+    assert_eq!(ours.1.len(), seeds.count());
+    assert!(mean(&ours.1) < mean(&plain.1) * 3 / 2, "no dearer: {:?} beside {:?}", ours.1, plain.1);
+}
+
 #[test]
 fn random_days_end_with_one_view() {
     for seed in 0..seeds("DAYS", 40) {
@@ -403,12 +445,18 @@
         let mut net = Net::new(size, 1);
         (0..size).for_each(|n| net.start(n));
         net.until_settled(20 * S).expect("one view");
-        // Until all has been told that there was to tell.
-        net.play(net.now + 90 * S);
+        // Until all has been told that there was to tell: each member 3 log2(n) times, some fifteen a datagram.
+        net.play(net.now + 90 * S * (size as u64).div_ceil(200).min(8));
         traffic(&mut net, 5 * S)
     };
     let (small, large) = (of(20), of(200));
     println!("20: {small:?}, 200: {large:?}");
     assert!((large.0 / small.0 - 1.0).abs() < 0.1, "{small:?} {large:?}");
     assert!((large.1 / small.1 - 1.0).abs() < 0.1, "{small:?} {large:?}");
+    // Some minutes: by hand.
+    if seeds("LARGE", 0) > 0 {
+        let vast = of(2000);
+        println!("2000: {vast:?}");
+        assert!((vast.0 / small.0 - 1.0).abs() < 0.1 && (vast.1 / small.1 - 1.0).abs() < 0.1, "{vast:?}");
+    }
 }
--- a/src/bin/granitethread/fleet.rs
+++ b/src/bin/granitethread/fleet.rs
@@ -47,6 +47,8 @@
 impl Fleet {
     /// Reads the keys and takes the address.
     pub fn prepare(table: &Table, role: Role) -> Result<Rc<Self>, String> {
+        #[cfg(feature = "defects")]
+        plant()?;
         let mut keys = vec![allowance::key(&table.key_file)?];
         keys.extend(table.old_key_file.as_deref().map(allowance::key).transpose()?);
         let open = || {
@@ -227,6 +229,15 @@
     }
 }
 
+/// For the rig: a defect of the view that this process is to have.
+#[cfg(feature = "defects")]
+fn plant() -> Result<(), String> {
+    let Some(name) = std::env::var_os("GRANITETHREAD_DEFECT") else { return Ok(()) };
+    let defect = name.to_str().and_then(granite_fleet::defects::named);
+    granite_fleet::defects::plant(Some(defect.ok_or(format!("no defect is named {}", name.display()))?));
+    Ok(())
+}
+
 fn word(state: State) -> &'static str {
     match state {
         State::Alive => "alive",
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -67,7 +67,8 @@
         .map(|n| {
             let text = table(&format!("g{n}"), &places[n], &seeds, &key);
             let file = folder.write(&format!("g{n}.toml"), &text, 0o600);
-            Program::start_member(Path::new(PROGRAM), EXAMPLE, discovery.address, &file).expect("it starts")
+            Program::start_member(Path::new(PROGRAM), EXAMPLE, discovery.address, &file, None)
+                .expect("it starts")
         })
         .collect();
     let sees = |member: &Program, living: usize| {
@@ -114,8 +115,8 @@
         key.display()
     );
     let file = folder.write("g1.toml", &forwarder, 0o600);
-    let gateway =
-        Program::start_member(Path::new(PROGRAM), EXAMPLE, discovery.address, &file).expect("it starts");
+    let gateway = Program::start_member(Path::new(PROGRAM), EXAMPLE, discovery.address, &file, None)
+        .expect("it starts");
     let told = |wanted: &serde_json::Value| {
         let until = Instant::now() + LIMIT;
         loop {
@@ -152,8 +153,8 @@
     let folder = Folder::new("none");
     let discovery = Discovery::new(list(1, true, &[]));
     let file = folder.write("none.toml", "", 0o600);
-    let alone =
-        Program::start_member(Path::new(PROGRAM), EXAMPLE, discovery.address, &file).expect("it starts");
+    let alone = Program::start_member(Path::new(PROGRAM), EXAMPLE, discovery.address, &file, None)
+        .expect("it starts");
     let output = status(&alone, false);
     assert!(!output.status.success());
     let said = String::from_utf8_lossy(&output.stderr).to_string();
