The world of lies presses hard ceilings, with a defect that rests them on the view

The world had no member near its ceiling. Change: eight members with ceilings; the defect ceilings-by-view; bytes a member of a view, measured in the bench.

--- a/crates/fleet/benches/datagram.rs
+++ b/crates/fleet/benches/datagram.rs
@@ -77,5 +77,23 @@
     }
 }
 
-criterion_group!(benches, datagram);
+/// What a view of so many members holds, by what the process grows by with each further one.
+fn memory(_: &mut Criterion) {
+    let resident = || {
+        let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+        text.split_whitespace().nth(1).and_then(|n| n.parse::<usize>().ok()).map(|pages| pages * 4096)
+    };
+    const SIZE: u32 = 2000;
+    const VIEWS: usize = 20;
+    let mut views = vec![fleet(SIZE).0];
+    let before = resident();
+    views.extend((0..VIEWS).map(|_| fleet(SIZE).0));
+    if let (Some(before), Some(after)) = (before, resident()) {
+        let bytes = after.saturating_sub(before) / VIEWS / SIZE as usize;
+        println!("memory: {bytes} bytes a member, rumours among them, in views of {SIZE}");
+    }
+    assert_eq!(views.len(), VIEWS + 1);
+}
+
+criterion_group!(benches, datagram, memory);
 criterion_main!(benches);
--- a/crates/sim/src/defects.rs
+++ b/crates/sim/src/defects.rs
@@ -27,10 +27,11 @@
     ("expired-comes-back", "leases"),
     ("cold-taken-for-warm", "cold"),
     ("ceiling-forgotten", "ceiling"),
+    ("ceilings-by-view", "lies"),
 ];
 
 /// Defects of the decision module: it is told other settings than the world's.
-const OF_MODULE: [&str; 2] = ["cold-taken-for-warm", "ceiling-forgotten"];
+const OF_MODULE: [&str; 3] = ["cold-taken-for-warm", "ceiling-forgotten", "ceilings-by-view"];
 static SPOILT: AtomicUsize = AtomicUsize::new(0);
 
 /// The settings as the module hears them.
@@ -38,6 +39,13 @@
     match SPOILT.load(Ordering::Relaxed) {
         1 => settings.cold = 0,
         2 => settings.plans.iter_mut().for_each(|p| p.ceiling_rate = 0.0),
+        // A part of what all share rests on the view, and that says that nobody else lives.
+        3 => {
+            let all = f64::from(settings.gateways);
+            settings.plans.iter_mut().for_each(|p| {
+                (p.ceiling_rate, p.ceiling_burst) = (p.ceiling_rate * all, p.ceiling_burst * all);
+            });
+        }
         _ => {}
     }
     settings
--- a/crates/sim/src/spec.rs
+++ b/crates/sim/src/spec.rs
@@ -185,9 +185,11 @@
     },
     Spec {
         name: "lies",
-        about: "faults, twenty servers; each gateway is told now and then that any number of gateways live",
+        about: "faults, twenty servers, members at their hard ceiling; gateways are told that any number of gateways live",
         servers: 20,
-        rate: 200.0,
+        customers: 8,
+        rate: 250.0,
+        partner: (150.0, 200.0),
         fault_every: Some(800 * MS),
         lies: Some(300 * MS),
         ..CALM
--- a/crates/sim/tests/sim.rs
+++ b/crates/sim/tests/sim.rs
@@ -44,9 +44,12 @@
 #[test]
 fn planted_defects_break_a_rule() {
     let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
-    for (name, world_name) in
-        [("send-while-out", "mischief"), ("refused-though-run", "faults"), ("quiet-skipped", "leases")]
-    {
+    for (name, world_name) in [
+        ("send-while-out", "mischief"),
+        ("refused-though-run", "faults"),
+        ("quiet-skipped", "leases"),
+        ("ceilings-by-view", "lies"),
+    ] {
         assert!(defects::plant(Some(name)));
         let found = (0..40).find_map(|seed| play(&world(world_name), seed, false).violation);
         defects::plant(None);
