--- a/crates/sim/tests/members.rs
+++ b/crates/sim/tests/members.rs
@@ -438,6 +438,52 @@
     }
 }
 
+#[test]
+fn a_thousand_changes_a_minute_are_followed() {
+    let mut net = fleet(100, 1).expect("they find each other");
+    net.play(5 * S);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let (mut down, mut wronged, mut changes) = (Vec::new(), 0, 0);
+    while changes < 1000 {
+        // Sixteen or seventeen a second: somebody is killed, comes back, leaves or restarts at once.
+        net.play(net.now + 60 * MS);
+        changes += 1;
+        let n = rng.usize(3..100);
+        match (net.nodes[n].view.is_some(), rng.u32(0..3)) {
+            (true, _) if down.len() >= 30 => {
+                let back = down.swap_remove(rng.usize(0..down.len()));
+                net.start(back);
+            }
+            (true, 0) => {
+                net.kill(n);
+                down.push(n);
+            }
+            (true, 1) => {
+                net.leave(n);
+                down.push(n);
+            }
+            (true, _) => {
+                net.kill(n);
+                net.start(n);
+            }
+            (false, _) => {
+                net.start(n);
+                down.retain(|d| *d != n);
+            }
+        }
+        if changes % 50 == 0 {
+            wronged += net.wronged();
+        }
+    }
+    assert_eq!(wronged, 0, "somebody who runs is held for dead");
+    // Each consumer's versions are few beside a thousand.
+    let versions = net.nodes[0].versions;
+    assert!((15..=70).contains(&versions), "{versions} versions in a minute");
+    let took = net.until_settled(4 * S).map(|t| t / MS);
+    println!("one view {took:?} ms after the last of a thousand changes; {versions} versions");
+    assert!(took.is_some(), "no one view within 4 s");
+}
+
 /// Bytes and datagrams of a member don't grow with the fleet.
 #[test]
 fn traffic_of_a_member_is_the_same_in_a_small_and_a_large_fleet() {
