--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -34,6 +34,8 @@
     pub forwarder: Option<Forwarder>,
     /// Absent: this process keeps no view of the fleet.
     pub fleet: Option<Fleet>,
+    /// Absent: nothing is kept over the death of this process.
+    pub snapshot: Option<Snapshot>,
     /// `log.format`, "plain" or "json", default plain: words, or one JSON object a line with fields.
     pub log: LogFormat,
     /// `[[pool]]`: absent, all servers are one pool.
@@ -132,6 +134,17 @@
     pub key_file: PathBuf,
 }
 
+/// `[snapshot]`: what this gateway knows is kept for its next life (docs/design/recovery.md).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// `folder`: on a lasting disk, of this gateway's own.
+    pub folder: PathBuf,
+    /// `name`, 1 to 64 bytes: this gateway's, the same after a restart. Another's snapshot is refused.
+    pub name: String,
+    /// `every_ms`, 200 to 60000, default 1000: so much is lost at the most.
+    pub every: Duration,
+}
+
 /// `[fleet]`: this process keeps a view of the fleet with the others (docs/design/fleet.md).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fleet {
@@ -209,6 +222,7 @@
     planner: Option<PlannerTable>,
     forwarder: Option<ForwarderTable>,
     fleet: Option<FleetTable>,
+    snapshot: Option<SnapshotTable>,
     log: LogTable,
     pool: Vec<Spanned<PoolTable>>,
     route: Vec<Spanned<RouteTable>>,
@@ -297,6 +311,14 @@
     discovery: bool,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SnapshotTable {
+    folder: PathBuf,
+    name: Spanned<String>,
+    every_ms: Option<Spanned<i64>>,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
 struct LifecycleTable {
@@ -334,6 +356,7 @@
             .map(|t| forwarder(text, t, &allowances, file.fleet.is_some()))
             .transpose()?,
         fleet: file.fleet.map(|t| fleet(text, t)).transpose()?,
+        snapshot: file.snapshot.map(|t| snapshot(text, t)).transpose()?,
         allowances,
         log: file.log.format,
         routes: file.route.into_iter().map(|t| route(text, t, &pools)).collect::<Result<_, _>>()?,
@@ -432,18 +455,21 @@
     Ok(Forwarder { seat, planners, names, key_file: table.key_file })
 }
 
+fn words(text: &str, value: &Spanned<String>, least: usize, most: usize) -> Result<String, Trouble> {
+    let n = value.get_ref().len();
+    if (least..=most).contains(&n) && !value.get_ref().contains(char::is_control) {
+        return Ok(value.get_ref().clone());
+    }
+    Err(trouble(text, value.span().start, format!("{n} bytes: {least} to {most} printable ones are wanted")))
+}
+
+fn snapshot(text: &str, table: SnapshotTable) -> Result<Snapshot, Trouble> {
+    let every = milliseconds(text, table.every_ms, 200..=60_000, Duration::from_secs(1))?;
+    Ok(Snapshot { folder: table.folder, name: words(text, &table.name, 1, 64)?, every })
+}
+
 fn fleet(text: &str, table: FleetTable) -> Result<Fleet, Trouble> {
-    let words = |value: &Spanned<String>, least: usize, most: usize| {
-        let n = value.get_ref().len();
-        if (least..=most).contains(&n) && !value.get_ref().contains(char::is_control) {
-            return Ok(value.get_ref().clone());
-        }
-        Err(trouble(
-            text,
-            value.span().start,
-            format!("{n} bytes: {least} to {most} printable ones are wanted"),
-        ))
-    };
+    let words = |value, least, most| words(text, value, least, most);
     let listen = address(text, &table.listen)?;
     let advertise = table.advertise.as_ref().unwrap_or(&table.listen);
     let reached = address(text, advertise)?;
@@ -589,6 +615,19 @@
         assert!(wrong(&(text.to_string() + "period_ms = 10\n")).ends_with("50 to 5000 is wanted"));
     }
 
+    #[test]
+    fn snapshots_are_absent_or_whole() {
+        let text = "[snapshot]\nfolder = \"/var/lib/g1\"\nname = \"g1\"\n";
+        let snapshot = read(text).unwrap().snapshot.expect("it is there");
+        assert_eq!((snapshot.name.as_str(), snapshot.every.as_secs()), ("g1", 1));
+        assert!(wrong("[snapshot]\nname = \"g1\"\n").contains("missing field `folder`"));
+        assert!(wrong("[snapshot]\nfolder = \"x\"\n").contains("missing field `name`"));
+        assert!(
+            wrong(&text.replace("g1\"\n", "\"\n")).ends_with("0 bytes: 1 to 64 printable ones are wanted")
+        );
+        assert!(wrong(&(text.to_string() + "every_ms = 100\n")).ends_with("200 to 60000 is wanted"));
+    }
+
     #[test]
     fn pools_and_routes_are_read_with_their_lines() {
         let text = "[[pool]]\nname = \"pricing\"\ngroup = [1, 2]\n[[pool]]\nname = \"booking\"\n\
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -14,6 +14,7 @@
 mod list;
 mod log;
 mod routes;
+mod snapshot;
 
 use admin::Admin;
 use backends::Backends;
@@ -25,6 +26,7 @@
 use granite_fleet::Role;
 use granite_operator::{LogFormat, Operator};
 use handover::Link;
+use snapshot::Snapshots;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -51,6 +53,11 @@
 enum Command {
     /// Reads an operators' file, or a gateway's own (.json), says what is wrong with it, and ends
     Check { file: PathBuf },
+    /// What a gateway has kept for its next life
+    Snapshot {
+        #[command(subcommand)]
+        what: SnapshotCommand,
+    },
     /// The fleet as a running gateway sees it
     Fleet {
         #[command(subcommand)]
@@ -58,6 +65,17 @@
     },
 }
 
+#[derive(Subcommand)]
+enum SnapshotCommand {
+    /// Prints whose it is, how old, and what is wrong with it
+    Show {
+        file: PathBuf,
+        /// As one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Subcommand)]
 enum FleetCommand {
     /// Who lives, in its eyes
@@ -78,6 +96,10 @@
             log::start(LogFormat::Plain);
             ask::fleet(at, json)
         }
+        Some(Command::Snapshot { what: SnapshotCommand::Show { file, json } }) => {
+            log::start(LogFormat::Plain);
+            snapshot::show(&file, json)
+        }
         Some(Command::Check { file }) => {
             log::start(LogFormat::Plain);
             check(&file)
@@ -199,6 +221,12 @@
         let (driver, server, link) = (driver.clone(), server.clone(), link.clone());
         spawn_local(Rc::new(Admin { driver, server, link, fleet: fleet.clone() }).serve(listener));
     }
+    let snapshots =
+        operator.snapshot.as_ref().and_then(|table| Snapshots::begin(table, &settings, link.role(), &driver));
+    if let Some(snapshots) = snapshots {
+        let link = link.clone();
+        spawn_local(snapshots.run(driver.clone(), move || link.role()));
+    }
     spawn_local(link.follow(driver.clone()));
     let pace = Pace::new(service, config.seed);
     let callers = Rc::new(Cell::new(None));
--- /dev/null
+++ b/src/bin/granitethread/snapshot.rs
@@ -0,0 +1,188 @@
+//! Snapshots on the disk: read at the start, written by a thread of their own. What they mean, and what may be made of
+//! old ones, is settled in `granite_snapshot`.
+
+use crate::driver::Driver;
+use granite_handover::Role;
+use granite_operator::Snapshot as Table;
+use granite_snapshot::age::{join, split, Quota, Times};
+use granite_snapshot::files::{keep, load, save, Folder};
+use granite_snapshot::{decode, encode, inspect, Author, Kind, Section};
+use granitehub::Settings;
+use serde_json::json;
+use std::fs::File;
+use std::io::{Read, Write};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+use tracing::{info, warn};
+
+/// A process that lives for so long has not died of what it read.
+const SURVIVED: Duration = Duration::from_secs(1);
+
+/// What is to be written: as the module left it, to be taken apart by the thread.
+struct Memory {
+    at: u64,
+    module: String,
+    bans: String,
+}
+
+pub struct Snapshots {
+    name: String,
+    life: u64,
+    every: Duration,
+    folder: std::path::PathBuf,
+}
+
+impl Snapshots {
+    /// Goes on with what an earlier process left, as far as it is of use. None, after one line, if there is no folder to
+    /// write to: service goes on without.
+    pub fn begin(table: &Table, settings: &Settings, role: Role, driver: &Rc<Driver>) -> Option<Self> {
+        let folder = table.folder.display();
+        let mut disk = Folder::open(&table.folder)
+            .inspect_err(|e| warn!(cause = %e, "snapshot: {folder}: {e}; nothing is kept for a next process"))
+            .ok()?;
+        // What lies there while another process of this gateway lives is that one's, and it will leave the rest.
+        if role == Role::Alone {
+            match load(&mut disk) {
+                Ok(None) => {}
+                Ok(Some(bytes)) => go_on(&bytes, table, settings, driver),
+                Err(e) => warn!(cause = %e, "snapshot: {folder}: {e}; begun with nothing"),
+            }
+        }
+        let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        Some(Snapshots { name: table.name.clone(), life, every: table.every, folder: table.folder.clone() })
+    }
+
+    /// For as long as the process lives. `role`: only one of two processes of this gateway writes.
+    pub async fn run(self, driver: Rc<Driver>, role: impl Fn() -> Role) {
+        let (sender, memories) = sync_channel(1);
+        let (name, life, folder) = (self.name, self.life, self.folder);
+        let thread = std::thread::Builder::new().name("snapshot".into());
+        if let Err(e) = thread.spawn(move || write(&folder, &name, life, &memories)) {
+            warn!(cause = %e, "snapshot: no thread to write with: {e}");
+            return;
+        }
+        sleep(SURVIVED).await;
+        let mut every = interval(self.every);
+        every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            every.tick().await;
+            if role() != Role::Joining && !hand_over(&sender, &driver) {
+                return;
+            }
+        }
+    }
+}
+
+/// Whether there is still somebody to write it. A disk that is slow gets fewer, not later ones.
+fn hand_over(to: &SyncSender<Memory>, driver: &Driver) -> bool {
+    let at = driver.time(Instant::now());
+    let memory = Memory { at, module: driver.leave(), bans: granite_handover::write(&driver.bans()) };
+    !matches!(to.try_send(memory), Err(TrySendError::Disconnected(_)))
+}
+
+fn write(folder: &Path, name: &str, life: u64, memories: &Receiver<Memory>) {
+    let (mut kept, mut wrong) = (false, None);
+    for memory in memories {
+        let Ok(mut disk) = Folder::open(folder).inspect_err(|e| told_once(&mut wrong, folder, e)) else {
+            continue;
+        };
+        if !std::mem::replace(&mut kept, true) {
+            let _ = keep(&mut disk);
+        }
+        let mut sections = vec![Section { kind: Kind::Bans, bytes: memory.bans.into_bytes() }];
+        if let Some((stores, servers)) = split(&memory.module) {
+            sections.push(Section { kind: Kind::Stores, bytes: stores });
+            sections.push(Section { kind: Kind::Servers, bytes: servers });
+        }
+        let author = Author { name: name.into(), life, at: memory.at };
+        match save(&mut disk, &encode(&author, &sections)) {
+            Ok(()) => wrong = None,
+            Err(e) => told_once(&mut wrong, folder, &e),
+        }
+    }
+}
+
+/// One line for each trouble, not one a second.
+fn told_once(wrong: &mut Option<String>, folder: &Path, e: &std::io::Error) {
+    let what = e.to_string();
+    if wrong.as_ref() != Some(&what) {
+        warn!(cause = what, "snapshot: {}: {what}; the one before stands", folder.display());
+        *wrong = Some(what);
+    }
+}
+
+fn go_on(bytes: &[u8], table: &Table, settings: &Settings, driver: &Rc<Driver>) {
+    let now = driver.time(Instant::now());
+    let read = match decode(bytes, &table.name, now) {
+        Ok(read) => read,
+        Err(refused) => return warn!(cause = %refused, "snapshot: {refused}; begun with nothing"),
+    };
+    for (kind, spoilt) in read.sections.iter().filter_map(|(k, s)| Some((k, s.as_ref().err()?))) {
+        warn!(cause = %spoilt, "snapshot: {kind}: {spoilt}; begun without");
+    }
+    let section = |kind| read.sections.get(&kind).and_then(|s| s.as_deref().ok());
+    let bans = section(Kind::Bans).map(granite_handover::read);
+    match bans {
+        Some(Ok(bans)) => driver.adopt_bans(&bans),
+        Some(Err(e)) => warn!(cause = %e, "snapshot: bans: {e}; begun without"),
+        None => {}
+    }
+    let plans: Vec<Quota> = settings.plans.iter().map(|p| Quota { rate: p.rate, depth: p.depth }).collect();
+    let times = Times { at: read.author.at, interval: 2 * table.every.as_nanos() as u64, now };
+    let text = section(Kind::Stores).and_then(|stores| join(stores, section(Kind::Servers), &plans, times));
+    let age = now.saturating_sub(read.author.at) / 1_000_000;
+    match text.map(|text| driver.take_over(&text)) {
+        Some(Ok(())) => info!(age, bytes = bytes.len(), "snapshot: goes on with one that is {age} ms old"),
+        Some(Err(what)) => warn!(cause = what, "snapshot: stores and servers: {what}; begun without"),
+        None => {}
+    }
+}
+
+/// `granitethread snapshot show`.
+pub fn show(file: &Path, as_json: bool) -> Result<(), String> {
+    let wrong = |e: std::io::Error| format!("{}: {e}", file.display());
+    let mut bytes = Vec::new();
+    let most = granite_snapshot::MOST_BYTES as u64 + 1;
+    File::open(file).map_err(wrong)?.take(most).read_to_end(&mut bytes).map_err(wrong)?;
+    let read = inspect(&bytes).map_err(|refused| format!("{}: {refused}", file.display()))?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let age = now.saturating_sub(read.author.at) / 1_000_000;
+    let sections: Vec<_> = read
+        .sections
+        .iter()
+        .map(|(kind, found)| {
+            let bytes = found.as_ref().map_or(0, Vec::len);
+            let wrong = found.as_ref().err().map(ToString::to_string);
+            (kind.to_string(), bytes, wrong)
+        })
+        .collect();
+    let text = if as_json {
+        let one = |(kind, bytes, wrong): &(String, usize, Option<String>)| json!({"section": kind, "bytes": bytes, "wrong": wrong});
+        let all: Vec<_> = sections.iter().map(one).collect();
+        let author = &read.author;
+        format!(
+            "{}\n",
+            json!({
+                "name": author.name, "life": author.life, "age_ms": age, "bytes": bytes.len(), "sections": all,
+                "table_damaged": read.table_damaged, "unknown_sections": read.unknown,
+            })
+        )
+    } else {
+        let mut text =
+            format!("{}, life {}, {age} ms old, {} bytes\n", read.author.name, read.author.life, bytes.len());
+        for (kind, bytes, wrong) in &sections {
+            let state = wrong.as_deref().map_or_else(|| "sound".to_string(), |w| format!("of no use: {w}"));
+            text.push_str(&format!("{kind:10} {bytes:>10} bytes  {state}\n"));
+        }
+        if read.table_damaged {
+            text.push_str("one of its two tables is damaged\n");
+        }
+        text
+    };
+    // A reader that goes away is no trouble of ours.
+    let _ = std::io::stdout().write_all(text.as_bytes());
+    Ok(())
+}
