--- /dev/null
+++ b/crates/rig/src/comeback.rs
@@ -0,0 +1,273 @@
+//! The scenario of coming back: three fleets side by side with the same load, one with snapshots, one without, and one in
+//! which nobody is killed. Eight of twelve gateways are killed at once and start again after a second. Servers and clients
+//! count, not the gateways.
+
+use crate::fleet::lock;
+use crate::peers::{Client, Discovery};
+use crate::planners::{customer, fleet, units, Files, Ledger, QUOTA};
+use crate::program::{locate, Program, EXAMPLE};
+use crate::scenario::{Figures, Play, Scenario};
+use fastrand::Rng;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+pub const SCENARIO: Scenario = Scenario {
+    name: "comeback",
+    about:
+        "eight of twelve gateways killed at once, with snapshots, without, and nobody killed: what it costs",
+    seconds: 12,
+    test_seconds: 10,
+    defects: &[
+        ("nothing-kept", "the fleet with snapshots has none either"),
+        ("swapped", "every gateway finds another's snapshot"),
+    ],
+    planted: &[],
+    run,
+};
+
+const GATEWAYS: usize = 12;
+const KILLED: usize = 8;
+/// Members that ask two and a half times their quota, and members that ask half of it.
+const HEAVY: u64 = 6;
+const GOOD: u64 = 6;
+const AWAY: Duration = Duration::from_secs(1);
+/// Until stores are as the load has them.
+const WARM: Duration = Duration::from_secs(4);
+/// So long a client keeps a connection that it does not use.
+const IDLE: Duration = Duration::from_secs(1);
+const WINDOW: Duration = Duration::from_millis(250);
+
+#[derive(Clone, Copy)]
+struct Outcome {
+    asked: Instant,
+    gateway: usize,
+    customer: u64,
+    status: Option<u16>,
+}
+
+/// One of the three fleets.
+struct Arm {
+    gateways: Vec<Program>,
+    folders: Vec<PathBuf>,
+    ledger: Arc<Ledger>,
+    outcomes: Arc<Mutex<Vec<Outcome>>>,
+    lanes: Vec<JoinHandle<()>>,
+    _discovery: Discovery,
+}
+
+/// Folders that go with the run.
+struct Folders(Vec<PathBuf>);
+
+impl Drop for Folders {
+    fn drop(&mut self) {
+        self.0.iter().for_each(|f| drop(std::fs::remove_dir_all(f)));
+    }
+}
+
+fn config(me: usize) -> String {
+    let mut config: serde_json::Value = serde_json::from_str(EXAMPLE).expect("the example is JSON");
+    let s = &mut config["settings"];
+    (s["me"], s["siblings"]) = (me.into(), GATEWAYS.into());
+    for plan in s["plans"].as_array_mut().into_iter().flatten().filter(|p| p["name"] == "workshop") {
+        (plan["quota_rate"], plan["depth"]) = (QUOTA.0.into(), QUOTA.1.into());
+    }
+    config.to_string()
+}
+
+impl Arm {
+    fn start(
+        name: &str,
+        keeps: bool,
+        program: &Path,
+        files: &mut Files,
+        folders: &mut Folders,
+    ) -> Result<Self, String> {
+        let (ledger, discovery) = fleet()?;
+        let (mut gateways, mut own) = (Vec::new(), Vec::new());
+        for n in 0..GATEWAYS {
+            let operator = if keeps {
+                let number = crate::peers::NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                let folder = format!("granitethread-rig-{}-{number}-{name}-{n}", std::process::id());
+                let folder = std::env::temp_dir().join(folder);
+                std::fs::create_dir(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+                folders.0.push(folder.clone());
+                own.push(folder.clone());
+                let text = format!("[snapshot]\nfolder = \"{}\"\nname = \"g{n}\"\n", folder.display());
+                Some(files.add("snapshot.toml", &text, 0o600)?)
+            } else {
+                None
+            };
+            gateways.push(Program::start_as(program, &config(n), discovery.address, operator.as_deref())?);
+        }
+        let (outcomes, lanes) = Default::default();
+        Ok(Arm { gateways, folders: own, ledger, outcomes, lanes, _discovery: discovery })
+    }
+
+    /// The same requests at the same moments in each arm.
+    fn load(&mut self, seed: u64, began: Instant, until: Instant) {
+        let addresses: Vec<SocketAddr> = self.gateways.iter().map(|g| g.address).collect();
+        for customer in 0..HEAVY + GOOD {
+            let times = if customer < HEAVY { 2.5 } else { 0.5 };
+            let lanes = if customer < HEAVY { 4 } else { 2 };
+            let rate = times * QUOTA.0 / 4.5 / lanes as f64;
+            for n in 0..lanes {
+                let id = (customer << 48) | (n << 40) | ((seed & 0xff) << 32);
+                let (addresses, outcomes) = (addresses.clone(), self.outcomes.clone());
+                self.lanes.push(thread::spawn(move || lane(id, rate, (began, until), &addresses, &outcomes)));
+            }
+        }
+    }
+
+    /// Units that ran beyond the quotas since then: each customer's quota is one store of the whole.
+    fn beyond(&self, since: Instant) -> f64 {
+        let mut came = lock(self.ledger.came()).clone();
+        came.sort_by_key(|c| c.0);
+        let mut stores: HashMap<u64, (f64, Option<Instant>)> = HashMap::new();
+        let mut beyond = 0.0;
+        for (at, who, units) in came {
+            let (level, last) = stores.entry(who).or_insert((QUOTA.1, None));
+            let passed = last.map_or(0.0, |l| at.duration_since(l).as_secs_f64());
+            *level = (*level + QUOTA.0 * passed).min(QUOTA.1);
+            *last = Some(at);
+            if *level >= units {
+                *level -= units;
+            } else if at >= since {
+                beyond += units;
+            }
+        }
+        beyond
+    }
+}
+
+fn lane(
+    mut id: u64,
+    rate: f64,
+    (began, until): (Instant, Instant),
+    addresses: &[SocketAddr],
+    outcomes: &Mutex<Vec<Outcome>>,
+) {
+    let mut rng = Rng::with_seed(id);
+    let mut clients: HashMap<usize, (Client, Instant)> = HashMap::new();
+    let pause = Duration::from_secs_f64(1.0 / rate);
+    let mut next = began + pause.mul_f64(rng.f64());
+    while next < until {
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+        next += pause;
+        id += 1 + rng.u64(0..8);
+        let gateway = rng.usize(0..addresses.len());
+        let class = ["quote", "confirm", "book-slot"][(id % 3) as usize];
+        let text = crate::demo::request(class, id, "workshop", &format!("{:016x}", 1 + customer(id)), 2.0)
+            .replace("units=1,spread=1", &format!("units={},spread={GATEWAYS}", units(id)));
+        // Nobody listens while a gateway is away: the client asks elsewhere the next time.
+        // A connection that was idle for longer may have been closed, and what is asked on it is nobody's.
+        let kept =
+            clients.remove(&gateway).filter(|(_, used)| used.elapsed() < IDLE).map(|(client, _)| client);
+        let Some(mut client) = kept.or_else(|| Client::try_connect(addresses[gateway])) else { continue };
+        let asked = Instant::now();
+        let status = client.try_ask(&text).map(|m| m.status());
+        if status.is_some() {
+            clients.insert(gateway, (client, Instant::now()));
+        }
+        lock(outcomes).push(Outcome { asked, gateway, customer: customer(id), status });
+    }
+}
+
+/// The share of good members' requests at these gateways that were served, among those asked in this time.
+fn served(outcomes: &[Outcome], at: &[usize], from: Instant, to: Instant) -> Option<f64> {
+    let of = |o: &&Outcome| {
+        o.customer >= HEAVY && at.contains(&o.gateway) && (from..to).contains(&o.asked) && o.status.is_some()
+    };
+    let all = outcomes.iter().filter(of).count();
+    let good = outcomes.iter().filter(of).filter(|o| o.status == Some(200)).count();
+    (all > 0).then(|| good as f64 / all as f64)
+}
+
+/// From `started` on: until the service of good members is at 95% of what it was and stays so for 2 s, in windows.
+fn full_service(
+    outcomes: &[Outcome],
+    at: &[usize],
+    before: f64,
+    started: Instant,
+    end: Instant,
+) -> Option<u64> {
+    let hold = Duration::from_secs(2);
+    let mut from = started;
+    while from + hold <= end {
+        if served(outcomes, at, from, from + hold).is_some_and(|s| s >= 0.95 * before) {
+            return Some((from - started).as_millis() as u64);
+        }
+        from += WINDOW;
+    }
+    None
+}
+
+fn run(play: &Play) -> Result<Figures, String> {
+    let program = locate()?;
+    let (mut files, mut folders) = (Files(Vec::new()), Folders(Vec::new()));
+    let keeps = !play.has("nothing-kept");
+    let mut arms = Vec::new();
+    for (name, keeps) in [("with", keeps), ("without", false), ("calm", false)] {
+        arms.push(Arm::start(name, keeps, &program, &mut files, &mut folders)?);
+    }
+    let began = Instant::now();
+    let until = began + play.time.max(WARM + AWAY + Duration::from_secs(5));
+    arms.iter_mut().for_each(|arm| arm.load(play.seed, began, until));
+    let mut rng = Rng::with_seed(play.seed);
+    let killed = rng.choose_multiple(0..GATEWAYS, KILLED);
+    thread::sleep(WARM);
+    let at = Instant::now();
+    for arm in &mut arms[..2] {
+        killed.iter().for_each(|n| arm.gateways[*n].kill());
+    }
+    if play.has("swapped") {
+        let file = |n: usize| arms[0].folders[n].join("granitethread.snapshot");
+        let all: Vec<Option<Vec<u8>>> = killed.iter().map(|n| std::fs::read(file(*n)).ok()).collect();
+        for (n, bytes) in killed.iter().zip(all.iter().skip(1).chain(all.iter().take(1))) {
+            bytes.as_ref().map(|b| std::fs::write(file(*n), b)).transpose().map_err(|e| e.to_string())?;
+        }
+    }
+    thread::sleep((at + AWAY).saturating_duration_since(Instant::now()));
+    for arm in &mut arms[..2] {
+        killed.iter().try_for_each(|n| arm.gateways[*n].start_again())?;
+    }
+    let started = Instant::now();
+    thread::sleep(until.saturating_duration_since(Instant::now()));
+    let mut f = Figures::default();
+    let (mut beyond, mut first, mut unanswered, mut twice) = (Vec::new(), Vec::new(), 0, 0);
+    for (name, arm) in ["with", "without", "calm"].iter().zip(&mut arms) {
+        arm.lanes.drain(..).for_each(|lane| drop(lane.join()));
+        let outcomes = lock(&arm.outcomes).clone();
+        let before = served(&outcomes, &killed, at - Duration::from_secs(2), at).unwrap_or(0.0);
+        let after = served(&outcomes, &killed, started, started + Duration::from_secs(2)).unwrap_or(0.0);
+        let full = full_service(&outcomes, &killed, before, started, until);
+        let round = |share: f64| (1000.0 * share).round() / 1000.0;
+        f.set(&format!("{name}_good_served_before"), round(before));
+        f.set(&format!("{name}_good_served_first_2s"), round(after));
+        f.set(&format!("{name}_full_service_ms"), full);
+        beyond.push(arm.beyond(at));
+        f.set(&format!("{name}_units_beyond_quotas"), arm.beyond(at).round());
+        first.push(after / before.max(1e-9));
+        // Held by one that was killed, or asked on a connection that the kill had ended: the client's to ask again.
+        let held =
+            |o: &&Outcome| killed.contains(&o.gateway) && (at - IDLE..started + IDLE).contains(&o.asked);
+        unanswered += outcomes.iter().filter(|o| o.status.is_none() && !held(o)).count();
+        twice += lock(arm.ledger.runs()).iter().filter(|(id, n)| *id % 3 == 2 && **n > 1).count();
+    }
+    f.none("unanswered", unanswered);
+    f.none("book_slots_run_twice", twice);
+    let (with, without) = (beyond[0] - beyond[2], beyond[1] - beyond[2]);
+    f.set("units_beyond_by_kills", vec![with.round(), without.round()]);
+    // Of what the kills cost without: at most a third, and a request or two.
+    f.bound(
+        "part_of_the_overrun",
+        with / without.max(1.0),
+        f64::NEG_INFINITY,
+        1.0 / 3.0 + 20.0 / without.max(1.0),
+    );
+    f.bound("good_first_2s_beside_before", (first[0] * 1000.0).round() / 1000.0, 0.95, f64::INFINITY);
+    Ok(f)
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod bed;
+pub mod comeback;
 pub mod crowd;
 pub mod demo;
 pub mod fleet;
--- a/crates/rig/src/planners.rs
+++ b/crates/rig/src/planners.rs
@@ -39,7 +39,7 @@
 pub(crate) const SEATS: usize = 6;
 const SERVERS: usize = 10;
 /// The `partner` plan of this scenario: units a second and units.
-const QUOTA: (f64, f64) = (60.0, 90.0);
+pub(crate) const QUOTA: (f64, f64) = (60.0, 90.0);
 const CEILING: (f64, f64) = (120.0, 150.0);
 /// The rule's slack: 10%, or one of the largest requests.
 const SLACK: f64 = 15.0;
@@ -54,6 +54,16 @@
     runs: Mutex<HashMap<u64, u32>>,
 }
 
+impl Ledger {
+    pub(crate) fn came(&self) -> &Mutex<Vec<(Instant, u64, f64)>> {
+        &self.came
+    }
+
+    pub(crate) fn runs(&self) -> &Mutex<HashMap<u64, u32>> {
+        &self.runs
+    }
+}
+
 pub(crate) fn customer(id: u64) -> u64 {
     id >> 48
 }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -72,4 +72,5 @@
     crate::planners::SCENARIO,
     crate::planning_cost::SCENARIO,
     crate::view::SCENARIO,
+    crate::comeback::SCENARIO,
 ];
