--- a/benches/passthrough.rs
+++ b/benches/passthrough.rs
@@ -3,6 +3,7 @@
 //!
 //! `GRANITETHREAD_BEFORE=FILE` adds an earlier build of the gateway, for a comparison of before and after.
 //! `FLEET=1` adds the gateway once more with a view of the fleet that it keeps with two others.
+//! `SNAPSHOT=1` adds it once more with a snapshot each second, on the temporary folder's disk.
 //! `SERVERS`, `CONNECTIONS`, `REQUESTS` and `ROUNDS` set the sizes (10, 64, 30000, 5).
 
 use bytes::Bytes;
@@ -204,6 +205,14 @@
         }
         discovery.called((programs.len() + others.len()) * 2);
     }
+    if number("SNAPSHOT", 0) > 0 {
+        let own = folder.join("snapshots");
+        std::fs::create_dir_all(&own)?;
+        let file = folder.join("snapshot.toml");
+        std::fs::write(&file, format!("[snapshot]\nfolder = \"{}\"\nname = \"g\"\n", own.display()))?;
+        let program = Path::new(env!("CARGO_BIN_EXE_granitethread"));
+        programs.push(("snapshot", Program::start_as(program, &config.to_string(), discovery.address, Some(&file))?));
+    }
     let places: Vec<String> = addresses.iter().map(ToString::to_string).collect();
     let mut bare = Command::new(std::env::current_exe()?)
         .env("BARE_SERVERS", places.join(","))
@@ -246,11 +255,13 @@
         let ratio = median(seen[a].0.iter().zip(&seen[b].0).map(|(a, b)| a / b.max(1e-9)).collect());
         println!("after is {ratio:.3} of before");
     }
-    if let (Some(b), Some(a)) =
-        (subjects.iter().position(|s| s.0 == "gateway"), subjects.iter().position(|s| s.0 == "view"))
-    {
-        let ratio = median(seen[a].0.iter().zip(&seen[b].0).map(|(a, b)| a / b.max(1e-9)).collect());
-        println!("with a view it is {ratio:.3} of without");
+    for (part, what) in [("view", "a view"), ("snapshot", "snapshots")] {
+        let place = |name| subjects.iter().position(|s| s.0 == name);
+        if let (Some(b), Some(a)) = (place("gateway"), place(part)) {
+            let ratio = median(seen[a].0.iter().zip(&seen[b].0).map(|(a, b)| a / b.max(1e-9)).collect());
+            let all = seen[a].0.iter().sum::<f64>() / seen[b].0.iter().sum::<f64>();
+            println!("with {what} it is {ratio:.3} of without; over all rounds {all:.3}");
+        }
     }
     drop(others);
     let _ = std::fs::remove_dir_all(&folder);
