--- a/benches/passthrough.rs
+++ b/benches/passthrough.rs
@@ -211,7 +211,10 @@
         let file = folder.join("snapshot.toml");
         std::fs::write(&file, format!("[snapshot]\nfolder = \"{}\"\nname = \"g\"\n", own.display()))?;
         let program = Path::new(env!("CARGO_BIN_EXE_granitethread"));
-        programs.push(("snapshot", Program::start_as(program, &config.to_string(), discovery.address, Some(&file))?));
+        programs.push((
+            "snapshot",
+            Program::start_as(program, &config.to_string(), discovery.address, Some(&file))?,
+        ));
     }
     let places: Vec<String> = addresses.iter().map(ToString::to_string).collect();
     let mut bare = Command::new(std::env::current_exe()?)
--- a/crates/fleet/src/view/coming.rs
+++ b/crates/fleet/src/view/coming.rs
@@ -142,12 +142,7 @@
         if let Some(peer) = self.peers.get_mut(&name) {
             peer.window.take(number);
         }
-        let all: Vec<Record> = std::iter::once(&self.me)
-            .chain(self.peers.values().map(|p| &p.record))
-            .filter(|r| r.name != name && r.state.lives())
-            .cloned()
-            .collect();
-        self.send_records(to, echo, all, out);
+        self.send_records(to, echo, |r| r.name != name && r.state.lives(), out);
         // The word of it has a start of a round or two.
         for helper in self.draw_helpers(&name) {
             if self.asides.take(now) {
@@ -195,13 +190,11 @@
             Message::Differs { buckets } => {
                 if self.answers.take(now) {
                     let own = self.sums.buckets;
-                    let wanted = |r: &&Record| {
+                    let differs = |r: &Record| {
                         let n = bucket(&r.name);
                         own[n] != buckets[n]
                     };
-                    let all = std::iter::once(&self.me).chain(self.peers.values().map(|p| &p.record));
-                    let all = all.filter(wanted).cloned().collect();
-                    self.send_records(to, 0, all, out);
+                    self.send_records(to, 0, differs, out);
                 }
             }
             Message::Records { records, .. } => self.records(now, records, out),
@@ -211,8 +204,7 @@
             }
             // Our answer to the first was lost.
             Message::Join { echo, .. } => {
-                let all = self.living().cloned().collect();
-                self.send_records(to, echo, all, out);
+                self.send_records(to, echo, |r| r.state.lives(), out);
             }
             Message::Cookie { cookie, address } => self.join(now, cookie, address, out),
         }
--- a/crates/fleet/src/view/sending.rs
+++ b/crates/fleet/src/view/sending.rs
@@ -42,28 +42,32 @@
         }
     }
 
+    /// Of those records that are wanted as many as a few datagrams hold. Of thousands only what goes out is copied.
     pub(super) fn send_records(
         &mut self,
         to: SocketAddr,
         echo: u64,
-        mut all: Vec<Record>,
+        wanted: impl Fn(&Record) -> bool,
         out: &mut Vec<Output>,
     ) {
+        let others = self.peers.values().map(|p| &p.record);
+        let mut all: Vec<&Record> = std::iter::once(&self.me).chain(others).filter(|r| wanted(r)).collect();
         // Of more than fit each answer sends others.
         self.rng.shuffle(&mut all);
         if let Some(own) = all.iter().position(|r| r.name == self.me.name) {
             all.swap(0, own);
         }
         let mut all = all.into_iter().peekable();
+        let mut answers = Vec::new();
         for _ in 0..ANSWERS {
             let (mut records, mut room) = (Vec::new(), RECORDS);
             while let Some(record) = all.next_if(|r| size(r) <= room) {
-                room -= size(&record);
-                records.push(record);
-            }
-            if records.is_empty() {
-                return;
+                room -= size(record);
+                records.push(record.clone());
             }
+            answers.push(records);
+        }
+        for records in answers.into_iter().filter(|r| !r.is_empty()) {
             self.send(to, Message::Records { echo, records }, out);
         }
     }
--- a/src/bin/granitethread/snapshot.rs
+++ b/src/bin/granitethread/snapshot.rs
@@ -22,6 +22,9 @@
 /// A process that lives for so long has not died of what it read.
 const SURVIVED: Duration = Duration::from_secs(1);
 
+/// Between two that are handed over.
+const GAP: Duration = Duration::from_millis(100);
+
 /// What is to be written: as the module left it, to be taken apart by the thread.
 struct Memory {
     at: u64,
@@ -81,19 +84,36 @@
                 _ = every.tick() => {}
                 () = driver.list_changed() => {}
             }
-            if role() != Role::Joining && !hand_over(&sender, &driver) {
-                return;
+            // A disk that is slow gets fewer, not older ones; and a list that changes all the time is not written each time.
+            while role() != Role::Joining {
+                match hand_over(&sender, &driver) {
+                    Handed::Gone => return,
+                    Handed::Taken => break,
+                    Handed::Busy => sleep(GAP).await,
+                }
             }
+            sleep(GAP).await;
         }
     }
 }
 
-/// Whether there is still somebody to write it. A disk that is slow gets fewer, not later ones.
-fn hand_over(to: &SyncSender<Memory>, driver: &Driver) -> bool {
+enum Handed {
+    Taken,
+    /// The one before is still being written, and another waits.
+    Busy,
+    /// There is nobody left to write it.
+    Gone,
+}
+
+fn hand_over(to: &SyncSender<Memory>, driver: &Driver) -> Handed {
     let at = driver.time(Instant::now());
     let (module, bans) = (driver.leave(), granite_handover::write(&driver.bans()));
     let memory = Memory { at, module, bans, list: driver.held_list() };
-    !matches!(to.try_send(memory), Err(TrySendError::Disconnected(_)))
+    match to.try_send(memory) {
+        Ok(()) => Handed::Taken,
+        Err(TrySendError::Full(_)) => Handed::Busy,
+        Err(TrySendError::Disconnected(_)) => Handed::Gone,
+    }
 }
 
 fn write(folder: &Path, name: &str, life: u64, memories: &Receiver<Memory>) {
