--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Whether what it knows is the gateway's, to be kept for a next process: of two it is the earlier one's.
+    pub fn remembers(self) -> bool {
+        self != Role::Joining
+    }
+
     /// Whether it takes new connections from the socket that both hold.
     pub fn accepts(self) -> bool {
         self != Role::Leaving
--- a/crates/rig/src/comeback.rs
+++ b/crates/rig/src/comeback.rs
@@ -249,7 +249,7 @@
         f.set(&format!("{name}_good_served_first_2s"), round(after));
         f.set(&format!("{name}_full_service_ms"), full);
         beyond.push(arm.beyond(at));
-        f.set(&format!("{name}_units_beyond_quotas"), arm.beyond(at).round());
+        f.set(&format!("{name}_units_beyond_quotas"), beyond[beyond.len() - 1].round());
         first.push(after / before.max(1e-9));
         // Held by one that was killed, or asked on a connection that the kill had ended: the client's to ask again.
         let held =
--- a/crates/sim/src/members.rs
+++ b/crates/sim/src/members.rs
@@ -263,12 +263,11 @@
 
     /// Whether this member sees all who run and nobody else.
     pub fn sees_who_runs(&self, at: usize) -> bool {
-        let prefix = format!("{at} sees ");
-        !self.disagreements().iter().any(|what| what.starts_with(&prefix))
+        self.disagreements().iter().all(|(who, _)| *who != at)
     }
 
-    /// Where views differ from who runs, in words: for what has gone wrong.
-    pub fn disagreements(&self) -> Vec<String> {
+    /// Where views differ from who runs: whose, and how, in words.
+    pub fn disagreements(&self) -> Vec<(usize, String)> {
         let running: BTreeSet<usize> = self.running().into_iter().collect();
         let mut all = Vec::new();
         for at in &running {
@@ -281,7 +280,7 @@
                 let lives = seen.is_some_and(|r| r.state.lives() && r.life == node.life);
                 if lives != running.contains(&n) {
                     let seen = seen.map(|r| (r.state, r.life == node.life, r.incarnation));
-                    all.push(format!("{at} sees {n} as {seen:?}, health {:?}", view.health()));
+                    all.push((*at, format!("{at} sees {n} as {seen:?}, health {:?}", view.health())));
                 }
             }
         }
@@ -418,7 +417,7 @@
     played.faults.push((net.now / MS, "all is mended".into()));
     played.settled_ms = net.until_settled(BOUND).map(|t| t / MS);
     if played.settled_ms.is_none() {
-        played.wrong = net.disagreements();
+        played.wrong = net.disagreements().into_iter().map(|(_, what)| what).collect();
         let running = net.running();
         let few = running.len() * 8 < size;
         if few {
--- a/crates/sim/src/world/memory.rs
+++ b/crates/sim/src/world/memory.rs
@@ -44,11 +44,11 @@
         }
         let plans: Vec<Quota> =
             self.spec.settings(g).plans.iter().map(|p| Quota { rate: p.rate, depth: p.depth }).collect();
-        let interval = 2 * self.spec.snapshots.unwrap_or_default();
+        let every = self.spec.snapshots.unwrap_or_default();
         let p = &mut self.processes[g];
         let now = p.clock(self.now);
         let text = decode(&bytes, &name(g), now).map_err(|refused| refused.to_string()).and_then(|read| {
-            let times = Times { at: read.author.at, interval, now };
+            let times = Times::new(read.author.at, every, now);
             let section = |kind| read.sections.get(&kind).and_then(|s| s.as_deref().ok());
             let stores = section(Kind::Stores).ok_or("the stores are damaged")?;
             join(stores, section(Kind::Servers), &plans, times).ok_or_else(|| "no memory".to_string())
--- a/crates/snapshot/src/age.rs
+++ b/crates/snapshot/src/age.rs
@@ -32,6 +32,13 @@
 }
 
 impl Times {
+    /// Of a memory of `at` that was renewed every so long. One may have been on its way to the disk when the process died, so
+    /// that two lie between what was read and the end.
+    #[must_use]
+    pub fn new(at: Time, every: Time, now: Time) -> Self {
+        Times { at, interval: 2 * every, now }
+    }
+
     fn age(self) -> f64 {
         self.now.saturating_sub(self.at) as f64 / 1e9
     }
@@ -42,10 +49,12 @@
     }
 }
 
-/// Whether a list of that age still names the servers that it named: later an address may be another's.
+/// Whether a list of that age and revision is taken by who knows one of the revision `known`, or none. It must still name
+/// the servers that it named, later an address may be another's; and revisions don't run back.
 #[must_use]
-pub fn list_counts(times: Times) -> bool {
-    times.now.saturating_sub(times.at) <= FORGOTTEN || planted!(OldListTaken)
+pub fn list_counts(times: Times, rev: u64, known: Option<u64>) -> bool {
+    let fresh = times.now.saturating_sub(times.at) <= FORGOTTEN || planted!(OldListTaken);
+    fresh && known.is_none_or(|known| rev > known)
 }
 
 /// Takes the module's text apart: its stores and what goes with them, and its servers. None if it is no such text.
--- a/crates/snapshot/src/files.rs
+++ b/crates/snapshot/src/files.rs
@@ -81,6 +81,10 @@
         std::fs::remove_file(probe)?;
         Ok(Folder(path.to_path_buf()))
     }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
 }
 
 impl Disk for Folder {
--- a/crates/snapshot/src/tests/old.rs
+++ b/crates/snapshot/src/tests/old.rs
@@ -84,6 +84,8 @@
 }
 
 pub(super) fn lists() -> Result<(), String> {
-    let counts = |age| list_counts(Times { at: NOW - age, interval: SECOND, now: NOW });
-    ensure(counts(0) && counts(600 * SECOND) && !counts(601 * SECOND), || "ten minutes".into())
+    let of = |age, rev, known| list_counts(Times::new(NOW - age, SECOND, NOW), rev, known);
+    let counts = |age| of(age, 7, None);
+    ensure(counts(0) && counts(600 * SECOND) && !counts(601 * SECOND), || "ten minutes".into())?;
+    ensure(of(0, 7, Some(6)) && !of(0, 7, Some(7)) && !of(0, 7, Some(8)), || "it runs back".into())
 }
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -190,7 +190,7 @@
 
     /// The list that is held, as text, if there is one.
     pub fn held_list(&self) -> Option<String> {
-        self.held.borrow().as_ref()?.text().map(String::from)
+        self.held.borrow().as_ref()?.text()
     }
 
     /// Until the list that is held has changed.
--- a/src/bin/granitethread/list.rs
+++ b/src/bin/granitethread/list.rs
@@ -66,10 +66,9 @@
 /// The list as it stands after all that was told, for a next process.
 #[derive(Default)]
 pub struct Held {
-    rev: u64,
-    targets: BTreeMap<String, Target>,
     /// None before any list.
-    text: Option<String>,
+    rev: Option<u64>,
+    targets: BTreeMap<String, Target>,
 }
 
 impl Held {
@@ -84,12 +83,11 @@
                 self.targets.insert(target.uid.clone(), target.clone());
             }
         }
-        self.rev = list.rev;
-        let whole = List { rev: self.rev, all: true, targets: self.targets.values().cloned().collect() };
-        self.text = serde_json::to_string(&whole).ok();
+        self.rev = Some(list.rev);
     }
 
-    pub fn text(&self) -> Option<&str> {
-        self.text.as_deref()
+    pub fn text(&self) -> Option<String> {
+        let whole = List { rev: self.rev?, all: true, targets: self.targets.values().cloned().collect() };
+        serde_json::to_string(&whole).ok()
     }
 }
--- a/src/bin/granitethread/snapshot.rs
+++ b/src/bin/granitethread/snapshot.rs
@@ -37,7 +37,7 @@
     name: String,
     life: u64,
     every: Duration,
-    folder: std::path::PathBuf,
+    disk: Folder,
 }
 
 impl Snapshots {
@@ -55,7 +55,7 @@
             .inspect_err(|e| warn!(cause = %e, "snapshot: {folder}: {e}; nothing is kept for a next process"))
             .ok()?;
         // What lies there while another process of this gateway lives is that one's, and it will leave the rest.
-        if role == Role::Alone {
+        if role.remembers() {
             match load(&mut disk) {
                 Ok(None) => {}
                 Ok(Some(bytes)) => go_on(&bytes, table, settings, driver, rev),
@@ -63,15 +63,15 @@
             }
         }
         let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        Some(Snapshots { name: table.name.clone(), life, every: table.every, folder: table.folder.clone() })
+        Some(Snapshots { name: table.name.clone(), life, every: table.every, disk })
     }
 
     /// For as long as the process lives. `role`: only one of two processes of this gateway writes.
     pub async fn run(self, driver: Rc<Driver>, role: impl Fn() -> Role) {
         let (sender, memories) = sync_channel(1);
-        let (name, life, folder) = (self.name, self.life, self.folder);
+        let (name, life, disk) = (self.name, self.life, self.disk);
         let thread = std::thread::Builder::new().name("snapshot".into());
-        if let Err(e) = thread.spawn(move || write(&folder, &name, life, &memories)) {
+        if let Err(e) = thread.spawn(move || write(disk, &name, life, &memories)) {
             warn!(cause = %e, "snapshot: no thread to write with: {e}");
             return;
         }
@@ -85,7 +85,7 @@
                 () = driver.list_changed() => {}
             }
             // A disk that is slow gets fewer, not older ones; and a list that changes all the time is not written each time.
-            while role() != Role::Joining {
+            while role().remembers() {
                 match hand_over(&sender, &driver) {
                     Handed::Gone => return,
                     Handed::Taken => break,
@@ -116,12 +116,9 @@
     }
 }
 
-fn write(folder: &Path, name: &str, life: u64, memories: &Receiver<Memory>) {
+fn write(mut disk: Folder, name: &str, life: u64, memories: &Receiver<Memory>) {
     let (mut kept, mut wrong) = (false, None);
     for memory in memories {
-        let Ok(mut disk) = Folder::open(folder).inspect_err(|e| told_once(&mut wrong, folder, e)) else {
-            continue;
-        };
         if !std::mem::replace(&mut kept, true) {
             let _ = keep(&mut disk);
         }
@@ -136,16 +133,16 @@
         let author = Author { name: name.into(), life, at: memory.at };
         match save(&mut disk, &encode(&author, &sections)) {
             Ok(()) => wrong = None,
-            Err(e) => told_once(&mut wrong, folder, &e),
+            Err(e) => told_once(&mut wrong, &disk, &e),
         }
     }
 }
 
 /// One line for each trouble, not one a second.
-fn told_once(wrong: &mut Option<String>, folder: &Path, e: &std::io::Error) {
+fn told_once(wrong: &mut Option<String>, disk: &Folder, e: &std::io::Error) {
     let what = e.to_string();
     if wrong.as_ref() != Some(&what) {
-        warn!(cause = what, "snapshot: {}: {what}; the one before stands", folder.display());
+        warn!(cause = what, "snapshot: {}: {what}; the one before stands", disk.path().display());
         *wrong = Some(what);
     }
 }
@@ -156,15 +153,14 @@
         Ok(read) => read,
         Err(refused) => return warn!(cause = %refused, "snapshot: {refused}; begun with nothing"),
     };
-    let times = Times { at: read.author.at, interval: 2 * table.every.as_nanos() as u64, now };
+    let times = Times::new(read.author.at, table.every.as_nanos() as u64, now);
     for (kind, spoilt) in read.sections.iter().filter_map(|(k, s)| Some((k, s.as_ref().err()?))) {
         warn!(cause = %spoilt, "snapshot: {kind}: {spoilt}; begun without");
     }
     let section = |kind| read.sections.get(&kind).and_then(|s| s.as_deref().ok());
     // First: what was learnt of servers is taken of those that are known.
-    let list = section(Kind::List).filter(|_| list_counts(times)).map(serde_json::from_slice::<List>);
-    match list {
-        Some(Ok(list)) if rev.is_none_or(|rev| list.rev > rev) => {
+    match section(Kind::List).map(serde_json::from_slice::<List>) {
+        Some(Ok(list)) if list_counts(times, list.rev, *rev) => {
             *rev = Some(list.rev);
             driver.cached(list);
         }
--- a/tests/snapshot.rs
+++ b/tests/snapshot.rs
@@ -79,6 +79,17 @@
     (0..times).filter(|_| client.ask(&one.text()).status() == 200).count()
 }
 
+/// What a gateway named g1 with one server leaves when it is killed: its folder, one for operators' files, and its peers.
+fn killed(name: &str) -> (Folder, Folder, Backend, Discovery) {
+    let (folder, operators) = (Folder::new(name), Folder::new(&format!("{name}-operators")));
+    let backend = Backend::good();
+    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]));
+    let mut first = gateway(&folder.0, &operators.0.join("g.toml"), "g1", &discovery);
+    kept(&folder);
+    first.kill();
+    (folder, operators, backend, discovery)
+}
+
 fn lines(gateway: &Program) -> Vec<String> {
     let mut all: Vec<String> = gateway.log.try_iter().collect();
     all.retain(|line| line.contains("snapshot: "));
@@ -161,13 +172,8 @@
 
 #[test]
 fn a_gateway_that_dies_of_its_snapshot_reads_it_once() {
-    let (folder, operators) = (Folder::new("once"), Folder::new("once-operators"));
+    let (folder, operators, _backend, discovery) = killed("once");
     let operators = operators.0.join("g.toml");
-    let backend = Backend::good();
-    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]));
-    let mut first = gateway(&folder.0, &operators, "g1", &discovery);
-    kept(&folder);
-    first.kill();
     // Killed within the second in which it writes nothing.
     let mut second = gateway(&folder.0, &operators, "g1", &discovery);
     second.kill();
@@ -179,13 +185,8 @@
 
 #[test]
 fn what_is_wrong_with_a_snapshot_costs_its_part_and_one_line() {
-    let (folder, operators) = (Folder::new("damaged"), Folder::new("damaged-operators"));
+    let (folder, operators, _backend, discovery) = killed("damaged");
     let operators = operators.0.join("g.toml");
-    let backend = Backend::good();
-    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]));
-    let mut first = gateway(&folder.0, &operators, "g1", &discovery);
-    kept(&folder);
-    first.kill();
     let sound = std::fs::read(folder.file()).expect("the snapshot");
     let read = inspect(&sound).expect("a snapshot");
     let bans = read.sections[&Kind::Bans].clone().expect("bans");
