--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -27,6 +27,8 @@
     while backend.untouched() {
         assert_eq!(client.ask(&ask("quote").text()).status(), 200);
         assert!(started.elapsed() < LIMIT, "the new list is never taken in");
+        // Within the quota of 1,000 a second: an optimised build asks faster.
+        std::thread::sleep(std::time::Duration::from_millis(2));
     }
 }
 
