crates/stage: the sockets of a gateway are a library, worded by a Door and a Wire

Cause: the data plane of the whole system must share fronts, backends and driver with the program in service, which held them as its own modules. Change: they move to crates/stage; what a request means is a Door's word, how backends are spoken to a Wire's; the module is a boxed one, settings may grow (reconfigure), a drain's window and a client's patience are values. The program in service keeps its own in api.rs and wire.rs.

--- a/crates/check/src/clients.rs
+++ b/crates/check/src/clients.rs
@@ -2,7 +2,7 @@
 //! read, or leave; SIGTERM in every state; and the budget that wants its place.
 //! `granite_lifecycle::Connection` itself is what is explored.
 
-use granite_lifecycle::connection::{spare, Close, Connection, Input, Order, SETTLE, STUCK};
+use granite_lifecycle::connection::{spare, Close, Connection, Input, Order, Patience, SETTLE, STUCK};
 use stateright::{Model, Property};
 
 #[derive(Clone)]
@@ -173,7 +173,7 @@
 
     fn init_states(&self) -> Vec<State> {
         vec![State {
-            life: Connection::new(0),
+            life: Connection::new(0, Patience::default()),
             now: 0,
             heads: 0,
             half: false,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -112,6 +112,14 @@
         })
     }
 
+    /// Goes on by these settings, which name at least the classes, plans and pools that the old ones did, in their
+    /// places; requests in hand keep what they came with.
+    pub fn reconfigure(&mut self, settings: Settings) {
+        self.calls.resize(settings.classes.len().max(self.calls.len()), Calls::default());
+        self.module.reconfigure(&settings);
+        self.settings = settings;
+    }
+
     /// From now on this account says what may be spent.
     pub fn set_account(&mut self, account: Account) {
         self.admission.set_account(account);
@@ -527,7 +535,8 @@
     fn begin_again(&mut self, now: Time, out: &mut Vec<Output>) {
         out.push(Output::Notice(Notice::ModulePanicked { ended: self.lives.len() }));
         // These settings were good at the start.
-        let Ok(module) = (self.make)(now, now) else { return };
+        let Ok(mut module) = (self.make)(now, now) else { return };
+        module.reconfigure(&self.settings);
         self.module = module;
         self.order(now, lifecycle::Input::Panicked, out);
         self.timers.clear();
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -317,6 +317,10 @@
     /// Takes what happened by `now` and appends what to do about it.
     fn handle(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>);
 
+    /// Goes on by these settings, which name at least the classes, plans and pools that the old ones did, in their
+    /// places.
+    fn reconfigure(&mut self, _settings: &Settings) {}
+
     /// What another process of this gateway is to go on with; empty if there is nothing.
     fn leave(&self) -> String {
         String::new()
@@ -335,3 +339,25 @@
         Vec::new()
     }
 }
+
+impl Module for Box<dyn Module> {
+    fn handle(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>) {
+        (**self).handle(now, events, out);
+    }
+
+    fn reconfigure(&mut self, settings: &Settings) {
+        (**self).reconfigure(settings);
+    }
+
+    fn leave(&self) -> String {
+        (**self).leave()
+    }
+
+    fn take_over(&mut self, now: Time, left: &str) -> Result<(), String> {
+        (**self).take_over(now, left)
+    }
+
+    fn avoided(&self) -> Vec<Name> {
+        (**self).avoided()
+    }
+}
--- a/crates/lifecycle/src/drain.rs
+++ b/crates/lifecycle/src/drain.rs
@@ -20,8 +20,13 @@
 impl Drain {
     /// `longest`: the longest that any request may wait for its answer, by the settings.
     pub fn new(told: Time, longest: Time) -> Self {
+        Drain::within(told, WINDOW, longest, Time::MAX)
+    }
+
+    /// The same with another window, and over after `most` whatever is left.
+    pub fn within(told: Time, window: Time, longest: Time, most: Time) -> Self {
         let longest = if planted!(DrainForgetsDeadline) { 3_000_000_000 } else { longest };
-        Drain { end: told + WINDOW + longest + ROOM }
+        Drain { end: (told + window + longest + ROOM).min(told.saturating_add(most)) }
     }
 
     /// When the gateway ends, whatever is left: all that was taken in the window has had its time by then.
@@ -56,6 +61,12 @@
         }
     }
 
+    #[test]
+    fn a_drain_ends_by_its_most_however_long_requests_may_wait() {
+        assert_eq!(Drain::within(MS, 2600 * MS, 10_000 * MS, 5500 * MS).end(), 5501 * MS);
+        assert_eq!(Drain::within(0, 2600 * MS, 1500 * MS, 5500 * MS).end(), 4200 * MS);
+    }
+
     #[test]
     fn what_is_whole_later_is_answered_before_the_end() {
         let drain = Drain::new(0, 2500 * MS);
--- a/crates/stage/src/backends/answer.rs
+++ b/crates/stage/src/backends/answer.rs
@@ -1,20 +1,18 @@
-//! What comes back of an attempt, and what is read out of it.
+//! What comes back of an attempt, and how it is worded towards backends.
 
 use super::relay::Stream;
+use super::Outgoing;
 use bytes::Bytes;
-use granitehub::{Ending, Load};
-use hyper::header::HeaderValue;
+use granite_interface::{Ending, Load, Name};
+use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use serde::Deserialize;
-
-/// No customer uses so many times its rate, and no server holds so many requests: such figures are noise.
-const MAX_USE: f64 = 1e3;
-const MAX_LOAD: f64 = 1e6;
+use std::time::Duration;
 
 /// How an attempt ended and what came back.
 pub struct Outcome {
     pub ending: Ending,
-    /// The answer of a backend that served the request.
+    /// The answer of a backend that is to be passed on.
     pub served: Option<Served>,
     /// The status by which a backend found fault with the request itself: no other would take it.
     pub turned: Option<StatusCode>,
@@ -23,17 +21,19 @@
     pub load: Option<Load>,
 }
 
-/// The bytes of a good answer.
+/// The bytes of an answer.
 pub enum Content {
     Whole(Bytes),
     /// Still to come.
     Stream(Stream),
 }
 
+/// An answer as it goes on to the client.
 pub struct Served {
+    pub status: StatusCode,
+    /// Those that are passed on, and no others.
+    pub headers: HeaderMap,
     pub content: Content,
-    pub content_type: Option<HeaderValue>,
-    pub content_encoding: Option<HeaderValue>,
 }
 
 impl Outcome {
@@ -42,51 +42,21 @@
     }
 }
 
-impl Outcome {
-    /// Reads an answer. `most_units`: the most that it may bill.
-    pub(super) fn read(answer: Response<Content>, most_units: f64) -> Self {
-        let (answer, content) = answer.into_parts();
-        let headers = &answer.headers;
-        let status = answer.status;
-        let not_started = headers.get("not-started").is_some_and(|v| v == "1");
-        let (ending, turned) = match status.as_u16() {
-            200 => (Ending::Pass, None),
-            503 | 504 if not_started => (Ending::Full, None),
-            400 | 404 => (Ending::Undone, Some(status)),
-            _ => (Ending::Fault, None),
-        };
-        // What can't be right is left out, and the answer counts all the same.
-        let number = |name: &str, most: f64| {
-            let text = headers.get(name)?.to_str().ok()?;
-            text.trim().parse::<f64>().ok().filter(|v| (0.0..=most).contains(v))
-        };
-        let settled = number("billed-units", most_units);
-        let metered = number("usage-percent", 100.0 * MAX_USE);
-        let load = headers.get("server-load").and_then(load);
-        let served = (ending == Ending::Pass).then(|| Served {
-            content_type: headers.get("content-type").cloned(),
-            content_encoding: headers.get("content-encoding").cloned(),
-            content,
-        });
-        Outcome {
-            ending,
-            settled: settled.filter(|_| served.is_some()).unwrap_or(0.0),
-            metered: metered.map(|percent| percent / 100.0),
-            load,
-            served,
-            turned,
-        }
+/// How requests and answers are worded between a gateway and its backends.
+pub trait Wire {
+    /// Sets the headers that are known only when a request goes out: how long is left, and to whom it goes.
+    fn stamp(&self, headers: &mut HeaderMap, wait: Duration, server: &Name);
+
+    /// Whether this is the head of an answer to this request, and not of another that came late.
+    fn answers(&self, _request: &Outgoing, _head: &Parts) -> bool {
+        true
     }
-}
 
-fn load(report: &HeaderValue) -> Option<Load> {
-    #[derive(Deserialize)]
-    struct Report {
-        inflight: Option<f64>,
-        queue: Option<f64>,
-        latency_ms: Option<f64>,
+    /// Whether an answer with this head may be passed on as it comes, if it is long.
+    fn is_good(&self, head: &Parts) -> bool {
+        head.status == StatusCode::OK
     }
-    let r: Report = serde_json::from_slice(report.as_bytes()).ok()?;
-    let sound = |figure: Option<f64>| figure.filter(|v| (0.0..=MAX_LOAD).contains(v));
-    Some(Load { inflight: sound(r.inflight), queue: sound(r.queue), latency_ms: sound(r.latency_ms) })
+
+    /// Reads an answer.
+    fn read(&self, request: &Outgoing, answer: Response<Content>) -> Outcome;
 }
--- a/crates/stage/src/backends/attempt.rs
+++ b/crates/stage/src/backends/attempt.rs
@@ -4,7 +4,7 @@
 use super::relay::Relay;
 use super::{Backends, Content, Note, Outcome, Outgoing, Progress, ANSWER_TIME, MAX_BODY, WHOLE};
 use bytes::Bytes;
-use granitehub::{Ending, Name};
+use granite_interface::{Ending, Name};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -65,7 +65,8 @@
         connection.link.idle.set(false);
         connection.link.progress.replace(progress.clone());
         let wait = not_past.saturating_duration_since(Instant::now());
-        let mut request = request.to_backend(wait, progress);
+        let outgoing = request;
+        let mut request = outgoing.to_backend(&*self.wire, name, wait, progress);
         // An interim answer may come long before the answer itself.
         let begun = progress.begun.clone();
         hyper::ext::on_informational(&mut request, move |_| begun.store(false, Relaxed));
@@ -77,7 +78,10 @@
             None => return Err(Ending::Spoilt),
         };
         let length = length(&head).ok_or(Ending::Spoilt)?;
-        let good = head.status == 200;
+        if !self.wire.answers(outgoing, &head) {
+            return Err(Ending::Spoilt);
+        }
+        let good = self.wire.is_good(&head);
         if length.is_some_and(|l| l > if good { MAX_BODY } else { WHOLE } as u64) {
             return Err(Ending::Spoilt);
         }
@@ -101,7 +105,7 @@
                         _ => Bytes::from(came.concat()),
                     };
                     let answer = Response::from_parts(head, Content::Whole(whole));
-                    return Ok(Exchanged::Over(Outcome::read(answer, self.most_units)));
+                    return Ok(Exchanged::Over(self.wire.read(outgoing, answer)));
                 }
                 Ok(Some(Some(Ok(frame)))) => {
                     if let Ok(data) = frame.into_data() {
@@ -119,7 +123,7 @@
         }
         let (relay, stream) = Relay::new(name, connection, body, came, length, progress);
         let answer = Response::from_parts(head, Content::Stream(stream));
-        Ok(Exchanged::Begun(Outcome::read(answer, self.most_units), Box::new(relay)))
+        Ok(Exchanged::Begun(self.wire.read(outgoing, answer), Box::new(relay)))
     }
 }
 
--- a/crates/stage/src/backends/mod.rs
+++ b/crates/stage/src/backends/mod.rs
@@ -13,7 +13,7 @@
 mod tests;
 mod upload;
 
-pub use answer::{Content, Outcome, Served};
+pub use answer::{Content, Outcome, Served, Wire};
 pub use attempt::Exchanged;
 pub use progress::{Note, Progress};
 pub use relay::Stream;
@@ -22,7 +22,7 @@
 
 use crate::list::{State, Target};
 use connection::{Connection, Counted, Link, Slot};
-use granitehub::{Name, Scope};
+use granite_interface::{Name, Scope};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -57,7 +57,7 @@
     /// Connections that are up or coming up, idle ones among them.
     open: Rc<Cell<usize>>,
     budget: usize,
-    most_units: f64,
+    wire: Box<dyn Wire>,
     connect_timeout: Duration,
     idle_time: Duration,
     pub connects: Cell<u64>,
@@ -67,20 +67,18 @@
 pub struct Limits {
     /// The most connections, up, coming up or idle.
     pub sockets: usize,
-    /// The most units that an answer may bill.
-    pub most_units: f64,
     pub connect_timeout: Duration,
     /// How long a backend leaves a connection idle.
     pub keepalive: Duration,
 }
 
 impl Backends {
-    pub fn new(limits: &Limits) -> Rc<Self> {
+    pub fn new(limits: &Limits, wire: Box<dyn Wire>) -> Rc<Self> {
         Rc::new(Backends {
             table: RefCell::default(),
             open: Rc::default(),
             budget: limits.sockets,
-            most_units: limits.most_units.max(1.0),
+            wire,
             connect_timeout: limits.connect_timeout,
             // The backend counts idle time from when it wrote its answer and closes at the settings' time at
             // the latest: half of it keeps clear of requests written to a connection on its way out.
--- a/crates/stage/src/backends/progress.rs
+++ b/crates/stage/src/backends/progress.rs
@@ -1,7 +1,7 @@
 //! How far an attempt has come, counted where its bytes pass.
 
 use super::ANSWER_TIME;
-use granitehub::Ending;
+use granite_interface::Ending;
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
--- a/crates/stage/src/backends/relay.rs
+++ b/crates/stage/src/backends/relay.rs
@@ -3,7 +3,7 @@
 use super::connection::{broke_off, drive, Connection};
 use super::{Backends, Progress};
 use bytes::Bytes;
-use granitehub::{Ending, Name};
+use granite_interface::{Ending, Name};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::io;
--- a/crates/stage/src/backends/request.rs
+++ b/crates/stage/src/backends/request.rs
@@ -1,8 +1,10 @@
 //! A client's request as it goes on to backends.
 
+use super::answer::Wire;
 use super::upload::Sent;
 use super::{Progress, Upload};
-use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
+use granite_interface::Name;
+use hyper::header::{HeaderMap, CONTENT_LENGTH};
 use hyper::{Method, Request, Uri};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -13,10 +15,8 @@
 pub struct Outgoing {
     pub method: Method,
     pub uri: Uri,
-    pub request_id: HeaderValue,
-    pub idempotency_key: Option<HeaderValue>,
-    pub content_type: Option<HeaderValue>,
-    pub host: HeaderValue,
+    /// All but its length and what the wire's stamp adds to each attempt.
+    pub headers: HeaderMap,
     pub body: RefCell<Upload>,
     /// How long the client waits from its last byte on, where that has yet to come; and when it came.
     pub wait: Option<Duration>,
@@ -29,7 +29,13 @@
         self.body.replace(Upload::Gone);
     }
 
-    pub(super) fn to_backend(&self, wait: Duration, progress: &Rc<Progress>) -> Request<Sent> {
+    pub(super) fn to_backend(
+        &self,
+        wire: &dyn Wire,
+        server: &Name,
+        wait: Duration,
+        progress: &Rc<Progress>,
+    ) -> Request<Sent> {
         let body = self.body.borrow_mut().take(progress);
         let length = body.length();
         let mut request = Request::new(body);
@@ -37,18 +43,8 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
-        headers.reserve(6);
-        headers.insert(HOST, self.host.clone());
-        headers.insert("request-id", self.request_id.clone());
-        if let Some(key) = &self.idempotency_key {
-            headers.insert("idempotency-key", key.clone());
-        }
-        if let Some(kind) = &self.content_type {
-            headers.insert("content-type", kind.clone());
-        }
-        if let Ok(wait) = HeaderValue::try_from(format!("{:.3}", wait.as_secs_f64())) {
-            headers.insert("request-timeout", wait);
-        }
+        headers.clone_from(&self.headers);
+        wire.stamp(headers, wait, server);
         if let Some(length) = length.filter(|_| self.method != Method::GET) {
             headers.insert(CONTENT_LENGTH, length.into());
         }
--- a/crates/stage/src/driver.rs
+++ b/crates/stage/src/driver.rs
@@ -7,19 +7,16 @@
 pub use attempt::Ticket;
 
 use crate::backends::{Backends, Note, Outcome, Outgoing, Served};
-use crate::discovery::News;
 use crate::list::{Held, List, State, Target};
-use crate::routes::Routes;
 use attempt::Attempt;
 use clock::Clock;
 use granite_engine::{
-    Calls, Engine, Entry, Error, Facts, Figures, Final, Input, Notice, Output, Reply, Step, Totals,
+    Calls, Engine, Entry, Error, Facts, Figures, Final, Input, Make, Notice, Output, Reply, Step, Totals,
 };
 use granite_forward::{Account, Mode};
+use granite_interface::{Ending, Health, Module, Name, Node, RequestId, Scope, Settings, Time};
 use granite_maintenance::NeverListed;
-use granite_operator::Lifecycle;
 use granite_plan::message::{Grant, Report};
-use granitehub::{Effect, Ending, Gateway, Health, Name, Node, RequestId, Scope, Settings, Time};
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -64,7 +61,7 @@
 }
 
 struct Inner {
-    engine: Engine<Gateway>,
+    engine: Engine<Box<dyn Module>>,
     ends: HashMap<RequestId, Ends>,
     /// Empty but while they are carried out: kept for its room.
     outputs: Vec<Output>,
@@ -83,37 +80,36 @@
     /// The longest that the loop came late to a timer, since the last status line.
     latest: Cell<Duration>,
     zones: Vec<String>,
-    pub routes: Routes,
-    pub classes: Vec<(String, Effect, Duration)>,
-    pub plans: Vec<String>,
-    pub gateways: u32,
-    pub most_units: f64,
+    /// The pools of a backend, a bit each.
+    pools: Box<dyn Fn(&Target) -> u32>,
+    /// The longest that any request may wait for its answer, by the settings.
+    longest: Cell<Time>,
+}
+
+/// What a driver is made of.
+pub struct Setup {
+    pub settings: Settings,
+    pub seed: u64,
+    pub figures: Figures,
+    pub module: Make<Box<dyn Module>>,
+    pub backends: Rc<Backends>,
+    /// Zone names; a zone's number is its place.
+    pub zones: Vec<String>,
+    /// The pools of a backend, a bit each.
+    pub pools: Box<dyn Fn(&Target) -> u32>,
 }
 
 impl Driver {
-    pub fn new(
-        s: Settings,
-        seed: u64,
-        zones: Vec<String>,
-        routes: Routes,
-        figures: &Lifecycle,
-        backends: Rc<Backends>,
-    ) -> Result<Rc<Self>, String> {
+    /// A driver that holds nothing and knows no backend.
+    ///
+    /// # Errors
+    /// What the module says of the settings.
+    pub fn new(setup: Setup) -> Result<Rc<Self>, String> {
+        let Setup { settings, seed, figures, module, backends, zones, pools } = setup;
         let clock = Clock::new();
         let now = clock.time(Instant::now());
-        let nanos = |d: Duration| d.as_nanos() as Time;
-        let figures = Figures {
-            way_back: nanos(figures.way_back),
-            module_grace: nanos(figures.module_grace),
-            key_margin: nanos(figures.key_margin),
-            gap: nanos(figures.gap),
-        };
-        let classes = s.classes.iter();
-        let classes = classes.map(|c| (c.name.clone(), c.effect, Duration::from_nanos(c.deadline))).collect();
-        let plans = s.plans.iter().map(|p| p.name.clone()).collect();
-        let (gateways, most_units, own) = (s.gateways, s.most_units.max(1.0), s.clone());
-        let make = move |seed, now| Gateway::new(own.clone(), seed, now);
-        let engine = Engine::new(s, seed, figures, now, Box::new(make));
+        let longest = Cell::new(longest(&settings));
+        let engine = Engine::new(settings, seed, figures, now, module);
         let engine = engine.map_err(|e| format!("settings: {e}"))?;
         Ok(Rc::new(Driver {
             wake: Notify::new(),
@@ -123,16 +119,20 @@
             latest: Cell::default(),
             said: Cell::default(),
             zones,
-            routes,
-            classes,
-            plans,
-            gateways,
-            most_units,
+            pools,
+            longest,
             state: RefCell::new(Inner { engine, ends: HashMap::new(), outputs: Vec::new() }),
             clock,
         }))
     }
 
+    /// Goes on by these settings, which name at least the classes, plans and pools that the old ones did, in their
+    /// places.
+    pub fn reconfigure(&self, settings: Settings) {
+        self.longest.set(longest(&settings));
+        self.state.borrow_mut().engine.reconfigure(settings);
+    }
+
     /// The time on the engine's clock.
     pub fn time(&self, at: Instant) -> Time {
         self.clock.time(at)
@@ -145,7 +145,7 @@
 
     /// The longest that any request may wait for its answer, by the settings.
     pub fn longest(&self) -> Time {
-        self.classes.iter().map(|(.., longest)| longest.as_nanos() as Time).max().unwrap_or(0)
+        self.longest.get()
     }
 
     pub fn can_serve(&self) -> bool {
@@ -172,15 +172,10 @@
         self.take(&mut self.state.borrow_mut(), Instant::now(), input, Brought::default());
     }
 
-    /// What discovery has to tell.
-    pub fn news(self: &Rc<Self>, news: News) {
-        match news {
-            News::List(scope, list) => self.list(scope, list),
-            News::Failed(what) => {
-                let brought = Brought { why: Some(what), ..Brought::default() };
-                self.take(&mut self.state.borrow_mut(), Instant::now(), Input::ListFailed, brought);
-            }
-        }
+    /// Discovery failed, and why. The old list stands.
+    pub fn list_failed(self: &Rc<Self>, what: String) {
+        let brought = Brought { why: Some(what), ..Brought::default() };
+        self.take(&mut self.state.borrow_mut(), Instant::now(), Input::ListFailed, brought);
     }
 
     /// From now on the list is held for a next process.
@@ -198,7 +193,8 @@
         self.relisted.notified().await;
     }
 
-    fn list(self: &Rc<Self>, scope: Scope, list: List) {
+    /// Discovery: the list, or what changed in it.
+    pub fn list(self: &Rc<Self>, scope: Scope, list: List) {
         if let Some(held) = &mut *self.held.borrow_mut() {
             held.apply(scope, &list);
             self.relisted.notify_one();
@@ -206,7 +202,7 @@
         let replaced = self.backends.update(scope, &list.targets);
         let placed = |t: Target| {
             let place = t.endpoint.parse().ok().filter(|_| t.state == State::Ready);
-            let pools = self.routes.of(&t);
+            let pools = (self.pools)(&t);
             (t.node(&self.zones, pools), place)
         };
         let mut entries: Vec<Entry> = list.targets.into_iter().map(placed).collect();
@@ -218,7 +214,7 @@
     // ---- Maintenance by hand, figures ----
 
     /// Has the engine do something that the module is to hear of.
-    fn with_engine<T>(&self, act: impl FnOnce(&mut Engine<Gateway>, Time) -> T) -> T {
+    fn with_engine<T>(&self, act: impl FnOnce(&mut Engine<Box<dyn Module>>, Time) -> T) -> T {
         let mut state = self.state.borrow_mut();
         let done = act(&mut state.engine, self.clock.time(Instant::now()));
         if state.engine.wants_wake() {
@@ -496,6 +492,10 @@
     }
 }
 
+fn longest(settings: &Settings) -> Time {
+    settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+}
+
 /// What an input brings along that the engine has no use for, and what its outputs leave behind.
 #[derive(Default)]
 struct Brought {
--- a/crates/stage/src/fronts/http1/client.rs
+++ b/crates/stage/src/fronts/http1/client.rs
@@ -4,7 +4,7 @@
 use crate::backends::Stream;
 use crate::driver::Driver;
 use bytes::Bytes;
-use granite_lifecycle::connection::{Input, Order, State};
+use granite_lifecycle::connection::{Input, Order, Patience, State};
 use granite_lifecycle::{Close, Connection};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
@@ -47,8 +47,8 @@
 }
 
 impl Client {
-    pub(super) fn new(driver: Rc<Driver>) -> Rc<Self> {
-        let life = Cell::new(Connection::new(driver.time(Instant::now())));
+    pub(super) fn new(driver: Rc<Driver>, patience: Patience) -> Rc<Self> {
+        let life = Cell::new(Connection::new(driver.time(Instant::now()), patience));
         Rc::new(Client {
             life,
             driver,
@@ -80,7 +80,7 @@
 }
 
 /// What is written of an answer.
-pub(super) enum Payload {
+pub enum Payload {
     Whole(Full<Bytes>),
     Stream(Stream),
 }
--- a/crates/stage/src/fronts/http1/mod.rs
+++ b/crates/stage/src/fronts/http1/mod.rs
@@ -1,20 +1,22 @@
-//! HTTP/1.1: connections, `/ready`, `/api`, the drain at the end.
+//! HTTP/1.1: connections, requests and their bodies, the drain at the end. What a request means its [`Door`] says.
 
 mod client;
 mod request;
 
 use super::Budget;
-use crate::backends::{Backends, Content, Open, Upload, MAX_BODY};
+use crate::backends::{Backends, Open, Upload, MAX_BODY};
 use crate::driver::{Answer, Driver, Incoming};
 use crate::handover::Link;
 use bytes::Bytes;
-use client::{Client, Look, Payload, Told, Watched};
-use granite_lifecycle::connection::{self, Input, Order, State};
+pub use client::Payload;
+use client::{Client, Look, Told, Watched};
+use granite_interface::Time;
+use granite_lifecycle::connection::{self, Input, Order, Patience, State};
 use granite_lifecycle::{drain, Close, Connection, Drain};
-use granitehub::Time;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming as IncomingBody};
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, HOST, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -43,8 +45,6 @@
 const READS: Duration = Duration::from_secs(10);
 /// Of a body that is too large so much is read, so that the client gets to read the answer.
 const MAX_DISCARD: usize = 1 << 20;
-/// Accounts are numbers below 2^33.
-const MAX_ACCOUNT: u64 = (1 << 33) - 1;
 /// So long a client is left to read its last answer and to close.
 const LINGER: Duration = Duration::from_millis(500);
 const HEAD_BYTES: usize = 16 << 10;
@@ -56,7 +56,43 @@
 
 type Reply = Response<Told>;
 
-pub struct Server {
+/// The answer to a request that goes no further.
+pub type Unsound = Box<Response<Payload>>;
+
+/// What a front's requests mean: which it answers itself, what the others ask for, and how answers are worded.
+pub trait Door: 'static {
+    /// What is answered without any backend, if this is such a request.
+    fn own(&self, head: &Request<IncomingBody>, draining: bool) -> Option<Response<Payload>>;
+
+    /// Reads a request's head.
+    ///
+    /// # Errors
+    /// The answer to one that is not sound, or that nothing takes.
+    fn parse(&self, head: Parts, arrived: Instant) -> Result<Incoming, Unsound>;
+
+    /// The last word on a request that is whole, before it is in hand.
+    ///
+    /// # Errors
+    /// The answer to one that is refused.
+    fn admit(&self, _incoming: &mut Incoming) -> impl Future<Output = Result<(), Unsound>> {
+        std::future::ready(Ok(()))
+    }
+
+    fn reply(&self, answer: Answer) -> Response<Payload>;
+
+    /// How long clients may say nothing.
+    fn patience(&self) -> Patience {
+        Patience::default()
+    }
+
+    /// How long clients may still come after the process was told to end, and how long it may then last in all.
+    fn leaving(&self) -> (Duration, Duration) {
+        (Duration::from_nanos(drain::WINDOW), Duration::MAX)
+    }
+}
+
+pub struct Server<D> {
+    door: D,
     driver: Rc<Driver>,
     backends: Rc<Backends>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -81,8 +117,9 @@
     open().map_err(|e: std::io::Error| format!("cannot listen on {address}: {e}"))
 }
 
-impl Server {
+impl<D: Door> Server<D> {
     pub fn new(
+        door: D,
         driver: Rc<Driver>,
         backends: Rc<Backends>,
         link: Rc<Link>,
@@ -90,7 +127,7 @@
         budget: usize,
     ) -> Self {
         let (clients, drain, left) = Default::default();
-        Server { driver, backends, clients, link, bodies, budget, drain, left }
+        Server { door, driver, backends, clients, link, bodies, budget, drain, left }
     }
 
     /// Whether new clients are served.
@@ -135,10 +172,13 @@
             }
         }
         let started = Instant::now();
-        let drain = Drain::new(self.driver.time(started), self.driver.longest());
+        let (window, most) = self.door.leaving();
+        let nanos = |d: Duration| Time::try_from(d.as_nanos()).unwrap_or(Time::MAX);
+        let told = self.driver.time(started);
+        let drain = Drain::within(told, nanos(window), self.driver.longest(), nanos(most));
         self.drain.set(Some(drain));
         info!("draining");
-        let door = started + Duration::from_nanos(drain::WINDOW);
+        let door = started + window;
         self.link.told(&self.driver);
         if self.link.is_shared() {
             self.hand_over(door).await;
@@ -195,7 +235,7 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let client = Client::new(self.driver.clone());
+                let client = Client::new(self.driver.clone(), self.door.patience());
                 *next += 1;
                 self.clients.borrow_mut().insert(*next, client.clone());
                 let place = Place { server: self.clone(), number: *next };
@@ -249,7 +289,8 @@
         );
         let mut http = pin!(http);
         // Looked at again when it would be due, not moved with every request.
-        let mut patience = pin!(sleep(Duration::from_nanos(connection::SILENT)));
+        let silent = self.door.patience().silent;
+        let mut patience = pin!(sleep(Duration::from_nanos(silent)));
         let mut looks = 0;
         loop {
             tokio::select! {
@@ -260,7 +301,7 @@
                 () = client.close.notified() => {}
                 () = &mut patience => {
                     let now = self.driver.time(Instant::now());
-                    let left = client.life.get().patience().map_or(connection::SILENT, |at| at.saturating_sub(now));
+                    let left = client.life.get().patience().map_or(silent, |at| at.saturating_sub(now));
                     if left == 0 {
                         return;
                     }
@@ -299,22 +340,19 @@
         seen: bool,
     ) -> Reply {
         let coded = request.headers().contains_key(TRANSFER_ENCODING);
-        let mut reply = match request.uri().path() {
+        let bad = || plain(StatusCode::BAD_REQUEST, "");
+        let mut reply = if request.headers().get_all(HOST).iter().count() > 1 {
             // RFC 9112, 3.2: whoever reads the other one would take the request for another's.
-            _ if request.headers().get_all(HOST).iter().count() > 1 => plain(StatusCode::BAD_REQUEST, ""),
+            bad()
+        } else if coded && seen && states_length(&client.head.borrow()) {
             // A length beside a coding may hide a second request in the body (RFC 9112, 6.1), and hyper drops it.
-            _ if coded && seen && states_length(&client.head.borrow()) => plain(StatusCode::BAD_REQUEST, ""),
-            _ if coded && !only_chunked(request.headers()) => plain(StatusCode::LENGTH_REQUIRED, ""),
-            "/ready" if request.method() != Method::GET => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
-            "/ready" if self.is_draining() => plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
-            "/ready" if !self.driver.can_serve() => {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "no backend is ready\n")
-            }
-            "/ready" => plain(StatusCode::OK, "ready\n"),
-            path if self.driver.routes.may_match(path) => {
-                self.api(request, client, pace).await.unwrap_or_else(|status| plain(status, ""))
-            }
-            _ => plain(StatusCode::NOT_FOUND, ""),
+            bad()
+        } else if coded && !only_chunked(request.headers()) {
+            plain(StatusCode::LENGTH_REQUIRED, "")
+        } else if let Some(own) = self.door.own(&request, self.is_draining()) {
+            own
+        } else {
+            self.pass(request, client, pace).await.unwrap_or_else(|unsound| *unsound)
         };
         // Behind these nothing is read: where the request ends is in doubt, or far off.
         let doubt = coded && (!seen || reply.status() == StatusCode::BAD_REQUEST);
@@ -327,26 +365,24 @@
         reply.map(|body| Told { body, client: client.clone() })
     }
 
-    async fn api(
+    async fn pass(
         &self,
         request: Request<IncomingBody>,
         client: &Client,
         pace: Pace,
-    ) -> Result<Response<Payload>, StatusCode> {
+    ) -> Result<Response<Payload>, Unsound> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         if body.size_hint().lower() > MAX_BODY as u64 {
             // Most of it is thrown away, so that the client gets to read the answer.
             let _ = timeout_at(pace.start + pace.grace, discard(body)).await;
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            return Err(unsound(StatusCode::PAYLOAD_TOO_LARGE));
         }
         // Before the body: what is refused by its head takes no memory.
-        let mut incoming = self.parse(head, arrived)?;
+        let mut incoming = self.door.parse(head, arrived)?;
         if body.is_end_stream() {
             incoming.request.timeout = self.wait(incoming.request.timeout);
-            let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
-            client.handle(Input::Taken);
-            return Ok(reply_to(ticket.await));
+            return self.in_hand(incoming, client).await;
         }
         // In a box: a request without a body doesn't pay for its size.
         Box::pin(self.with_body(incoming, Coming::new(body, pace), client)).await
@@ -357,10 +393,10 @@
         mut incoming: Incoming,
         mut body: Coming,
         client: &Client,
-    ) -> Result<Response<Payload>, StatusCode> {
-        let (first, part, open) = body.read(self.bodies.part()).await?;
+    ) -> Result<Response<Payload>, Unsound> {
+        let (first, part, open) = body.read(self.bodies.part()).await.map_err(unsound)?;
         if incoming.outgoing.method == Method::GET && !first.is_empty() {
-            return Err(StatusCode::BAD_REQUEST);
+            return Err(unsound(StatusCode::BAD_REQUEST));
         }
         // Its time counts from its last byte.
         incoming.arrived = Instant::now();
@@ -368,70 +404,48 @@
         // Not in hand before: hundreds of half requests would hold every place.
         if !open {
             incoming.outgoing.body = RefCell::new(Upload::Whole(first, part));
-            let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
-            client.handle(Input::Taken);
-            return Ok(reply_to(ticket.await));
+            return self.in_hand(incoming, client).await;
         }
+        self.door.admit(&mut incoming).await?;
         let (id, timeout) = (incoming.request.id, incoming.request.timeout);
         let (send, rest) = mpsc::channel(1);
         let length = body.length();
         incoming.request.open = true;
         incoming.outgoing.wait = Some(Duration::from_nanos(timeout));
         incoming.outgoing.body = RefCell::new(Upload::Open(Open { first, part: Some(part), rest, length }));
-        let mut ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
+        let mut ticket = self.driver.submit(incoming).ok_or_else(|| unsound(StatusCode::BAD_REQUEST))?;
         tokio::select! {
             biased;
             // Before it is whole: the rest is not wanted.
             answer = &mut ticket => {
-                let mut reply = reply_to(answer);
+                let mut reply = self.door.reply(answer);
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 return Ok(reply);
             }
             // Whoever stops in the middle is owed nothing: dropping the ticket ends the attempt.
-            passed = body.pass(&send) => passed?,
+            passed = body.pass(&send) => passed.map_err(unsound)?,
         }
         client.handle(Input::Taken);
         self.driver.whole(id, self.wait(timeout));
-        Ok(reply_to(ticket.await))
+        Ok(self.door.reply(ticket.await))
     }
-}
 
-fn reply_to(answer: Answer) -> Response<Payload> {
-    match answer {
-        Answer::Served(served) => {
-            let mut reply = Response::new(match served.content {
-                Content::Whole(bytes) => Payload::Whole(Full::new(bytes)),
-                Content::Stream(stream) => Payload::Stream(stream),
-            });
-            if let Some(kind) = served.content_type {
-                reply.headers_mut().insert(CONTENT_TYPE, kind);
-            }
-            if let Some(encoding) = served.content_encoding {
-                reply.headers_mut().insert("content-encoding", encoding);
-            }
-            reply
-        }
-        Answer::Refused { tried, retry_after } => {
-            let status = if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
-            let mut reply = plain(status, "");
-            if let Ok(after) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
-                reply.headers_mut().insert("retry-after", after);
-            }
-            reply
-        }
-        Answer::Turned(status) => plain(status, ""),
-        Answer::Failed { late: true } => plain(StatusCode::GATEWAY_TIMEOUT, ""),
-        Answer::Failed { late: false } => plain(StatusCode::BAD_GATEWAY, ""),
+    /// A whole request, from here on owed an answer.
+    async fn in_hand(&self, mut incoming: Incoming, client: &Client) -> Result<Response<Payload>, Unsound> {
+        self.door.admit(&mut incoming).await?;
+        let ticket = self.driver.submit(incoming).ok_or_else(|| unsound(StatusCode::BAD_REQUEST))?;
+        client.handle(Input::Taken);
+        Ok(self.door.reply(ticket.await))
     }
 }
 
 /// A client's place in the budget.
-struct Place {
-    server: Rc<Server>,
+struct Place<D: Door> {
+    server: Rc<Server<D>>,
     number: u64,
 }
 
-impl Drop for Place {
+impl<D: Door> Drop for Place<D> {
     fn drop(&mut self) {
         self.server.clients.borrow_mut().remove(&self.number);
         self.server.left.notify_one();
@@ -444,7 +458,13 @@
     codings.next().is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Payload> {
+/// The same to a request that goes no further.
+pub fn unsound(status: StatusCode) -> Unsound {
+    Box::new(plain(status, ""))
+}
+
+/// An answer of our own.
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Payload> {
     let mut reply = Response::new(Payload::Whole(Full::new(Bytes::from_static(text.as_bytes()))));
     *reply.status_mut() = status;
     reply
--- a/crates/stage/src/fronts/http1/request.rs
+++ b/crates/stage/src/fronts/http1/request.rs
@@ -1,113 +1,16 @@
-//! A client's request: its head, its figures, its body.
+//! A client's request: its head as it came, its body.
 
-use super::{Server, LEAST_RATE, MAX_ACCOUNT, MAX_DISCARD, READS};
-use crate::backends::{Outgoing, MAX_BODY, WHOLE};
-use crate::driver::Incoming;
+use super::{LEAST_RATE, MAX_DISCARD, READS};
+use crate::backends::{MAX_BODY, WHOLE};
 use crate::fronts::Part;
 use bytes::{Bytes, BytesMut};
-use granitehub::Effect;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming as IncomingBody};
-use hyper::header::{HeaderMap, CONTENT_TYPE, HOST};
-use hyper::http::request::Parts;
-use hyper::{Method, StatusCode, Uri};
-use std::cell::{Cell, RefCell};
+use hyper::StatusCode;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{timeout, timeout_at, Instant};
 
-impl Server {
-    /// Reads a request's head: 400 if a header is missing or malformed or a figure out of its range, 404 if no
-    /// route takes it.
-    pub(super) fn parse(&self, head: Parts, arrived: Instant) -> Result<Incoming, StatusCode> {
-        let mut request = self.figures(&head).ok_or(StatusCode::BAD_REQUEST)?;
-        let place = self.driver.routes.place(&head, request.class, &request.customer);
-        let place = place.ok_or(StatusCode::NOT_FOUND)?;
-        request.pool = place.pool;
-        let outgoing = outgoing(head, place.uri).ok_or(StatusCode::BAD_REQUEST)?;
-        Ok(Incoming { arrived, request, outgoing })
-    }
-
-    /// None if a header is missing or malformed, a figure is out of the range that the settings allow, or the
-    /// method does not fit the class. The module relies on it: one wild figure would spoil its averages for
-    /// everybody.
-    fn figures(&self, head: &Parts) -> Option<granite_engine::Incoming> {
-        let h = &head.headers;
-        let class_name = text(h, "request-class")?;
-        let class = self.driver.classes.iter().position(|(name, ..)| name == class_name)?;
-        let (_, effect, longest) = self.driver.classes[class];
-        let keyed = h.contains_key("idempotency-key");
-        let fits = match effect {
-            Effect::Safe => head.method == Method::GET,
-            Effect::Keyed => head.method == Method::POST && keyed,
-            Effect::Unsafe => head.method == Method::POST && !keyed,
-        };
-        if !fits {
-            return None;
-        }
-        let plan_name = text(h, "plan")?;
-        let plan = self.driver.plans.iter().position(|name| name == plan_name)?;
-        let account = text(h, "account")?;
-        hex(account).filter(|a| *a <= MAX_ACCOUNT)?;
-        let wait: f64 = text(h, "request-timeout")?.trim().parse().ok()?;
-        let wait = Duration::try_from_secs_f64(wait).ok().filter(|w| !w.is_zero())?;
-        let quota = text(h, "quota-info")?;
-        let field = |key: &str| quota.split(',').find_map(|f| f.trim().strip_prefix(key)?.strip_prefix('='));
-        let units: f64 = field("units")?.parse().ok()?;
-        let spread: u32 = field("spread")?.parse().ok()?;
-        let first: u32 = field("first")?.parse().ok()?;
-        let (gateways, most) = (self.driver.gateways, self.driver.most_units);
-        if !(units > 0.0 && units <= most && (1..=gateways).contains(&spread) && first < gateways) {
-            return None;
-        }
-        Some(granite_engine::Incoming {
-            id: hex(text(h, "request-id")?)?,
-            class,
-            plan,
-            customer: account.into(),
-            timeout: wait.min(longest).as_nanos() as granitehub::Time,
-            units,
-            spread,
-            repeat: h.get("client-retry").is_some_and(|v| v == "1"),
-            pool: 0,
-            open: false,
-        })
-    }
-}
-
-/// The request as it goes on, its body yet to come.
-fn outgoing(head: Parts, uri: Uri) -> Option<Outgoing> {
-    let h = &head.headers;
-    Some(Outgoing {
-        request_id: h.get("request-id")?.clone(),
-        idempotency_key: h.get("idempotency-key").cloned(),
-        content_type: h.get(CONTENT_TYPE).cloned(),
-        host: h.get(HOST)?.clone(),
-        method: head.method,
-        uri,
-        body: RefCell::default(),
-        wait: None,
-        whole_at: Cell::default(),
-    })
-}
-
-/// A header that comes once.
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    let mut all = headers.get_all(name).iter();
-    let one = all.next()?;
-    one.to_str().ok().filter(|_| all.next().is_none())
-}
-
-/// 16 hex digits.
-fn hex(text: &str) -> Option<u64> {
-    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
-    if digits {
-        u64::from_str_radix(text, 16).ok()
-    } else {
-        None
-    }
-}
-
 /// Whether a head, as it came, states a length.
 pub(super) fn states_length(raw: &[u8]) -> bool {
     let end = raw.windows(2).position(|w| w == b"\n\n");
--- a/crates/stage/src/handover.rs
+++ b/crates/stage/src/handover.rs
@@ -3,7 +3,7 @@
 
 use crate::driver::Driver;
 use granite_handover::{Input, Role};
-use granitehub::{Name, Time};
+use granite_interface::{Name, Time};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
--- a/src/bin/granitethread/admin/mod.rs
+++ b/src/bin/granitethread/admin/mod.rs
@@ -1,10 +1,11 @@
 //! The second address: status, figures, maintenance by hand. It asks the engine and decides nothing.
 
-use crate::driver::Driver;
+use crate::api::Api;
 use crate::fleet::Fleet;
-use crate::fronts::http1::Server;
-use crate::handover::Link;
 use bytes::Bytes;
+use granite_stage::driver::Driver;
+use granite_stage::fronts::http1::Server;
+use granite_stage::handover::Link;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -34,7 +35,9 @@
 
 pub struct Admin {
     pub driver: Rc<Driver>,
-    pub server: Rc<Server>,
+    pub server: Rc<Server<Api>>,
+    /// The classes' names, in the settings' order.
+    pub classes: Vec<String>,
     pub link: Rc<Link>,
     pub fleet: Option<Rc<Fleet>>,
 }
@@ -149,7 +152,7 @@
 
     fn figures(&self) -> String {
         let totals = self.driver.totals();
-        let calls = self.driver.classes.iter().zip(&totals.calls).map(|((name, ..), c)| {
+        let calls = self.classes.iter().zip(&totals.calls).map(|(name, c)| {
             (name.clone(), json!({"success": c.served, "busy": c.refused, "failure": c.failed}))
         });
         let calls: serde_json::Map<_, _> = calls.collect();
--- a/src/bin/granitethread/allowance/forwarder.rs
+++ b/src/bin/granitethread/allowance/forwarder.rs
@@ -2,11 +2,11 @@
 //! decides; a planner that is slow to read is skipped, not waited for.
 
 use super::{key, nonce, random, receive, terms};
-use crate::driver::Driver;
 use granite_forward::Account;
 use granite_operator::{Allowances, Forwarder};
 use granite_plan::message::Report;
 use granite_plan::wire::{Link, Message, Side};
+use granite_stage::driver::Driver;
 use granitehub::{Settings, Time};
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -1,7 +1,7 @@
 //! What a gateway is told at its start: the file that `LB_CONFIG` names.
 
 use crate::admin::CALLERS;
-use crate::list::List;
+use granite_stage::list::List;
 use granitehub::{settings, Settings};
 use serde::Deserialize;
 use serde_json::Value;
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -1,8 +1,8 @@
 //! The watch on the list of backends.
 
-use crate::list::List;
 use bytes::Bytes;
 use granite_background::Pace;
+use granite_stage::list::List;
 use granitehub::Scope;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
--- a/src/bin/granitethread/fleet.rs
+++ b/src/bin/granitethread/fleet.rs
@@ -1,9 +1,9 @@
 //! The view of the fleet on a socket: datagrams and the time go in, what it says goes out. Nothing is decided here.
 
 use crate::allowance;
-use crate::driver::Driver;
 use granite_fleet::{Config, Input, Keys, Output, Role, Settled, State, Time, View, MOST_BYTES};
 use granite_operator::{Fleet as Table, Operator};
+use granite_stage::driver::Driver;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -3,29 +3,30 @@
 
 mod admin;
 mod allowance;
+mod api;
 mod ask;
-mod backends;
 mod config;
 mod discovery;
-mod driver;
 mod fleet;
-mod fronts;
-mod handover;
-mod list;
 mod log;
 mod routes;
 mod snapshot;
+mod wire;
 
 use admin::Admin;
-use backends::Backends;
+use api::Api;
 use clap::{Parser, Subcommand};
-use driver::Driver;
+use discovery::News;
 use fleet::Fleet;
-use fronts::{http1, Budget};
 use granite_background::{Pace, Service};
+use granite_engine::Figures;
 use granite_fleet::Role;
 use granite_operator::{LogFormat, Operator};
-use handover::Link;
+use granite_stage::backends::{self, Backends};
+use granite_stage::driver::{Driver, Setup};
+use granite_stage::fronts::{http1, Budget};
+use granite_stage::handover::Link;
+use granitehub::{Gateway, Module, Time};
 use snapshot::Snapshots;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -170,20 +171,33 @@
     }
     let routes = routes::Routes::new(&operator, &config.settings).map_err(|e| format!("routes: {e}"))?;
     let settings = granitehub::Settings { pools: routes.pools(), ..config.settings };
-    let backends = Backends::new(&backends::Limits {
+    let limits = backends::Limits {
         sockets: config.backend_sockets,
-        most_units: settings.most_units,
         connect_timeout: config.connect_timeout,
         keepalive: config.keepalive,
-    });
-    let driver = Driver::new(
-        settings.clone(),
-        config.seed,
-        config.zones,
-        routes,
-        &operator.lifecycle,
-        backends.clone(),
-    )?;
+    };
+    let wire = wire::Backward { most_units: settings.most_units.max(1.0) };
+    let backends = Backends::new(&limits, Box::new(wire));
+    let (routes, own, table) = (Rc::new(routes), settings.clone(), &operator.lifecycle);
+    let nanos = |d: Duration| d.as_nanos() as Time;
+    let figures = Figures {
+        way_back: nanos(table.way_back),
+        module_grace: nanos(table.module_grace),
+        key_margin: nanos(table.key_margin),
+        gap: nanos(table.gap),
+    };
+    let pools = routes.clone();
+    let driver = Driver::new(Setup {
+        settings: settings.clone(),
+        seed: config.seed,
+        figures,
+        module: Box::new(move |seed, now| {
+            Gateway::new(own.clone(), seed, now).map(|g| Box::new(g) as Box<dyn Module>)
+        }),
+        backends: backends.clone(),
+        zones: config.zones,
+        pools: Box::new(move |target| pools.of(target)),
+    })?;
     if let Some(forwarder) = &operator.forwarder {
         let now = driver.time(tokio::time::Instant::now());
         let setup = allowance::forwarder::prepare(forwarder, &operator.allowances, &settings, now)?;
@@ -213,15 +227,16 @@
         info!(%address, "listening on {address}");
     }
     let bodies = Budget::new(config.body_bytes);
-    let server =
-        http1::Server::new(driver.clone(), backends.clone(), link.clone(), bodies, config.client_sockets);
-    let server = Rc::new(server);
+    let api = Api::new(driver.clone(), routes, &settings);
+    let (room, gateway) = (config.client_sockets, driver.clone());
+    let server = Rc::new(http1::Server::new(api, gateway, backends.clone(), link.clone(), bodies, room));
     if let Some(listener) = second {
         if let Ok(address) = listener.local_addr() {
             info!(%address, "operators' calls on {address}");
         }
         let (driver, server, link) = (driver.clone(), server.clone(), link.clone());
-        spawn_local(Rc::new(Admin { driver, server, link, fleet: fleet.clone() }).serve(listener));
+        let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
+        spawn_local(Rc::new(Admin { driver, server, link, classes, fleet: fleet.clone() }).serve(listener));
     }
     let snapshots = operator
         .snapshot
@@ -268,7 +283,10 @@
     let mut begin = |address, held| {
         let driver = driver.clone();
         let callers = callers.clone();
-        spawn_local(discovery::watch(address, held, pace.fork(), callers, move |news| driver.news(news)))
+        spawn_local(discovery::watch(address, held, pace.fork(), callers, move |news| match news {
+            News::List(scope, list) => driver.list(scope, list),
+            News::Failed(what) => driver.list_failed(what),
+        }))
     };
     let mut watch = begin(address, held);
     while hup.recv().await.is_some() {
--- a/src/bin/granitethread/routes.rs
+++ b/src/bin/granitethread/routes.rs
@@ -1,8 +1,8 @@
 //! The operators' routes and pools as the program uses them: whose a request is, and whose a server.
 
-use crate::list::Target;
 use granite_operator::{Operator, Pool};
 use granite_route::{Ask, Route, Selector, Split, Table};
+use granite_stage::list::Target;
 use granitehub::{Class, Effect, Group, Settings};
 use hyper::header::HeaderMap;
 use hyper::http::uri::PathAndQuery;
--- a/src/bin/granitethread/snapshot.rs
+++ b/src/bin/granitethread/snapshot.rs
@@ -1,13 +1,13 @@
 //! Snapshots on the disk: read at the start, written by a thread of their own. What they mean, and what may be made of
 //! old ones, is settled in `granite_snapshot`.
 
-use crate::driver::Driver;
-use crate::list::List;
 use granite_handover::Role;
 use granite_operator::Snapshot as Table;
 use granite_snapshot::age::{join, list_counts, split, Quota, Times};
 use granite_snapshot::files::{keep, load, save, Folder};
 use granite_snapshot::{decode, encode, inspect, Author, Kind, Section};
+use granite_stage::driver::Driver;
+use granite_stage::list::List;
 use granitehub::Settings;
 use serde_json::json;
 use std::fs::File;
