--- /dev/null
+++ b/crates/playbill/src/check.rs
@@ -0,0 +1,120 @@
+//! Whether what an operator sends is sound.
+
+use crate::{Fault, Playbill};
+use jsonschema::Validator;
+use serde_json::Value;
+use std::collections::{HashMap, HashSet};
+
+const SCHEMA: &str = include_str!("../schema/configuration.json");
+
+/// The schema, compiled.
+pub struct Checker(Validator);
+
+impl Default for Checker {
+    fn default() -> Self {
+        let schema: Value = serde_json::from_str(SCHEMA).expect("the schema is JSON");
+        Checker(jsonschema::validator_for(&schema).expect("the schema is one"))
+    }
+}
+
+impl Checker {
+    /// Reads a configuration whole: against the schema, then what a schema can't say.
+    ///
+    /// # Errors
+    /// The first thing that is wrong with it.
+    pub fn check(&self, body: &[u8]) -> Result<Playbill, Fault> {
+        let value: Value = serde_json::from_slice(body).map_err(|e| Fault::Unread(e.to_string()))?;
+        if let Err(e) = self.0.validate(&value) {
+            return Err(Fault::Schema(e.instance_path.to_string(), e.to_string()));
+        }
+        let playbill: Playbill = serde_json::from_value(value).map_err(|e| Fault::Unread(e.to_string()))?;
+        meaning(&playbill)?;
+        Ok(playbill)
+    }
+}
+
+/// Checks one configuration.
+///
+/// # Errors
+/// The first thing that is wrong with it.
+pub fn check(body: &[u8]) -> Result<Playbill, Fault> {
+    Checker::default().check(body)
+}
+
+fn meaning(playbill: &Playbill) -> Result<(), Fault> {
+    let services: HashSet<&str> = playbill.services.iter().map(|s| s.name.as_str()).collect();
+    let mut places = HashMap::new();
+    for r in &playbill.routes {
+        let name = || r.name.clone();
+        let targets = r.target_service.iter().chain(r.weighted_targets.iter().map(|w| &w.target_service));
+        let mut targets = targets.peekable();
+        if targets.peek().is_none() {
+            return Err(Fault::NoTarget(name()));
+        }
+        if let Some(unknown) = targets.find(|t| !services.contains(t.as_str())) {
+            return Err(Fault::NoService(name(), unknown.clone()));
+        }
+        let place = (r.host.to_ascii_lowercase(), r.path_prefix.as_str());
+        if let Some(other) = places.insert(place, &r.name) {
+            return Err(Fault::SamePlace(other.clone(), name()));
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn sound() -> Value {
+        json!({"configVersion": "0000000c", "baseVersion": "00000005",
+            "routes": [{"name": "a", "host": "h.example", "pathPrefix": "/a/", "routeKind": "safe",
+                "timeoutMs": 2500, "targetLatencyMs": 400, "priority": 2, "maxAttempts": 2, "public": false,
+                "weightedTargets": [{"targetService": "s", "weight": 90}, {"targetService": "t", "weight": 10}]}],
+            "services": [{"name": "s", "healthPath": "/health", "maxConnections": 140, "protocol": "h1", "tls": false},
+                {"name": "t"}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "t1", "apiKeys": ["k"], "priority": 1, "ratePerS": 146, "burstSize": 146}]})
+    }
+
+    fn told(change: impl FnOnce(&mut Value)) -> Result<Playbill, Fault> {
+        let mut value = sound();
+        change(&mut value);
+        check(value.to_string().as_bytes())
+    }
+
+    #[test]
+    fn a_sound_one_is_read_with_fields_that_nobody_knows() {
+        let playbill = told(|v| v["routes"][0]["later"] = json!(1)).unwrap();
+        assert_eq!((playbill.config_version, playbill.base_version), (12, 5));
+        assert_eq!(told(|v| v["baseVersion"] = json!(0)).unwrap().base_version, 0);
+    }
+
+    #[test]
+    fn whatever_is_wrong_is_found() {
+        let route = |key: &'static str, value: Value| move |v: &mut Value| v["routes"][0][key] = value;
+        let unread = check(&sound().to_string().as_bytes()[..200]);
+        assert!(matches!(unread, Err(Fault::Unread(_))), "cut short");
+        for fault in [
+            told(route("weightedTargets", json!([{"targetService": "s", "weight": -1}]))),
+            told(route("pathPrefix", json!("a/"))),
+            told(route("host", json!(" "))),
+            told(route("routeKind", json!("odd"))),
+            told(|v| v["configVersion"] = json!("xyz")),
+            told(|v| v["routes"] = json!({})),
+        ] {
+            assert!(matches!(fault, Err(Fault::Schema(..))), "{fault:?}");
+        }
+        let unknown = told(route("targetService", json!("nobody")));
+        assert_eq!(unknown, Err(Fault::NoService("a".into(), "nobody".into())));
+        assert_eq!(told(route("weightedTargets", json!([]))), Err(Fault::NoTarget("a".into())));
+        let twice = told(|v| {
+            let mut same = v["routes"][0].clone();
+            same["name"] = json!("b");
+            same["host"] = json!("H.example");
+            v["routes"].as_array_mut().unwrap().push(same);
+        });
+        assert_eq!(twice, Err(Fault::SamePlace("a".into(), "b".into())));
+    }
+}
--- /dev/null
+++ b/crates/playbill/src/lib.rs
@@ -0,0 +1,171 @@
+//! The configuration: reading and checking it, and what it says of a request. No I/O.
+//!
+//! What an operator sends is read once, where it is agreed on ([`check`], with the schema of `schema/configuration.json`);
+//! everybody else is handed the same bytes and reads them with [`Playbill::read`].
+#![forbid(unsafe_code)]
+
+#[cfg(feature = "check")]
+mod check;
+mod table;
+
+#[cfg(feature = "check")]
+pub use check::{check, Checker};
+pub use table::{Table, Target};
+
+use displaydoc::Display;
+use serde::{Deserialize, Deserializer};
+
+/// A configuration's version: eight hexadecimal digits on the wire.
+pub type Version = u32;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// May run more than once.
+    Safe,
+    /// At most once.
+    Unsafe,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Weighted {
+    pub target_service: String,
+    pub weight: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Route {
+    pub name: String,
+    pub host: String,
+    pub path_prefix: String,
+    pub route_kind: Kind,
+    /// The longest that a request is held; 0: no longer than its client waits.
+    #[serde(default)]
+    pub timeout_ms: f64,
+    /// The time within which an answer earns its full worth.
+    #[serde(default)]
+    pub target_latency_ms: f64,
+    /// 0 is the highest.
+    #[serde(default)]
+    pub priority: u32,
+    /// The most backends that one try may be sent to.
+    #[serde(default = "one")]
+    pub max_attempts: u32,
+    #[serde(default)]
+    pub public: bool,
+    #[serde(default)]
+    pub target_service: Option<String>,
+    #[serde(default)]
+    pub weighted_targets: Vec<Weighted>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Service {
+    pub name: String,
+    #[serde(default)]
+    pub health_path: String,
+    /// Over all callers together.
+    #[serde(default)]
+    pub max_connections: u32,
+}
+
+/// What clients are held to.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub max_header_bytes: u64,
+    pub max_body_bytes: u64,
+    pub header_timeout_ms: f64,
+    pub idle_timeout_ms: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 32 << 20,
+            header_timeout_ms: 3000.0,
+            idle_timeout_ms: 15_000.0,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Tenant {
+    pub name: String,
+    pub api_keys: Vec<String>,
+    /// Before the route's, if stated.
+    #[serde(default)]
+    pub priority: Option<u32>,
+    /// Requests a second over all gateways; 0: no limit.
+    #[serde(default)]
+    pub rate_per_s: f64,
+    #[serde(default)]
+    pub burst_size: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Playbill {
+    #[serde(deserialize_with = "version")]
+    pub config_version: Version,
+    /// What it builds on; 0 is before the first.
+    #[serde(default, deserialize_with = "version")]
+    pub base_version: Version,
+    pub routes: Vec<Route>,
+    pub services: Vec<Service>,
+    #[serde(default)]
+    pub limits: Limits,
+    /// Without any, requests need no key.
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
+}
+
+/// What is wrong with a configuration.
+#[derive(Clone, Debug, Display, PartialEq)]
+pub enum Fault {
+    /// it cannot be read: {0}
+    Unread(String),
+    /// at {0}: {1}
+    Schema(String, String),
+    /// route {0}: no service is named {1}
+    NoService(String, String),
+    /// route {0}: it names no service
+    NoTarget(String),
+    /// routes {0} and {1} have the same host and prefix
+    SamePlace(String, String),
+}
+
+impl std::error::Error for Fault {}
+
+impl Playbill {
+    /// Reads what was checked.
+    ///
+    /// # Errors
+    /// [`Fault::Unread`], if it is none.
+    pub fn read(body: &[u8]) -> Result<Playbill, Fault> {
+        serde_json::from_slice(body).map_err(|e| Fault::Unread(e.to_string()))
+    }
+}
+
+/// A version on the wire: hexadecimal digits, or a number.
+fn version<'de, D: Deserializer<'de>>(from: D) -> Result<Version, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Word {
+        Digits(String),
+        Number(u32),
+    }
+    match Word::deserialize(from)? {
+        Word::Number(n) => Ok(n),
+        Word::Digits(text) => Version::from_str_radix(&text, 16).map_err(serde::de::Error::custom),
+    }
+}
--- /dev/null
+++ b/crates/promptbook/src/lib.rs
@@ -0,0 +1,211 @@
+//! What is agreed on: the configuration as it came, which backends are leaving, which gateways there are. A value that
+//! every prompter folds from the same words in the same order, so that all hold the same. No I/O.
+#![forbid(unsafe_code)]
+
+use playbill::Version;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// A place in the agreed log.
+pub type Place = u64;
+/// The form of what is kept and sent.
+const FORM: u32 = 1;
+/// So many earlier configurations are known again when they come once more.
+const KNOWN: usize = 64;
+/// So many that are leaving are remembered; ids are never used again, and the oldest have long ended.
+const LEAVING: usize = 4096;
+/// So many gateways are known. More are a fault of the platform's.
+const GATEWAYS: usize = 4096;
+
+/// Something to agree on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// On top of `base`, which must be the current one.
+    Configuration {
+        base: Version,
+        version: Version,
+        #[serde(with = "serde_bytes")]
+        body: Vec<u8>,
+    },
+    /// This backend takes no new work for the rest of its life.
+    Leaving { instance: String },
+    /// This gateway is there, and has its even part of what is shared.
+    Gateway { name: String },
+}
+
+impl Word {
+    pub fn write(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("a word can be written")
+    }
+
+    /// None, if it is none of ours.
+    pub fn read(bytes: &[u8]) -> Option<Word> {
+        rmp_serde::from_slice(bytes).ok()
+    }
+}
+
+/// What has come of a word.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// Something has changed.
+    Changed,
+    /// It was so already.
+    Same,
+    /// A configuration on another base than the current one, or not later than it.
+    Other,
+}
+
+/// A configuration as it was agreed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    pub version: Version,
+    /// Where in the agreed log.
+    pub place: Place,
+    /// The bytes that the operator sent.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+type Mark = [u8; 16];
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Book {
+    form: u32,
+    configuration: Option<Arc<Configuration>>,
+    known: VecDeque<(Version, Mark)>,
+    leaving: BTreeMap<String, Place>,
+    gateways: BTreeSet<String>,
+}
+
+impl Book {
+    pub fn new() -> Self {
+        Book { form: FORM, ..Book::default() }
+    }
+
+    /// None, if it is none of ours.
+    pub fn read(bytes: &[u8]) -> Option<Book> {
+        if bytes.is_empty() {
+            return Some(Book::new());
+        }
+        rmp_serde::from_slice(bytes).ok().filter(|b: &Book| b.form == FORM)
+    }
+
+    pub fn write(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("a book can be written")
+    }
+
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// 0 before the first.
+    pub fn version(&self) -> Version {
+        self.configuration.as_ref().map_or(0, |c| c.version)
+    }
+
+    /// Whether exactly this configuration has been taken, now or some time ago.
+    pub fn has_taken(&self, version: Version, body: &[u8]) -> bool {
+        self.known.iter().any(|(v, m)| *v == version && *m == mark(body))
+    }
+
+    pub fn is_leaving(&self, instance: &str) -> bool {
+        self.leaving.contains_key(instance)
+    }
+
+    pub fn leaving(&self) -> impl Iterator<Item = &String> {
+        self.leaving.keys()
+    }
+
+    pub fn gateways(&self) -> &BTreeSet<String> {
+        &self.gateways
+    }
+
+    /// Folds a word in.
+    pub fn apply(&mut self, place: Place, word: &Word) -> Applied {
+        match word {
+            Word::Configuration { base, version, body } => {
+                if self.has_taken(*version, body) {
+                    return Applied::Same;
+                }
+                if *base != self.version() || *version <= self.version() {
+                    return Applied::Other;
+                }
+                let configuration = Configuration { version: *version, place, body: body.clone() };
+                self.configuration = Some(Arc::new(configuration));
+                self.known.push_back((*version, mark(body)));
+                if self.known.len() > KNOWN {
+                    self.known.pop_front();
+                }
+                Applied::Changed
+            }
+            Word::Leaving { instance } => {
+                if self.is_leaving(instance) {
+                    return Applied::Same;
+                }
+                self.leaving.insert(instance.clone(), place);
+                if self.leaving.len() > LEAVING {
+                    let oldest = self.leaving.iter().min_by_key(|(_, at)| **at);
+                    if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                        self.leaving.remove(&oldest);
+                    }
+                }
+                Applied::Changed
+            }
+            Word::Gateway { name } if self.gateways.len() < GATEWAYS => {
+                if self.gateways.insert(name.clone()) {
+                    Applied::Changed
+                } else {
+                    Applied::Same
+                }
+            }
+            Word::Gateway { .. } => Applied::Same,
+        }
+    }
+}
+
+fn mark(body: &[u8]) -> Mark {
+    let whole = Sha256::digest(body);
+    let mut mark = Mark::default();
+    mark.copy_from_slice(&whole[..16]);
+    mark
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn configuration(base: Version, version: Version, body: &str) -> Word {
+        Word::Configuration { base, version, body: body.as_bytes().to_vec() }
+    }
+
+    #[test]
+    fn of_two_on_one_base_one_wins_and_what_was_taken_is_known_again() {
+        let mut book = Book::new();
+        assert_eq!(book.apply(2, &configuration(0, 3, "a")), Applied::Changed);
+        assert_eq!(book.apply(3, &configuration(3, 5, "b")), Applied::Changed);
+        assert_eq!(book.apply(4, &configuration(3, 6, "c")), Applied::Other, "the base is another");
+        assert_eq!(book.apply(5, &configuration(5, 5, "d")), Applied::Other, "not later");
+        assert_eq!(
+            book.apply(6, &configuration(0, 3, "a")),
+            Applied::Same,
+            "once more, though a later one stands"
+        );
+        assert_eq!(book.apply(7, &configuration(0, 3, "b")), Applied::Other, "other bytes under its number");
+        assert_eq!((book.version(), book.configuration().unwrap().place), (5, 3));
+        assert_eq!(Book::read(&book.write()), Some(book));
+        assert_eq!(Book::read(b"nonsense"), None);
+    }
+
+    #[test]
+    fn who_leaves_leaves_for_good_and_memory_is_bounded() {
+        let mut book = Book::new();
+        for n in 0..LEAVING as u64 + 10 {
+            book.apply(n, &Word::Leaving { instance: format!("i-{n}") });
+        }
+        assert_eq!(book.leaving().count(), LEAVING);
+        assert!(!book.is_leaving("i-9") && book.is_leaving("i-10"), "the oldest go");
+        assert_eq!(book.apply(9999, &Word::Leaving { instance: "i-50".into() }), Applied::Same);
+    }
+}
--- /dev/null
+++ b/crates/understudy/src/lib.rs
@@ -0,0 +1,633 @@
+//! Agreement among those who hold the configuration: one holder of the duty by term, elected by a majority or named by
+//! the holder before; a log that a majority has on disk before a word of it counts; reads that are newest. After Raft
+//! (Ongaro and Ousterhout, 2014; Ongaro's thesis for trial votes, changes of members one at a time, and the hand-over
+//! of the duty). No I/O and no clock.
+//!
+//! What it promises, whatever is lost, late, doubled or cut, and whoever dies, freezes or loses a disk, as long as no
+//! more disks are lost at once than a minority of the voters:
+//! - what was applied anywhere is applied everywhere at the same place, and never undone;
+//! - [`Output::Newest`] comes only behind all that was agreed on before the read was asked for.
+#![forbid(unsafe_code)]
+
+mod log;
+mod words;
+
+pub use words::{
+    Body, Entry, Id, Input, Members, Message, Output, Place, Said, Save, Snapshot, Stored, Term, Time,
+};
+
+use fastrand::Rng;
+use log::Log;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const MS: Time = 1_000_000;
+/// The holder is heard so often at the least.
+pub const PULSE: Time = 100 * MS;
+/// Nobody votes for another within so long of having heard the holder; somebody stands up after up to twice that.
+pub const PATIENCE: Time = 500 * MS;
+/// Lent rights of a holder rest on a majority heard within so long: less than [`PATIENCE`] by what clocks may differ.
+pub const LEASE: Time = 400 * MS;
+/// The most bytes of entries in one message, beyond the first entry.
+const MOST_BYTES: usize = 256 << 10;
+/// Rounds whose start is remembered.
+const ROUNDS: usize = 64;
+
+/// What a holder knows of another.
+#[derive(Clone, Debug)]
+struct Peer {
+    disk: u64,
+    /// Its log is known to be ours up to there.
+    matched: Place,
+    /// What is sent next.
+    next: Place,
+    /// The start of the latest round that it answered.
+    heard: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    peers: BTreeMap<String, Peer>,
+    /// Rounds not answered by all yet: number and start.
+    rounds: VecDeque<(u64, Time)>,
+    round: u64,
+    elected: Time,
+    next_pulse: Time,
+    /// Where its first entry stands.
+    first: Place,
+    reads: Vec<(u64, Time)>,
+    /// Those who knock and have no vote: replicated to, taken in when they have caught up.
+    guests: BTreeMap<String, (u64, Time)>,
+    /// It has named another: it lends and takes nothing any more.
+    named: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Role {
+    Follower,
+    Candidate { trial: bool, given: BTreeSet<String> },
+    Holder(Box<Holder>),
+}
+
+/// One who takes part.
+#[derive(Clone, Debug)]
+pub struct Core {
+    id: Id,
+    term: Term,
+    vote: Option<Id>,
+    log: Log,
+    agreed: Place,
+    role: Role,
+    holder: Option<Id>,
+    /// When the holder was last heard.
+    heard: Option<Time>,
+    stands_up: Time,
+    /// What it promised by its silence before it was started may hold until then: it votes for nobody.
+    silent_until: Time,
+    rng: Rng,
+}
+
+impl Core {
+    /// Goes on from what is on the disk.
+    pub fn new(id: Id, stored: Stored, seed: u64, now: Time) -> Self {
+        let log = Log::new(stored.snapshot, stored.entries);
+        let agreed = log.start();
+        let mut core = Core {
+            id,
+            term: stored.term,
+            vote: stored.vote,
+            log,
+            agreed,
+            role: Role::Follower,
+            holder: None,
+            heard: None,
+            stands_up: 0,
+            silent_until: if stored.term > 0 { now + PATIENCE } else { 0 },
+            rng: Rng::with_seed(seed),
+        };
+        core.sit_down(now);
+        core
+    }
+
+    pub fn id(&self) -> &Id {
+        &self.id
+    }
+
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// How far the log is agreed on, as far as is known here.
+    pub fn agreed(&self) -> Place {
+        self.agreed
+    }
+
+    /// The state at the start of the log.
+    pub fn start(&self) -> (Place, &[u8]) {
+        (self.log.start(), &self.log.snapshot().state)
+    }
+
+    /// Entries that are kept.
+    pub fn entries(&self) -> usize {
+        self.log.len()
+    }
+
+    /// The voters, as this one knows them; empty before it knows any.
+    pub fn members(&self) -> &Members {
+        self.log.members()
+    }
+
+    pub fn is_member(&self) -> bool {
+        self.members().get(&self.id.name) == Some(&self.id.disk)
+    }
+
+    /// Who is believed to hold the duty.
+    pub fn holder(&self) -> Option<&Id> {
+        self.holder.as_ref()
+    }
+
+    pub fn is_holder(&self) -> bool {
+        matches!(self.role, Role::Holder(_))
+    }
+
+    /// The holder alone: its term is its own beyond doubt until then, and nobody else's word counts before.
+    pub fn lease(&self) -> Option<Time> {
+        let Role::Holder(h) = &self.role else { return None };
+        let sure = self.agreed >= h.first && !h.named;
+        sure.then(|| self.majority(h).saturating_add(LEASE))
+    }
+
+    /// When it last knew of a majority: heard its holder, or was answered by one.
+    pub fn in_touch(&self) -> Option<Time> {
+        match &self.role {
+            Role::Holder(h) => Some(self.majority(h)),
+            _ => self.heard,
+        }
+    }
+
+    /// When [`Input::Tick`] is next wanted.
+    pub fn next_due(&self) -> Time {
+        match &self.role {
+            Role::Holder(h) => h.next_pulse,
+            _ if !self.is_member() => Time::MAX,
+            _ => self.stands_up,
+        }
+    }
+
+    /// Takes what happened by `now` and appends what to do about it, in order.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Message(m) => self.message(now, m, out),
+            Input::Propose { tag, word } => self.propose(now, tag, word, out),
+            Input::Read { tag } => self.read(now, tag, out),
+            Input::Knock { id } => self.knock(now, &id),
+            Input::Found { members } => self.found(now, members, out),
+            Input::HandOver => self.hand_over(out),
+            Input::Tick => self.tick(now, out),
+        }
+        self.advance(now, out);
+    }
+
+    /// The log up to `place`, which must be agreed on, is this state from now on.
+    pub fn compact(&mut self, place: Place, state: Vec<u8>) -> Option<Save> {
+        if place > self.agreed || !self.log.compact(place, state) {
+            return None;
+        }
+        Some(Save::Snapshot { snapshot: self.log.snapshot().clone(), whole: false })
+    }
+
+    // ---- Time ----
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        if let Role::Holder(h) = &self.role {
+            if now.saturating_sub(self.majority(h).max(h.elected)) > PATIENCE {
+                return self.step_down(now, out);
+            }
+            if now >= h.next_pulse {
+                self.pulse(now, out);
+            }
+        } else if now >= self.stands_up && self.is_member() {
+            self.stand(now, true, false, out);
+        }
+    }
+
+    fn sit_down(&mut self, now: Time) {
+        self.stands_up = now + PATIENCE + self.rng.u64(..PATIENCE);
+    }
+
+    // ---- Founding ----
+
+    fn found(&mut self, now: Time, members: Members, out: &mut Vec<Output>) {
+        let blank = self.term == 0 && self.log.last().1 == 0;
+        if !blank || members.get(&self.id.name) != Some(&self.id.disk) {
+            return;
+        }
+        let snapshot = Snapshot { place: 1, term: 1, members, state: Vec::new() };
+        self.term = 1;
+        self.log = Log::new(snapshot.clone(), Vec::new());
+        self.agreed = 1;
+        out.push(Output::Save(Save::Snapshot { snapshot, whole: true }));
+        out.push(Output::Save(Save::Term { term: 1, vote: None }));
+        self.stands_up = now;
+        self.stand(now, true, false, out);
+    }
+
+    // ---- Elections ----
+
+    /// Stands up for the duty; on trial first, so that one who was cut off does not disturb those who were not.
+    fn stand(&mut self, now: Time, trial: bool, named: bool, out: &mut Vec<Output>) {
+        self.sit_down(now);
+        let mut term = self.term + 1;
+        if !trial {
+            self.term = term;
+            self.vote = Some(self.id.clone());
+            self.save_term(out);
+            self.holder = None;
+            term = self.term;
+        }
+        let given = BTreeSet::from([self.id.name.clone()]);
+        self.role = Role::Candidate { trial, given };
+        let last = self.log.last();
+        for to in self.others() {
+            self.send(to, term, Body::Ask { trial, named, last }, out);
+        }
+        self.count(now, out);
+    }
+
+    fn count(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Role::Candidate { trial, given } = &self.role else { return };
+        let members = self.members();
+        if 2 * given.iter().filter(|g| members.contains_key(*g)).count() <= members.len() {
+            return;
+        }
+        if *trial {
+            self.stand(now, false, false, out);
+        } else {
+            self.take_the_duty(now, out);
+        }
+    }
+
+    fn take_the_duty(&mut self, now: Time, out: &mut Vec<Output>) {
+        let first = self.log.last().1 + 1;
+        let next = first;
+        let peers = self.others().into_iter().map(|id| {
+            let peer = Peer { disk: id.disk, matched: 0, next, heard: 0 };
+            (id.name, peer)
+        });
+        let holder = Holder {
+            peers: peers.collect(),
+            rounds: VecDeque::new(),
+            round: 0,
+            elected: now,
+            next_pulse: now,
+            first,
+            reads: Vec::new(),
+            guests: BTreeMap::new(),
+            named: false,
+        };
+        self.role = Role::Holder(Box::new(holder));
+        self.holder = Some(self.id.clone());
+        self.append(Said::Nothing, out);
+        self.pulse(now, out);
+    }
+
+    fn step_down(&mut self, now: Time, out: &mut Vec<Output>) {
+        if let Role::Holder(h) = std::mem::replace(&mut self.role, Role::Follower) {
+            out.extend(h.reads.iter().map(|(tag, _)| Output::NotHolder { tag: *tag }));
+            self.holder = None;
+        }
+        self.role = Role::Follower;
+        self.sit_down(now);
+    }
+
+    fn hand_over(&mut self, out: &mut Vec<Output>) {
+        let last = self.log.last().1;
+        let Role::Holder(h) = &mut self.role else { return };
+        let members = self.log.members();
+        let ready = h.peers.iter().filter(|(n, p)| p.matched == last && members.get(*n) == Some(&p.disk));
+        let Some((name, peer)) = ready.max_by_key(|(_, p)| p.heard) else { return };
+        let to = Id { name: name.clone(), disk: peer.disk };
+        h.named = true;
+        let term = self.term;
+        self.send(to, term, Body::Named, out);
+    }
+
+    // ---- Messages ----
+
+    fn message(&mut self, now: Time, m: Message, out: &mut Vec<Output>) {
+        // What is meant for a disk that is gone is nobody's.
+        if m.to != self.id {
+            return;
+        }
+        let asks = matches!(m.body, Body::Ask { .. });
+        let named = matches!(m.body, Body::Ask { named: true, .. });
+        // One who hears its holder votes for nobody, and learns no term of it.
+        let hears = self.heard.is_some_and(|at| now.saturating_sub(at) < PATIENCE);
+        let content = self.is_holder() || hears || now < self.silent_until;
+        if asks && content && !named && m.term > self.term {
+            return;
+        }
+        let trial = matches!(m.body, Body::Ask { trial: true, .. } | Body::Vote { trial: true, given: true });
+        if m.term > self.term && !trial {
+            self.learn_term(now, m.term, out);
+        }
+        match m.body {
+            Body::Ask { trial, last, .. } => self.asked(now, m.from, m.term, trial, last, out),
+            Body::Vote { trial, given } => self.voted(now, &m.from, m.term, trial, given, out),
+            Body::Append { .. } | Body::Install { .. } | Body::Named if m.term < self.term => {
+                // So that it learns the term.
+                let up_to = 0;
+                self.send(m.from, self.term, Body::Missed { round: 0, hint: up_to }, out);
+            }
+            Body::Append { before, entries, agreed, round } => {
+                self.hear(now, &m.from);
+                self.appended(m.from, before, entries, agreed, round, out);
+            }
+            Body::Install { snapshot, round } => {
+                self.hear(now, &m.from);
+                self.install(m.from, snapshot, round, out);
+            }
+            Body::Named => {
+                if self.is_member() {
+                    self.stand(now, false, true, out);
+                }
+            }
+            Body::Took { round, up_to } if m.term == self.term => self.took(&m.from, round, Ok(up_to)),
+            Body::Missed { round, hint } if m.term == self.term => self.took(&m.from, round, Err(hint)),
+            Body::Took { .. } | Body::Missed { .. } => {}
+        }
+    }
+
+    fn learn_term(&mut self, now: Time, term: Term, out: &mut Vec<Output>) {
+        self.term = term;
+        self.vote = None;
+        self.save_term(out);
+        self.step_down(now, out);
+        self.holder = None;
+    }
+
+    fn hear(&mut self, now: Time, holder: &Id) {
+        self.role = Role::Follower;
+        self.holder = Some(holder.clone());
+        self.heard = Some(now);
+        self.sit_down(now);
+    }
+
+    fn asked(
+        &mut self,
+        now: Time,
+        from: Id,
+        term: Term,
+        trial: bool,
+        last: (Term, Place),
+        out: &mut Vec<Output>,
+    ) {
+        let free = if trial {
+            term > self.term
+        } else {
+            term == self.term && self.vote.as_ref().is_none_or(|v| *v == from) && !self.is_holder()
+        };
+        let given = free && last >= self.log.last();
+        if given && !trial {
+            if self.vote.is_none() {
+                self.vote = Some(from.clone());
+                self.save_term(out);
+            }
+            self.sit_down(now);
+        }
+        let answer = if trial && given { term } else { self.term };
+        self.send(from, answer, Body::Vote { trial, given }, out);
+    }
+
+    fn voted(&mut self, now: Time, from: &Id, term: Term, trial: bool, given: bool, out: &mut Vec<Output>) {
+        let wanted = if trial { self.term + 1 } else { self.term };
+        if self.members().get(&from.name) != Some(&from.disk) {
+            return;
+        }
+        if let Role::Candidate { trial: t, given: all } = &mut self.role {
+            if *t == trial && given && term == wanted {
+                all.insert(from.name.clone());
+                self.count(now, out);
+            }
+        }
+    }
+
+    // ---- Following ----
+
+    fn appended(
+        &mut self,
+        from: Id,
+        before: (Place, Term),
+        entries: Vec<Entry>,
+        agreed: Place,
+        round: u64,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.log.has(before.0, before.1) {
+            let hint = self.log.last().1.min(before.0.saturating_sub(1)).max(self.agreed);
+            return self.send(from, self.term, Body::Missed { round, hint }, out);
+        }
+        let up_to = before.0 + entries.len() as Place;
+        if let Some((from, entries)) = self.log.take(before.0, entries) {
+            out.push(Output::Save(Save::Entries { from, entries }));
+        }
+        self.send(from, self.term, Body::Took { round, up_to }, out);
+        self.agree(agreed.min(up_to), out);
+    }
+
+    fn install(&mut self, from: Id, snapshot: Snapshot, round: u64, out: &mut Vec<Output>) {
+        let place = snapshot.place;
+        if place > self.agreed {
+            let whole = !self.log.has(place, snapshot.term);
+            let state = snapshot.state.clone();
+            out.push(Output::Save(Save::Snapshot { snapshot: snapshot.clone(), whole }));
+            self.log.install(snapshot, whole);
+            self.agreed = place;
+            out.push(Output::Install { place, state });
+        }
+        self.send(from, self.term, Body::Took { round, up_to: self.agreed.max(place) }, out);
+    }
+
+    /// All up to there is agreed on.
+    fn agree(&mut self, up_to: Place, out: &mut Vec<Output>) {
+        while self.agreed < up_to {
+            self.agreed += 1;
+            let Some(entry) = self.log.get(self.agreed) else { unreachable!("agreed on beyond the log") };
+            if let Said::Word(word) = &entry.said {
+                let (place, term, word) = (self.agreed, entry.term, word.clone());
+                out.push(Output::Apply { place, term, word });
+            }
+        }
+    }
+
+    // ---- Holding ----
+
+    fn propose(&mut self, now: Time, tag: u64, word: Vec<u8>, out: &mut Vec<Output>) {
+        if !matches!(&self.role, Role::Holder(h) if !h.named) {
+            return out.push(Output::NotHolder { tag });
+        }
+        let place = self.append(Said::Word(word), out);
+        out.push(Output::Proposed { tag, place, term: self.term });
+        self.pulse(now, out);
+    }
+
+    fn read(&mut self, now: Time, tag: u64, out: &mut Vec<Output>) {
+        let Role::Holder(h) = &mut self.role else { return out.push(Output::NotHolder { tag }) };
+        h.reads.push((tag, now));
+        self.pulse(now, out);
+    }
+
+    fn append(&mut self, said: Said, out: &mut Vec<Output>) -> Place {
+        let from = self.log.last().1 + 1;
+        let entries = vec![Entry { term: self.term, said }];
+        self.log.take(from - 1, entries.clone());
+        out.push(Output::Save(Save::Entries { from, entries }));
+        from
+    }
+
+    /// A round: each other gets what it lacks, as far as is known.
+    fn pulse(&mut self, now: Time, out: &mut Vec<Output>) {
+        let (id, term, agreed) = (self.id.clone(), self.term, self.agreed);
+        let Role::Holder(h) = &mut self.role else { return };
+        h.next_pulse = now + PULSE;
+        h.round += 1;
+        h.rounds.push_back((h.round, now));
+        if h.rounds.len() > ROUNDS {
+            h.rounds.pop_front();
+        }
+        let round = h.round;
+        for (name, peer) in &mut h.peers {
+            let to = Id { name: name.clone(), disk: peer.disk };
+            let body = match self.log.term(peer.next - 1) {
+                Some(before) if peer.next > self.log.start() => {
+                    let entries = self.log.from(peer.next, MOST_BYTES);
+                    let before = (peer.next - 1, before);
+                    peer.next += entries.len() as Place;
+                    Body::Append { before, entries, agreed, round }
+                }
+                _ => {
+                    peer.next = self.log.start() + 1;
+                    Body::Install { snapshot: self.log.snapshot().clone(), round }
+                }
+            };
+            out.push(Output::Send(Message { from: id.clone(), to, term, body }));
+        }
+    }
+
+    fn took(&mut self, from: &Id, round: u64, took: Result<Place, Place>) {
+        let last = self.log.last().1;
+        let Role::Holder(h) = &mut self.role else { return };
+        let Some(peer) = h.peers.get_mut(&from.name).filter(|p| p.disk == from.disk) else { return };
+        let began = h.rounds.iter().find(|(n, _)| *n == round).map(|(_, at)| *at);
+        peer.heard = began.unwrap_or(0).max(peer.heard);
+        match took {
+            Ok(up_to) => {
+                peer.matched = peer.matched.max(up_to.min(last));
+                peer.next = peer.next.max(peer.matched + 1);
+            }
+            Err(hint) => peer.next = (hint + 1).clamp(peer.matched + 1, last + 1),
+        }
+    }
+
+    /// The latest start of a round that a majority has answered; 0 before the first.
+    fn majority(&self, h: &Holder) -> Time {
+        let mut heard: Vec<Time> = self.members().keys().map(|name| self.heard_of(h, name)).collect();
+        heard.sort_unstable();
+        let lacking = (heard.len() - 1) / 2;
+        heard.get(lacking).copied().unwrap_or(0)
+    }
+
+    fn heard_of(&self, h: &Holder, name: &str) -> Time {
+        if name == self.id.name {
+            return Time::MAX;
+        }
+        h.peers.get(name).map_or(0, |p| p.heard)
+    }
+
+    /// What a majority has is agreed on; what waits for it goes on; who knocked and has caught up is taken in.
+    fn advance(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Role::Holder(h) = &self.role else { return };
+        let mut matched: Vec<Place> = self
+            .members()
+            .keys()
+            .map(|name| match h.peers.get(name) {
+                _ if *name == self.id.name => self.log.last().1,
+                peer => peer.map_or(0, |p| p.matched),
+            })
+            .collect();
+        matched.sort_unstable();
+        let up_to = matched[(matched.len() - 1) / 2];
+        // Of an earlier term's only what stands before an entry of this one's is safe.
+        if up_to > self.agreed && self.log.term(up_to) == Some(self.term) {
+            self.agree(up_to, out);
+            // Others hear of it at once.
+            self.pulse(now, out);
+        }
+        let Role::Holder(h) = &self.role else { return };
+        let (since, known) = (self.majority(h), self.agreed >= h.first);
+        let Role::Holder(h) = &mut self.role else { return };
+        if known {
+            h.reads.retain(|(tag, at)| {
+                let sure = since >= *at && *at > 0;
+                if sure {
+                    out.push(Output::Newest { tag: *tag });
+                }
+                !sure
+            });
+            self.members_due(now, out);
+        }
+    }
+
+    // ---- Members ----
+
+    fn knock(&mut self, now: Time, id: &Id) {
+        let known = self.members().get(&id.name) == Some(&id.disk);
+        let Role::Holder(h) = &mut self.role else { return };
+        if !known && id.name != self.id.name {
+            h.guests.insert(id.name.clone(), (id.disk, now));
+        }
+    }
+
+    /// One change of members at a time: each pair of majorities before and after has one in common.
+    fn members_due(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.log.members_at() > self.agreed {
+            return;
+        }
+        let last = self.log.last().1;
+        let mut members = self.members().clone();
+        let Role::Holder(h) = &mut self.role else { return };
+        h.guests.retain(|name, (disk, at)| {
+            members.get(name) != Some(disk) && now.saturating_sub(*at) < 10 * PATIENCE
+        });
+        h.peers.retain(|name, p| {
+            members.get(name) == Some(&p.disk) || h.guests.get(name).is_some_and(|g| g.0 == p.disk)
+        });
+        let Some((name, (disk, _))) = h.guests.iter().next() else { return };
+        if members.remove(name).is_none() {
+            let peer = h.peers.entry(name.clone());
+            let peer = peer.or_insert(Peer { disk: *disk, matched: 0, next: last + 1, heard: 0 });
+            // Not before it has all that is agreed on.
+            if peer.matched < self.agreed {
+                return;
+            }
+            members.insert(name.clone(), *disk);
+        }
+        self.append(Said::Members(members), out);
+        // Nobody else's word is wanted where it stands alone.
+        self.pulse(now, out);
+    }
+
+    // ---- Helpers ----
+
+    fn others(&self) -> Vec<Id> {
+        let others = self.members().iter().filter(|(name, _)| **name != self.id.name);
+        others.map(|(name, disk)| Id { name: name.clone(), disk: *disk }).collect()
+    }
+
+    fn save_term(&self, out: &mut Vec<Output>) {
+        out.push(Output::Save(Save::Term { term: self.term, vote: self.vote.clone() }));
+    }
+
+    fn send(&self, to: Id, term: Term, body: Body, out: &mut Vec<Output>) {
+        out.push(Output::Send(Message { from: self.id.clone(), to, term, body }));
+    }
+}
--- /dev/null
+++ b/crates/understudy/src/log.rs
@@ -0,0 +1,140 @@
+//! The log as one holds it: a snapshot and the entries behind it, and the members that they tell of.
+
+use crate::words::{Entry, Members, Place, Said, Snapshot, Term};
+
+#[derive(Clone, Debug)]
+pub(crate) struct Log {
+    snapshot: Snapshot,
+    entries: Vec<Entry>,
+    /// The latest that the entries tell of, and where; else the snapshot's.
+    members: (Place, Members),
+}
+
+impl Log {
+    pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
+        let mut log = Log { snapshot, entries, members: (0, Members::new()) };
+        log.find_members();
+        log
+    }
+
+    fn find_members(&mut self) {
+        let start = self.start();
+        let told = self.entries.iter().enumerate().rev().find_map(|(n, e)| match &e.said {
+            Said::Members(members) => Some((start + 1 + n as Place, members.clone())),
+            _ => None,
+        });
+        self.members = told.unwrap_or_else(|| (start, self.snapshot.members.clone()));
+    }
+
+    pub fn members(&self) -> &Members {
+        &self.members.1
+    }
+
+    /// Where the members were told.
+    pub fn members_at(&self) -> Place {
+        self.members.0
+    }
+
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The snapshot's place.
+    pub fn start(&self) -> Place {
+        self.snapshot.place
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The last entry's term and place.
+    pub fn last(&self) -> (Term, Place) {
+        let place = self.start() + self.entries.len() as Place;
+        (self.entries.last().map_or(self.snapshot.term, |e| e.term), place)
+    }
+
+    pub fn get(&self, place: Place) -> Option<&Entry> {
+        let at = place.checked_sub(self.start() + 1)?;
+        self.entries.get(usize::try_from(at).ok()?)
+    }
+
+    /// The term at a place; none before the snapshot and behind the end.
+    pub fn term(&self, place: Place) -> Option<Term> {
+        if place == self.start() {
+            return Some(self.snapshot.term);
+        }
+        self.get(place).map(|e| e.term)
+    }
+
+    /// Whether it holds the entry of this term there. What the snapshot has taken in is agreed on, and so the same.
+    pub fn has(&self, place: Place, term: Term) -> bool {
+        place < self.start() || self.term(place) == Some(term)
+    }
+
+    /// Entries from a place on, up to so many bytes beyond the first.
+    pub fn from(&self, place: Place, most: usize) -> Vec<Entry> {
+        let at = (place - self.start() - 1) as usize;
+        let mut bytes = 0;
+        let fits = |e: &&Entry| {
+            let first = bytes == 0;
+            bytes += size(e);
+            first || bytes <= most
+        };
+        self.entries.get(at..).unwrap_or_default().iter().take_while(fits).cloned().collect()
+    }
+
+    /// Takes entries behind a place that matches. What stands there and is the same stays; from the first that differs
+    /// on all is replaced. What has changed, if anything has.
+    pub fn take(&mut self, before: Place, entries: Vec<Entry>) -> Option<(Place, Vec<Entry>)> {
+        let same = entries.iter().enumerate().take_while(|(n, e)| {
+            let place = before + 1 + *n as Place;
+            self.has(place, e.term)
+        });
+        let same = same.count();
+        let new = &entries[same..];
+        if new.is_empty() {
+            return None;
+        }
+        let from = before + 1 + same as Place;
+        self.entries.truncate((from - self.start() - 1) as usize);
+        self.entries.extend_from_slice(new);
+        self.find_members();
+        Some((from, new.to_vec()))
+    }
+
+    /// The entries up to `place` become this state. Whether anything has changed.
+    pub fn compact(&mut self, place: Place, state: Vec<u8>) -> bool {
+        let Some(term) = self.term(place).filter(|_| place > self.start()) else { return false };
+        let kept = (place - self.start()) as usize;
+        let told = self.entries[..kept].iter().rev().find_map(|e| match &e.said {
+            Said::Members(members) => Some(members.clone()),
+            _ => None,
+        });
+        let members = told.unwrap_or_else(|| self.snapshot.members.clone());
+        self.entries.drain(..kept);
+        self.snapshot = Snapshot { place, term, members, state };
+        self.find_members();
+        true
+    }
+
+    /// A snapshot from another. `whole`: what stands behind it here is no continuation of it.
+    pub fn install(&mut self, snapshot: Snapshot, whole: bool) {
+        if whole {
+            self.entries.clear();
+        } else {
+            let kept = (snapshot.place - self.start()) as usize;
+            self.entries.drain(..kept);
+        }
+        self.snapshot = snapshot;
+        self.find_members();
+    }
+}
+
+fn size(entry: &Entry) -> usize {
+    match &entry.said {
+        Said::Word(word) => word.len() + 16,
+        Said::Members(members) => 32 * members.len() + 16,
+        Said::Nothing => 16,
+    }
+}
--- /dev/null
+++ b/crates/understudy/src/words.rs
@@ -0,0 +1,192 @@
+//! What goes in and out of a [`crate::Core`], and what is on its disk, in plain values.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Nanoseconds on the caller's steady clock.
+pub type Time = u64;
+/// A term of the duty's holder, from 1.
+pub type Term = u64;
+/// A place in the agreed log, from 1; 0 is before it.
+pub type Place = u64;
+
+/// Who takes part: a name, which is an address, and the id that its disk bears. A disk that was lost comes back with
+/// another id, so that nobody takes the machine for the voter that it was.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    pub name: String,
+    pub disk: u64,
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:08x}", self.name, self.disk as u32)
+    }
+}
+
+/// The voters: by name the id of the disk.
+pub type Members = BTreeMap<String, u64>;
+
+/// What an entry of the log says.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Said {
+    /// A new holder's first.
+    Nothing,
+    /// From here on these are the voters.
+    Members(Members),
+    /// Of no concern to the agreement.
+    Word(#[serde(with = "serde_bytes")] Vec<u8>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    pub term: Term,
+    pub said: Said,
+}
+
+/// The state up to a place, in place of the log up to there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub place: Place,
+    pub term: Term,
+    pub members: Members,
+    #[serde(with = "serde_bytes")]
+    pub state: Vec<u8>,
+}
+
+/// What is on a disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Stored {
+    pub term: Term,
+    /// Whom it voted for in this term.
+    pub vote: Option<Id>,
+    pub snapshot: Snapshot,
+    /// From the place behind the snapshot on.
+    pub entries: Vec<Entry>,
+}
+
+/// What must be on the disk before whatever stands behind it among the outputs is carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Save {
+    Term {
+        term: Term,
+        vote: Option<Id>,
+    },
+    /// From this place on the log is these entries, and nothing behind them.
+    Entries {
+        from: Place,
+        entries: Vec<Entry>,
+    },
+    /// The log up to the snapshot's place is not wanted any more; with `whole` nothing behind it either.
+    Snapshot {
+        snapshot: Snapshot,
+        whole: bool,
+    },
+}
+
+/// A message from one who takes part to another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Message {
+    pub from: Id,
+    pub to: Id,
+    pub term: Term,
+    pub body: Body,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for a vote in the term; `trial`: whether it would be given. `named`: the holder wants it so.
+    Ask {
+        trial: bool,
+        named: bool,
+        last: (Term, Place),
+    },
+    Vote {
+        trial: bool,
+        given: bool,
+    },
+    /// The holder: entries behind `before`, which must match; how far the log is agreed; the round's number.
+    Append {
+        before: (Place, Term),
+        entries: Vec<Entry>,
+        agreed: Place,
+        round: u64,
+    },
+    /// Its log is the holder's up to there.
+    Took {
+        round: u64,
+        up_to: Place,
+    },
+    /// `before` does not match; try behind this place.
+    Missed {
+        round: u64,
+        hint: Place,
+    },
+    /// The holder: in place of entries that it has no more.
+    Install {
+        snapshot: Snapshot,
+        round: u64,
+    },
+    /// The holder: take over.
+    Named,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    Message(Message),
+    /// Asked for here: this is to be agreed on.
+    Propose {
+        tag: u64,
+        word: Vec<u8>,
+    },
+    /// Asked for here: what is agreed on by now is to be known.
+    Read {
+        tag: u64,
+    },
+    /// Somebody of this id is there.
+    Knock {
+        id: Id,
+    },
+    /// The first start: these are the voters. Whoever has a log or a term does nothing.
+    Found {
+        members: Members,
+    },
+    /// This process is to end: its duty, if it has it, is for another.
+    HandOver,
+    /// Time has passed.
+    Tick,
+}
+
+/// What to do about it, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    Save(Save),
+    Send(Message),
+    /// What was proposed stands at this place, not agreed on yet; if the place is another's in the end, it never is.
+    Proposed {
+        tag: u64,
+        place: Place,
+        term: Term,
+    },
+    /// This is agreed on.
+    Apply {
+        place: Place,
+        term: Term,
+        word: Vec<u8>,
+    },
+    /// The agreed state is this, whatever was applied before.
+    Install {
+        place: Place,
+        state: Vec<u8>,
+    },
+    /// All that was agreed on when the read was asked for has been applied.
+    Newest {
+        tag: u64,
+    },
+    /// It does not hold the duty, or no more: nothing is known of what was asked for.
+    NotHolder {
+        tag: u64,
+    },
+}
