--- a/crates/callboard/src/lib.rs
+++ b/crates/callboard/src/lib.rs
@@ -23,6 +23,12 @@
     most: usize,
 }
 
+impl<T> Extend<T> for Board<T> {
+    fn extend<I: IntoIterator<Item = T>>(&mut self, changes: I) {
+        changes.into_iter().for_each(|c| self.append(c));
+    }
+}
+
 impl<T> Board<T> {
     /// An empty log that keeps so many changes.
     pub fn new(life: u64, most: usize) -> Self {
--- /dev/null
+++ b/crates/prompter/src/disk.rs
@@ -0,0 +1,158 @@
+//! What this prompter has on its disk: its id, and what the agreement saves. One thread writes and waits for the disk;
+//! nobody else does.
+
+use displaydoc::Display;
+use fjall::{Config, Keyspace, PartitionCreateOptions, PartitionHandle, PersistMode};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc;
+use tokio::sync::oneshot;
+use understudy::{Entry, Id, Place, Save, Snapshot, Stored, Term};
+
+/// The least that the store allows; a configuration and a few hundred entries are far less.
+const JOURNAL: u64 = 24 << 20;
+const MEMTABLE: u32 = 2 << 20;
+
+/// What is wrong with a disk.
+#[derive(Debug, Display)]
+pub enum Fault {
+    /// {0}: {1}
+    Store(String, fjall::Error),
+    /// {0}: it holds what cannot be read
+    Unread(String),
+    /// no random numbers are to be had: {0}
+    Random(getrandom::Error),
+    /// the thread that writes to the disk has ended
+    Gone,
+}
+
+struct Store {
+    name: String,
+    keyspace: Keyspace,
+    all: PartitionHandle,
+}
+
+/// A handle to the thread that writes.
+#[derive(Clone)]
+pub struct Disk(mpsc::Sender<(Vec<Save>, oneshot::Sender<Result<(), Fault>>)>);
+
+impl Disk {
+    /// Opens the folder and reads what is there; an empty one gets a new id. One that is damaged is emptied, which makes of
+    /// this prompter another one, as if the disk had been lost.
+    ///
+    /// # Errors
+    /// What is wrong, if not even an empty one can be had.
+    pub fn open(folder: &Path) -> Result<(Disk, u64, Stored), Fault> {
+        let (store, disk, stored) = match Store::open(folder) {
+            Ok(whole) => whole,
+            Err(fault) => {
+                log::warn!("disk: {fault}; begun anew, as with a lost disk");
+                let _ = std::fs::remove_dir_all(folder.join("prompter"));
+                Store::open(folder)?
+            }
+        };
+        let (sender, saves) = mpsc::channel::<(Vec<Save>, oneshot::Sender<_>)>();
+        let work = move || {
+            for (all, done) in saves {
+                // Whoever waited is gone when the process ends.
+                let _ = done.send(store.save(&all));
+            }
+        };
+        let thread = std::thread::Builder::new().name("disk".into()).spawn(work);
+        thread.map_err(|e| Fault::Store("thread".into(), fjall::Error::Io(e)))?;
+        Ok((Disk(sender), disk, stored))
+    }
+
+    /// Saves all of it, in order, synced together.
+    ///
+    /// # Errors
+    /// What the disk says; then nothing is known of what it holds.
+    pub async fn save(&self, all: Vec<Save>) -> Result<(), Fault> {
+        let (done, wait) = oneshot::channel();
+        self.0.send((all, done)).map_err(|_| Fault::Gone)?;
+        wait.await.map_err(|_| Fault::Gone)?
+    }
+}
+
+fn entry_key(place: Place) -> [u8; 9] {
+    let mut key = [b'e'; 9];
+    key[1..].copy_from_slice(&place.to_be_bytes());
+    key
+}
+
+impl Store {
+    fn open(folder: &Path) -> Result<(Store, u64, Stored), Fault> {
+        let path: PathBuf = folder.join("prompter");
+        let name = path.display().to_string();
+        let fault = |e| Fault::Store(name.clone(), e);
+        let config =
+            Config::new(&path).max_journaling_size(JOURNAL).max_write_buffer_size(2 * u64::from(MEMTABLE));
+        let config = config.cache_size(256 << 10).compaction_workers(1).flush_workers(1).fsync_ms(None);
+        let keyspace = config.open().map_err(fault)?;
+        let options = PartitionCreateOptions::default().max_memtable_size(MEMTABLE);
+        let all = keyspace.open_partition("agreed", options).map_err(fault)?;
+        let store = Store { name: name.clone(), keyspace, all };
+        let disk = match store.read::<u64>("id")? {
+            Some(disk) => disk,
+            None => {
+                let mut bytes = [0; 8];
+                getrandom::fill(&mut bytes).map_err(Fault::Random)?;
+                let disk = u64::from_be_bytes(bytes).max(1);
+                store.all.insert("id", encode(&disk)).map_err(fault)?;
+                store.keyspace.persist(PersistMode::SyncAll).map_err(fault)?;
+                disk
+            }
+        };
+        let (term, vote): (Term, Option<Id>) = store.read("term")?.unwrap_or_default();
+        let snapshot: Snapshot = store.read("snapshot")?.unwrap_or_default();
+        let mut entries: Vec<Entry> = Vec::new();
+        for pair in store.all.range(entry_key(snapshot.place + 1)..=entry_key(Place::MAX)) {
+            let (key, value) = pair.map_err(fault)?;
+            let wanted = entry_key(snapshot.place + 1 + entries.len() as Place);
+            if *key != wanted {
+                return Err(Fault::Unread(name));
+            }
+            entries.push(rmp_serde::from_slice(&value).map_err(|_| Fault::Unread(name.clone()))?);
+        }
+        Ok((store, disk, Stored { term, vote, snapshot, entries }))
+    }
+
+    fn read<T: serde::de::DeserializeOwned>(&self, key: &str) -> Result<Option<T>, Fault> {
+        let value = self.all.get(key).map_err(|e| Fault::Store(self.name.clone(), e))?;
+        let Some(value) = value else { return Ok(None) };
+        rmp_serde::from_slice(&value).map(Some).map_err(|_| Fault::Unread(self.name.clone()))
+    }
+
+    fn save(&self, all: &[Save]) -> Result<(), Fault> {
+        let fault = |e| Fault::Store(self.name.clone(), e);
+        let mut batch = self.keyspace.batch().durability(Some(PersistMode::SyncAll));
+        let drop_entries = |batch: &mut fjall::Batch, from: Place, to: Place| -> Result<(), Fault> {
+            for pair in self.all.range(entry_key(from)..=entry_key(to)) {
+                batch.remove(&self.all, pair.map_err(fault)?.0);
+            }
+            Ok(())
+        };
+        for save in all {
+            match save {
+                Save::Term { term, vote } => batch.insert(&self.all, "term", encode(&(term, vote))),
+                Save::Entries { from, entries } => {
+                    // What an earlier save of this batch has written behind them is among those before it: a log only grows
+                    // within a batch, or is replaced from a place that is on the disk.
+                    drop_entries(&mut batch, *from, Place::MAX)?;
+                    for (place, entry) in (*from..).zip(entries) {
+                        batch.insert(&self.all, entry_key(place), encode(entry));
+                    }
+                }
+                Save::Snapshot { snapshot, whole } => {
+                    let to = if *whole { Place::MAX } else { snapshot.place };
+                    drop_entries(&mut batch, 0, to)?;
+                    batch.insert(&self.all, "snapshot", encode(snapshot));
+                }
+            }
+        }
+        batch.commit().map_err(fault)
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    rmp_serde::to_vec(value).expect("it can be written")
+}
--- /dev/null
+++ b/crates/prompter/src/links.rs
@@ -0,0 +1,181 @@
+//! Links among prompters, one each way: each dials all others that it has heard of and says on that connection what it has
+//! to say. What comes is handed to the agreement, the cell and the office.
+
+use crate::agreement::Agreement;
+use crate::view::View;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+use understudy::{Id, Input, Members};
+use wings::frame::{self, Reader};
+use wings::message::{First, Peer, FORM};
+use wings::net::connect;
+
+/// Messages that wait for a link; more are lost, as on a network.
+const QUEUE: usize = 512;
+const AGAIN: Duration = Duration::from_millis(100);
+const HELLO: Duration = Duration::from_secs(1);
+/// What was heard of beats is passed on so often.
+const BEATS: Duration = Duration::from_millis(400);
+const FOUNDING: Duration = Duration::from_millis(50);
+
+/// Prompters that have said who they are: the disk's id, and whether it is their first start.
+type Heard = RefCell<BTreeMap<String, (u64, bool)>>;
+
+pub struct Links {
+    view: Rc<View>,
+    agreement: Agreement,
+    heard: Heard,
+}
+
+impl Links {
+    pub fn new(view: Rc<View>, agreement: Agreement) -> Rc<Self> {
+        Rc::new(Links { view, agreement, heard: RefCell::default() })
+    }
+
+    /// Keeps a link to each other prompter that is known, passes on beats, founds the core if that is to be done.
+    pub async fn run(self: Rc<Self>) {
+        spawn_local(self.clone().found());
+        let mut every = interval(BEATS);
+        every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            every.tick().await;
+            for (name, _) in self.view.prompters() {
+                let new = name != self.view.me.name && !self.view.links.borrow().contains_key(&name);
+                if let Some(ip) = name.parse::<IpAddr>().ok().filter(|_| new) {
+                    let (sender, queue) = mpsc::channel(QUEUE);
+                    self.view.links.borrow_mut().insert(name, sender);
+                    spawn_local(self.clone().link(ip, queue));
+                }
+            }
+            if let Some(beats) = self.view.take_fresh() {
+                self.view.tell_all(&beats);
+            }
+            self.view.sweep();
+        }
+    }
+
+    async fn link(self: Rc<Self>, ip: IpAddr, mut queue: mpsc::Receiver<Peer>) {
+        let address = SocketAddr::new(ip, self.view.settings.prompters_port());
+        loop {
+            if let Ok(stream) = connect(address).await {
+                // What has waited for a link that was not there is old.
+                while queue.try_recv().is_ok() {}
+                let (_reader, mut writer) = frame::split(stream);
+                let first = First::Prompter { form: FORM, id: self.view.me.clone() };
+                let mut hello = Instant::now();
+                let mut done = writer.write(&first).await;
+                if done.is_ok() {
+                    done = writer.write(&self.all_beats()).await;
+                }
+                while done.is_ok() {
+                    if Instant::now() >= hello {
+                        hello = Instant::now() + HELLO;
+                        done = writer.write(&self.hello()).await;
+                        continue;
+                    }
+                    tokio::select! {
+                        message = queue.recv() => match message {
+                            None => return,
+                            Some(message) => {
+                                done = writer.feed(&message).await;
+                                while let Ok(more) = queue.try_recv() {
+                                    done = done.and(writer.feed(&more).await);
+                                }
+                                done = done.and(writer.flush().await);
+                            }
+                        },
+                        () = tokio::time::sleep_until(hello) => {}
+                    }
+                }
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    fn hello(&self) -> Peer {
+        Peer::Hello {
+            id: self.view.me.clone(),
+            zone: self.view.settings.own.zone.clone(),
+            first: self.view.settings.own.initial_start,
+            known: self.view.prompters(),
+        }
+    }
+
+    fn all_beats(&self) -> Peer {
+        Peer::Beats { facts: self.view.cell.borrow().facts().cloned().collect(), again: Vec::new() }
+    }
+
+    /// The first seed by name founds, once it knows all of them, and nobody else ever does: a machine whose disk was lost is
+    /// not at its first start, and one that was at it has a term on its disk.
+    async fn found(self: Rc<Self>) {
+        let seeds: Vec<String> = self.view.settings.seeds().iter().map(IpAddr::to_string).collect();
+        let mine = seeds.iter().min() == Some(&self.view.me.name);
+        if !self.view.settings.own.initial_start || !mine {
+            return;
+        }
+        loop {
+            if !self.view.duty.borrow().members.is_empty() {
+                return;
+            }
+            let mut members = Members::from([(self.view.me.name.clone(), self.view.me.disk)]);
+            let heard = self.heard.borrow();
+            let first = |seed: &String| heard.get(seed).filter(|(_, first)| *first).map(|(disk, _)| *disk);
+            members.extend(seeds.iter().filter_map(|s| Some((s.clone(), first(s)?))));
+            drop(heard);
+            if seeds.iter().all(|s| members.contains_key(s)) {
+                log::info!("founding with {} prompters", members.len());
+                self.agreement.tell(Input::Found { members });
+            }
+            sleep(FOUNDING).await;
+        }
+    }
+
+    /// What another prompter says on its connection, until it ends.
+    pub async fn hear(self: Rc<Self>, from: Id, mut reader: Reader) {
+        let view = &self.view;
+        view.knows(&from.name, "");
+        while let Ok(Some(message)) = reader.read::<Peer>().await {
+            match message {
+                Peer::Hello { id, zone, first, known } => {
+                    known.iter().for_each(|(name, zone)| view.knows(name, zone));
+                    view.knows(&id.name, &zone);
+                    self.heard.borrow_mut().insert(id.name.clone(), (id.disk, first));
+                    if view.duty.borrow().members.get(&id.name) != Some(&id.disk) {
+                        self.agreement.tell(Input::Knock { id });
+                    }
+                }
+                Peer::Agree(message) => self.agreement.tell(Input::Message(message)),
+                Peer::Beats { facts, again } => {
+                    facts.into_iter().for_each(|f| view.beat(f, false));
+                    let (now, mut cell) = (view.now(), view.cell.borrow_mut());
+                    for (id, sequence) in &again {
+                        // Who is not known here will be told whole with the next link.
+                        cell.again(now, id, *sequence);
+                    }
+                }
+                Peer::Over { instance } => view.over(&instance),
+                Peer::Propose { word } => self.agreement.tell(Input::Propose { tag: 0, word }),
+                Peer::Ask { gateway, ask } => {
+                    if let Some(lent) = self.agreement.lend(&gateway, &ask) {
+                        let term = view.duty.borrow().term;
+                        view.tell(&from.name, Peer::Lent { gateway, term, lent });
+                    }
+                }
+                Peer::Lent { gateway, term, lent } => {
+                    // Of a holder that was: its word counts no more.
+                    if term >= view.duty.borrow().term {
+                        if let Some(follower) = view.followers.borrow().get(&gateway) {
+                            let _ = follower.try_send(wings::message::Down::Lent(lent));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/prompter/src/view.rs
@@ -0,0 +1,232 @@
+//! What all parts of this process see: the agreed book, the cell, the board, who holds the duty. Folded from what happens in
+//! one place each; tasks wait for news of it.
+
+use callboard::Board;
+use greenroom::{Cell, Fact, Heard};
+use promptbook::{Applied, Book, Place, Word};
+use std::cell::{Cell as Value, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use understudy::{Id, Time};
+use wings::message::{Change, Down, Peer, Scene};
+use wings::settings::Settings;
+
+/// Changes that a follower may be behind without a snapshot.
+const CHANGES: usize = 1024;
+
+/// Who holds the duty, as the agreement told last.
+#[derive(Clone, Debug, Default)]
+pub struct Duty {
+    pub holder: Option<Id>,
+    pub is_holder: bool,
+    pub term: u64,
+    /// Until when its word alone counts.
+    pub lease: Option<Time>,
+    /// When a majority was last known of.
+    pub touch: Option<Time>,
+    pub members: BTreeMap<String, u64>,
+}
+
+pub struct View {
+    pub settings: Settings,
+    pub me: Id,
+    begun: Instant,
+    pub book: RefCell<Book>,
+    /// Who drains or has ended is in the book, or here if it ended; both are told by the board.
+    pub cell: RefCell<Cell>,
+    board: RefCell<Board<Change>>,
+    /// Lives of the board in this process.
+    boards: Value<u64>,
+    pub duty: RefCell<Duty>,
+    news: watch::Sender<()>,
+    /// Gateways that follow: where their loans go.
+    pub followers: RefCell<HashMap<String, mpsc::Sender<Down>>>,
+    /// Links to the other prompters, by name.
+    pub links: RefCell<BTreeMap<String, mpsc::Sender<Peer>>>,
+    /// Prompters that were ever heard of: names, and zones as far as they are known.
+    pub known: RefCell<BTreeMap<String, String>>,
+    /// Beats heard first-hand since they were last passed on.
+    fresh: RefCell<(Vec<Fact>, Vec<(String, u64)>)>,
+}
+
+impl View {
+    pub fn new(settings: Settings, me: Id, seed: u64) -> Rc<Self> {
+        let begun = Instant::now();
+        let beat = (settings.platform.heartbeat_interval_ms * 1e6) as Time;
+        let mut known: BTreeMap<String, String> =
+            settings.seeds().iter().map(|ip| (ip.to_string(), String::new())).collect();
+        known.insert(me.name.clone(), settings.own.zone.clone());
+        Rc::new(View {
+            settings,
+            me,
+            begun,
+            book: RefCell::new(Book::new()),
+            cell: RefCell::new(Cell::new(beat, 0)),
+            board: RefCell::new(Board::new(seed, CHANGES)),
+            boards: Value::new(seed),
+            duty: RefCell::default(),
+            news: watch::Sender::new(()),
+            followers: RefCell::default(),
+            links: RefCell::default(),
+            known: RefCell::new(known),
+            fresh: RefCell::default(),
+        })
+    }
+
+    /// Nanoseconds since the process began, on the steady clock.
+    pub fn now(&self) -> Time {
+        self.begun.elapsed().as_nanos() as Time
+    }
+
+    pub fn instant(&self, time: Time) -> Instant {
+        let far = Duration::from_secs(3600);
+        self.begun + Duration::from_nanos(time).min(self.begun.elapsed() + far)
+    }
+
+    /// Tells of each change from now on.
+    pub fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
+    /// Something has changed: all who wait look again.
+    pub fn changed(&self) {
+        self.news.send_replace(());
+    }
+
+    // ---- The book ----
+
+    /// A word was agreed on.
+    pub fn apply(&self, place: Place, word: &[u8]) -> Applied {
+        let Some(word) = Word::read(word) else {
+            log::error!("agreed: the word at {place} is none of ours; it changes nothing");
+            return Applied::Same;
+        };
+        let mut book = self.book.borrow_mut();
+        let applied = book.apply(place, &word);
+        if applied == Applied::Changed {
+            let change = match word {
+                Word::Configuration { version, .. } => {
+                    log::info!("agreed: configuration {version:08x} at {place}");
+                    book.configuration().cloned().map(Change::Configuration)
+                }
+                Word::Leaving { instance } => Some(Change::Leaving(instance)),
+                Word::Gateway { .. } => Some(Change::Gateways(book.gateways().iter().cloned().collect())),
+            };
+            self.board.borrow_mut().extend(change);
+        }
+        drop(book);
+        self.changed();
+        applied
+    }
+
+    /// The book as a whole; followers get it as a scene.
+    pub fn install(&self, state: &[u8]) {
+        let Some(book) = Book::read(state) else {
+            log::error!("agreed: a state that is none of ours; the old one stands");
+            return;
+        };
+        *self.book.borrow_mut() = book;
+        self.boards.set(self.boards.get().wrapping_add(1));
+        *self.board.borrow_mut() = Board::new(self.boards.get(), CHANGES);
+        self.changed();
+    }
+
+    pub fn scene(&self) -> Down {
+        let book = self.book.borrow();
+        let cell = self.cell.borrow();
+        let scene = Scene {
+            configuration: book.configuration().cloned(),
+            backends: cell.facts().cloned().collect(),
+            whole: cell.is_whole(self.now()),
+            // Of those who have ended nobody needs to hear, but a gateway may know of one from elsewhere.
+            leaving: book.leaving().cloned().collect(),
+            gateways: book.gateways().iter().cloned().collect(),
+        };
+        Down::Scene { place: self.board.borrow().end(), scene: Box::new(scene) }
+    }
+
+    /// What came since; none if a scene is wanted.
+    pub fn since(&self, place: callboard::Place) -> Option<Vec<Change>> {
+        self.board.borrow().since(place).map(|c| c.cloned().collect())
+    }
+
+    // ---- The cell ----
+
+    /// A beat; `first_hand`: from the backend itself, so that the others have yet to hear of it.
+    pub fn beat(&self, fact: Fact, first_hand: bool) {
+        let heard = self.cell.borrow_mut().beat(self.now(), fact.clone());
+        if matches!(heard, Heard::New | Heard::Changed) {
+            self.board.borrow_mut().append(Change::Backend(fact.clone()));
+            self.changed();
+        }
+        if first_hand {
+            let mut fresh = self.fresh.borrow_mut();
+            match heard {
+                Heard::New | Heard::Changed => fresh.0.push(fact),
+                Heard::Same => fresh.1.push((fact.id, fact.sequence)),
+                Heard::Late | Heard::Full => {}
+            }
+        }
+    }
+
+    /// Beats that the others have yet to hear of.
+    pub fn take_fresh(&self) -> Option<Peer> {
+        let (facts, again) = std::mem::take(&mut *self.fresh.borrow_mut());
+        let some = !facts.is_empty() || !again.is_empty();
+        some.then_some(Peer::Beats { facts, again })
+    }
+
+    /// A backend's life is over.
+    pub fn over(&self, instance: &str) {
+        if self.cell.borrow_mut().over(instance) {
+            self.board.borrow_mut().append(Change::Over(instance.into()));
+            self.changed();
+        }
+    }
+
+    pub fn sweep(&self) {
+        // While nobody may have been able to reach a prompter, silence says nothing.
+        let over = self.cell.borrow_mut().sweep(self.now());
+        if !over.is_empty() {
+            log::info!("backends: {} silent ones are over", over.len());
+            self.board.borrow_mut().extend(over.into_iter().map(Change::Over));
+            self.changed();
+        }
+    }
+
+    // ---- The others ----
+
+    /// Sends to another prompter, if there is a link and room on it: whatever is sent may be lost.
+    pub fn tell(&self, name: &str, message: Peer) {
+        if let Some(link) = self.links.borrow().get(name) {
+            let _ = link.try_send(message);
+        }
+    }
+
+    pub fn tell_all(&self, message: &Peer) {
+        for link in self.links.borrow().values() {
+            let _ = link.try_send(message.clone());
+        }
+    }
+
+    /// Prompters that are known, by address, each with its zone.
+    pub fn prompters(&self) -> Vec<(String, String)> {
+        self.known.borrow().iter().map(|(name, zone)| (name.clone(), zone.clone())).collect()
+    }
+
+    /// Somebody has told of a prompter.
+    pub fn knows(&self, name: &str, zone: &str) {
+        let mut known = self.known.borrow_mut();
+        // No fleet has so many.
+        if name.parse::<IpAddr>().is_ok() && (known.len() < 64 || known.contains_key(name)) {
+            let held = known.entry(name.to_string()).or_default();
+            if !zone.is_empty() {
+                *held = zone.to_string();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proscenium/src/house.rs
@@ -0,0 +1,201 @@
+//! The decision module as the system uses it: the design's, under the routes' bounds on attempts and the shared budget of
+//! further tries. No I/O.
+
+use boxoffice::Tries;
+use granite_interface::{Action, Effect, Ending, Event, Module, Name, RequestId, Settings, Time};
+use granitehub::Gateway;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// The most backends that one try may be sent to, by class.
+pub type Attempts = Rc<RefCell<Vec<u32>>>;
+
+/// What is remembered of a request in hand.
+#[derive(Clone, Copy)]
+struct Held {
+    class: usize,
+    pool: usize,
+    /// Attempts that reached a backend.
+    arrived: u32,
+    earned: bool,
+}
+
+pub struct House {
+    design: Gateway,
+    effects: Vec<Effect>,
+    attempts: Attempts,
+    tries: Tries,
+    held: HashMap<RequestId, Held>,
+    /// What a client that was turned away everywhere is told.
+    advice: Time,
+}
+
+impl House {
+    /// # Errors
+    /// What the design's module says of the settings.
+    pub fn new(s: Settings, attempts: Attempts, ratio: f64, seed: u64, now: Time) -> Result<Self, String> {
+        let effects = s.classes.iter().map(|c| c.effect).collect();
+        let advice = s.max_retry_after / 4;
+        let design = Gateway::new(s, seed, now)?;
+        Ok(House { design, effects, attempts, tries: Tries::new(ratio), held: HashMap::new(), advice })
+    }
+
+    /// Whether the request may be tried once more behind an attempt that ended so.
+    fn once_more(&mut self, id: RequestId, ending: Ending) -> bool {
+        let Some(h) = self.held.get_mut(&id) else { return true };
+        // Nothing of it came to a backend.
+        if ending == Ending::NoRoute {
+            return true;
+        }
+        h.arrived += 1;
+        let never = matches!(ending, Ending::Full | Ending::Stale);
+        if !never && self.effects.get(h.class) == Some(&Effect::Unsafe) {
+            // It ends here anyway.
+            return true;
+        }
+        let most = self.attempts.borrow().get(h.class).copied().unwrap_or(1);
+        let (arrived, pool) = (h.arrived, h.pool);
+        arrived < most && self.tries.spend(pool)
+    }
+}
+
+impl Module for House {
+    fn handle(&mut self, now: Time, mut events: Vec<Event>, out: &mut Vec<Action>) {
+        let from = out.len();
+        for event in &mut events {
+            match event {
+                Event::Request(r) => {
+                    let held = Held { class: r.class, pool: r.pool, arrived: 0, earned: false };
+                    self.held.insert(r.id, held);
+                }
+                Event::ClientGone { id } => drop(self.held.remove(id)),
+                Event::AttemptEnd(e) if e.last || e.ending == Ending::Pass => drop(self.held.remove(&e.id)),
+                Event::AttemptEnd(e) => {
+                    if !self.once_more(e.id, e.ending) {
+                        // The design's module lets go of it, and it is answered: as refused only if nothing ran.
+                        e.last = true;
+                        out.push(Action::Reject { id: e.id, advice: self.advice });
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.design.handle(now, events, out);
+        for action in &out[from..] {
+            match action {
+                Action::Send { id, .. } => {
+                    if let Some(h) = self.held.get_mut(id).filter(|h| !h.earned) {
+                        h.earned = true;
+                        self.tries.earn(h.pool);
+                    }
+                }
+                Action::Reject { id, .. } | Action::Fail { id } => drop(self.held.remove(id)),
+                _ => {}
+            }
+        }
+    }
+
+    fn reconfigure(&mut self, settings: &Settings) {
+        self.effects = settings.classes.iter().map(|c| c.effect).collect();
+        self.design.reconfigure(settings);
+    }
+
+    fn avoided(&self) -> Vec<Name> {
+        self.design.avoided()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use granite_interface::{AttemptEnd, Class, Group, Health, Node, Plan, Request, Scope};
+
+    const MS: Time = 1_000_000;
+
+    fn house(effect: Effect, most: u32) -> House {
+        let settings = Settings {
+            classes: vec![Class::new("c", 600 * MS, 2000 * MS, effect, Group::All)],
+            plans: vec![Plan::new("p", 0.0, 0.0)],
+            try_limit: 9,
+            max_retry_after: 1000 * MS,
+            ..Settings::default()
+        };
+        let mut house = House::new(settings, Rc::new(RefCell::new(vec![most])), 0.2, 1, 0).unwrap();
+        let nodes = (0..9).map(|n| Node::new(&format!("s{n}"), Health::Up)).collect();
+        house.handle(0, vec![Event::Fleet { seq: 1, scope: Scope::Full, nodes }], &mut Vec::new());
+        house
+    }
+
+    fn asked(house: &mut House, id: RequestId) -> Vec<Action> {
+        let mut out = Vec::new();
+        let request = Request::new(id, 0, 0, "t", 2000 * MS, 1.0);
+        house.handle(MS, vec![Event::Request(request)], &mut out);
+        out
+    }
+
+    /// The attempt ends so; what is ordered about the request then.
+    fn ended(house: &mut House, sent: &[Action], attempt: u32, ending: Ending) -> Vec<Action> {
+        let sent = sent.iter().find_map(|a| match a {
+            Action::Send { id, server, .. } => Some((*id, server.clone())),
+            _ => None,
+        });
+        let (id, server) = sent.expect("it was sent");
+        let end = AttemptEnd {
+            id,
+            attempt,
+            server,
+            ending,
+            last: false,
+            elapsed: MS,
+            settled: 0.0,
+            metered: None,
+            load: None,
+        };
+        let mut out = Vec::new();
+        house.handle(2 * MS, vec![Event::AttemptEnd(end)], &mut out);
+        out.retain(|a| !matches!(a, Action::Timer { .. }));
+        out
+    }
+
+    #[test]
+    fn further_tries_need_the_budget_also_where_a_backend_turned_the_request_away() {
+        let mut h = house(Effect::Safe, 3);
+        let sent = asked(&mut h, 1);
+        let refused = ended(&mut h, &sent, 0, Ending::Full);
+        assert!(matches!(refused[..], [Action::Reject { id: 1, .. }]), "nothing is earned yet: {refused:?}");
+        // Ten requests earn one more try.
+        for id in 10..20 {
+            let sent = asked(&mut h, id);
+            ended(&mut h, &sent, 0, Ending::Pass);
+        }
+        let sent = asked(&mut h, 2);
+        let again = ended(&mut h, &sent, 0, Ending::Fault);
+        assert!(matches!(again[..], [Action::Send { id: 2, .. }]), "{again:?}");
+        let end = ended(&mut h, &again, 1, Ending::Fault);
+        assert!(matches!(end[..], [Action::Reject { id: 2, .. }]), "the budget is spent: {end:?}");
+        assert_eq!(h.held.len(), 0, "nothing is kept of what is over");
+    }
+
+    #[test]
+    fn a_connection_that_never_came_up_costs_nothing_and_a_route_bounds_what_arrives() {
+        let mut h = house(Effect::Safe, 1);
+        for id in 10..40 {
+            let sent = asked(&mut h, id);
+            ended(&mut h, &sent, 0, Ending::Pass);
+        }
+        let sent = asked(&mut h, 1);
+        let again = ended(&mut h, &sent, 0, Ending::NoRoute);
+        assert!(matches!(again[..], [Action::Send { id: 1, .. }]), "{again:?}");
+        let end = ended(&mut h, &again, 1, Ending::Full);
+        assert!(matches!(end[..], [Action::Reject { id: 1, .. }]), "{end:?}");
+    }
+
+    #[test]
+    fn what_may_have_run_and_cannot_be_repeated_fails_and_costs_no_try() {
+        let mut h = house(Effect::Unsafe, 3);
+        let sent = asked(&mut h, 1);
+        let end = ended(&mut h, &sent, 0, Ending::Cut);
+        assert!(matches!(end[..], [Action::Fail { id: 1 }]), "{end:?}");
+    }
+}
--- /dev/null
+++ b/crates/proscenium/src/main.rs
@@ -0,0 +1,126 @@
+//! proscenium: granitethread's data plane in the whole system. It serves clients by the configuration and the backends that
+//! the prompters tell of. `docs/operate/system.md` is its page.
+#![forbid(unsafe_code)]
+
+mod door;
+mod fold;
+mod follow;
+mod house;
+mod playing;
+mod ready;
+mod rights;
+mod wire;
+
+use door::Front;
+use follow::Follow;
+use granite_engine::Figures;
+use granite_interface::Module;
+use granite_stage::backends::{Backends, Limits};
+use granite_stage::driver::{Driver, Setup};
+use granite_stage::fronts::{http1, Budget};
+use granite_stage::handover::Link;
+use house::House;
+use playing::Playing;
+use rights::Rights;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use wings::net::{listen, UNHEARD};
+use wings::settings::Settings;
+
+const MS: u64 = 1_000_000;
+/// Descriptors that are neither clients nor backends: streams, listeners, links, readings.
+const RESERVED: usize = 40;
+/// What a backend leaves a connection idle for, by its own word; half of it is used.
+const KEEPALIVE: Duration = Duration::from_secs(10);
+const CONNECT: Duration = Duration::from_millis(300);
+/// The answer leaves so long before its client stops waiting.
+const WAY_BACK: u64 = 25 * MS;
+/// Backends that took an address over are looked for so often.
+const LOOK: Duration = Duration::from_millis(50);
+
+fn main() -> ExitCode {
+    wings::command::main("proscenium", "granitethread's data plane", env!("CARGO_PKG_VERSION"), run)
+}
+
+async fn run(settings: Settings, ring: wings::ring::Ring) -> Result<(), String> {
+    let signals = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
+    let (mut term, mut int) = (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
+    // A settings file is read anew whenever no prompter is found, so word that it has changed asks for nothing more.
+    let (mut hup, mut usr1) = (signals(SignalKind::hangup())?, signals(SignalKind::user_defined1())?);
+    let addresses = &settings.net.listen_addresses;
+    let front = addresses.front_http1.ok_or("no frontHttp1 address is given")?;
+    let readiness = addresses.readiness.ok_or("no readiness address is given")?;
+    let (front, readiness) = (listen(front)?, listen(readiness)?);
+    let mut seed = [0; 8];
+    getrandom::fill(&mut seed).map_err(|e| format!("no random numbers are to be had: {e}"))?;
+    let seed = u64::from_ne_bytes(seed);
+    fastrand::seed(seed);
+
+    let zones: Vec<String> = settings.net.zones.keys().cloned().collect();
+    let zone = zones.iter().position(|z| *z == settings.own.zone).unwrap_or(zones.len()) as u32;
+    let rights = Rights::new();
+    let playing = Playing::new(rights.clone(), settings.own.node_name.clone(), zone);
+    let sockets = settings.own.limits.max_file_descriptors.saturating_sub(200 + RESERVED).max(64);
+    let wire = wire::Backward::default();
+    let misdirected = wire.misdirected.clone();
+    let unheard = Some(UNHEARD);
+    let limits = Limits { sockets: sockets / 2, connect_timeout: CONNECT, keepalive: KEEPALIVE, unheard };
+    let backends = Backends::new(&limits, Box::new(wire));
+    let figures = Figures { way_back: WAY_BACK, module_grace: 5 * MS, key_margin: 0, gap: 0 };
+    let (attempts, own) = (playing.attempts.clone(), playing.settings());
+    let ratio = settings.terms.bounds.retry_budget_ratio;
+    let pools = playing.clone();
+    let driver = Driver::new(Setup {
+        settings: playing.settings(),
+        seed,
+        figures,
+        module: Box::new(move |seed, now| {
+            let house = House::new(own.clone(), attempts.clone(), ratio, seed, now)?;
+            Ok(Box::new(house) as Box<dyn Module>)
+        }),
+        backends: backends.clone(),
+        zones,
+        pools: Box::new(move |t| if t.model.is_empty() { 0 } else { 1 << pools.pool(&t.model) }),
+    })?;
+    // All backends of a service are one pool here: no part of them is kept to.
+    driver.neighbours(Some((0, 1)));
+    playing.drives(driver.clone());
+    spawn_local(rights.run());
+    spawn_local(Follow::new(playing.clone(), settings.clone()).run());
+    spawn_local(backends.clone().reap());
+    let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(1.0, 3600.0));
+    let bodies = Budget::new((settings.own.limits.memory_mb / 8.0 * 1e6) as usize);
+    let door = Front::new(playing.clone(), grace);
+    let server = http1::Server::new(door, driver.clone(), backends, Link::new(None), bodies, sockets / 2);
+    let server = Rc::new(server);
+    let (seen, watched) = (playing.clone(), server.clone());
+    spawn_local(ready::serve(readiness, Rc::new(move || seen.is_ready() && watched.takes_clients())));
+    spawn_local(async move {
+        loop {
+            sleep(LOOK).await;
+            for name in std::mem::take(&mut *misdirected.borrow_mut()) {
+                playing.fold(|fold| fold.misdirected(&name));
+            }
+        }
+    });
+    spawn_local(async move {
+        loop {
+            tokio::select! {
+                _ = hup.recv() => {}
+                _ = usr1.recv() => ring.write_out("SIGUSR1", &mut std::io::stderr().lock()),
+            }
+        }
+    });
+    let stop = async move {
+        tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+    };
+    let driving = spawn_local(async move { driver.run().await });
+    tokio::select! {
+        lost = driving => Err(format!("the driver ended: {lost:?}")),
+        () = server.accept(front, stop) => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/proscenium/src/playing.rs
@@ -0,0 +1,255 @@
+//! What is playing: the configuration in force and the backends, as requests need them. Fed by the link to a prompter.
+
+use crate::fold::{Fold, News};
+use crate::rights::Rights;
+use boxoffice::Limit;
+use granite_interface::{Class, Effect, Group, Plan, Scope, Settings};
+use granite_stage::driver::Driver;
+use granite_stage::list::{List, State, Target};
+use greenroom::Fact;
+use playbill::{Kind, Playbill, Route, Table};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Services that are told apart; more share the last place.
+pub const POOLS: usize = 32;
+/// Kinds of requests that are told apart by what routes say of them; more share the last place.
+const CLASSES: usize = 64;
+/// Ranks of requests: the highest has this weight, each lower one less by one.
+const RANKS: usize = 8;
+/// How long backends are slow at the longest that is reckoned with, and how slow.
+pub const COLD: Duration = Duration::from_secs(3);
+const COLD_FROM: f64 = 0.5;
+/// Refusals of our own for what the configuration does not know rest on one that is known to be the newest of late.
+const FRESH: Duration = Duration::from_millis(1500);
+/// Without a word of a majority for so long new clients are better off elsewhere.
+const READY: Duration = Duration::from_secs(3);
+/// A unit of work, in ms, and the most of one request.
+const UNIT_MS: f64 = 100.0;
+pub const MOST_UNITS: f64 = 16.0;
+
+/// What tells requests apart.
+#[derive(Clone, Copy, PartialEq)]
+struct Sort {
+    kind: Kind,
+    aim_ms: f64,
+    timeout_ms: f64,
+    attempts: u32,
+}
+
+pub struct Playing {
+    pub rights: Rc<Rights>,
+    fold: RefCell<Fold>,
+    table: RefCell<Option<Rc<Table>>>,
+    sorts: RefCell<Vec<Sort>>,
+    /// Told to the module beside the classes: the most attempts of each.
+    pub attempts: crate::house::Attempts,
+    services: RefCell<HashMap<String, usize>>,
+    settings: RefCell<Settings>,
+    driver: RefCell<Option<Rc<Driver>>>,
+    me: String,
+    /// When a majority was last known of.
+    touch: Cell<Option<Instant>>,
+}
+
+impl Playing {
+    pub fn new(rights: Rc<Rights>, me: String, zone: u32) -> Rc<Self> {
+        let plans = (0..RANKS).map(|rank| Plan {
+            value_factor: (RANKS - rank) as f64,
+            ..Plan::new(&format!("rank {rank}"), 0.0, 0.0)
+        });
+        let first = Sort { kind: Kind::Unsafe, aim_ms: 1000.0, timeout_ms: 10_000.0, attempts: 1 };
+        let settings = Settings {
+            zone,
+            // Until it is known: a guess errs on the side of small rooms.
+            gateways: 8,
+            pools: POOLS,
+            classes: vec![class(&first)],
+            plans: plans.collect(),
+            cancelling: true,
+            retry_after: true,
+            max_retry_after: 1_000_000_000,
+            try_limit: 4,
+            most_units: MOST_UNITS,
+            cold: COLD.as_nanos() as u64,
+            cold_from: COLD_FROM,
+            tick: 1_000_000,
+            ..Settings::default()
+        };
+        Rc::new(Playing {
+            rights,
+            fold: RefCell::default(),
+            table: RefCell::default(),
+            sorts: RefCell::new(vec![first]),
+            attempts: Rc::new(RefCell::new(vec![1])),
+            services: RefCell::default(),
+            settings: RefCell::new(settings),
+            driver: RefCell::default(),
+            me,
+            touch: Cell::new(None),
+        })
+    }
+
+    pub fn settings(&self) -> Settings {
+        self.settings.borrow().clone()
+    }
+
+    pub fn drives(&self, driver: Rc<Driver>) {
+        *self.driver.borrow_mut() = Some(driver);
+    }
+
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Whether what this gateway refuses for want of a route or a key may be refused for good.
+    pub fn is_fresh(&self) -> bool {
+        self.touch.get().is_some_and(|at| at.elapsed() < FRESH)
+    }
+
+    /// Whether new clients do well to come here.
+    pub fn is_ready(&self) -> bool {
+        self.table.borrow().is_some() && self.touch.get().is_some_and(|at| at.elapsed() < READY)
+    }
+
+    pub fn touched(&self, at: Instant) {
+        self.touch.set(self.touch.get().max(Some(at)));
+    }
+
+    /// A service's place among the pools.
+    pub fn pool(&self, service: &str) -> usize {
+        let mut services = self.services.borrow_mut();
+        let next = services.len().min(POOLS - 1);
+        *services.entry(service.to_string()).or_insert(next)
+    }
+
+    /// A route's place among the classes.
+    pub fn class(&self, route: &Route) -> usize {
+        let sort = sort(route);
+        let sorts = self.sorts.borrow();
+        sorts.iter().position(|s| *s == sort).unwrap_or(sorts.len() - 1)
+    }
+
+    /// A rank's place among the plans.
+    pub fn rank(priority: u32) -> usize {
+        (priority as usize).min(RANKS - 1)
+    }
+
+    /// The guess at a request's units, which nothing tells beforehand: operators set aims by the work.
+    pub fn units(route: &Route) -> f64 {
+        (route.target_latency_ms / 4.0 / UNIT_MS).clamp(0.25, MOST_UNITS)
+    }
+
+    // ---- News ----
+
+    pub fn fold(&self, act: impl FnOnce(&mut Fold) -> Vec<News>) {
+        let news = act(&mut self.fold.borrow_mut());
+        let driver = self.driver.borrow().clone();
+        let now = driver.as_ref().map_or(0, |d| d.time(Instant::now()));
+        let mut targets = Vec::new();
+        for n in news {
+            match n {
+                News::Configuration(c) => match Playbill::read(&c.body) {
+                    Ok(playbill) => {
+                        log::info!("configuration {:08x} in force", c.version);
+                        self.configure(playbill);
+                    }
+                    Err(fault) => log::error!("configuration {:08x}: {fault}; the old one stands", c.version),
+                },
+                News::Up(fact) => targets.push(target(&fact, now)),
+                News::Leaving(id) => targets.push(named(id, State::Terminating)),
+                News::Over(id) => targets.push(named(id, State::Gone)),
+                News::Gateways => self.gateways(),
+            }
+        }
+        if let Some(driver) = driver.filter(|_| !targets.is_empty()) {
+            driver.list(Scope::Changes, List { rev: 0, all: false, targets });
+        }
+    }
+
+    fn configure(&self, playbill: Playbill) {
+        let mut sorts = self.sorts.borrow_mut();
+        for route in &playbill.routes {
+            let sort = sort(route);
+            if sorts.len() < CLASSES && !sorts.contains(&sort) {
+                sorts.push(sort);
+            }
+        }
+        let limits = playbill.tenants.iter();
+        let limits = limits.map(|t| (t.name.clone(), Limit { rate: t.rate_per_s, burst: t.burst_size }));
+        self.rights.limits(&limits.collect());
+        *self.attempts.borrow_mut() = sorts.iter().map(|s| s.attempts).collect();
+        self.settings.borrow_mut().classes = sorts.iter().map(class).collect();
+        drop(sorts);
+        self.reconfigure();
+        *self.table.borrow_mut() = Some(Rc::new(Table::new(playbill)));
+    }
+
+    fn gateways(&self) {
+        let fold = self.fold.borrow();
+        let all = fold.gateways();
+        let mine = all.contains(&self.me);
+        self.rights.gateways(if mine { all.len() as u32 } else { 0 });
+        self.settings.borrow_mut().gateways = all.len().max(1) as u32;
+        drop(fold);
+        self.reconfigure();
+    }
+
+    fn reconfigure(&self) {
+        if let Some(driver) = &*self.driver.borrow() {
+            driver.reconfigure(self.settings());
+        }
+    }
+}
+
+fn sort(route: &Route) -> Sort {
+    Sort {
+        kind: route.route_kind,
+        aim_ms: route.target_latency_ms,
+        timeout_ms: route.timeout_ms,
+        attempts: route.max_attempts.max(1),
+    }
+}
+
+fn class(sort: &Sort) -> Class {
+    let nanos = |ms: f64| (ms.clamp(1.0, 3.6e6) * 1e6) as u64;
+    let effect = match sort.kind {
+        Kind::Safe => Effect::Safe,
+        Kind::Unsafe => Effect::Unsafe,
+    };
+    let timeout = if sort.timeout_ms > 0.0 { sort.timeout_ms } else { 60_000.0 };
+    let aim = if sort.aim_ms > 0.0 { sort.aim_ms } else { timeout / 4.0 };
+    Class { late_worth: 0.5, ..Class::new("", nanos(aim), nanos(timeout), effect, Group::All) }
+}
+
+/// `now`: on the driver's clock, by which it tells how long backends have run.
+fn target(fact: &Fact, now: u64) -> Target {
+    let cold = COLD.saturating_sub(Duration::from_millis(u64::from(fact.cold_ms)));
+    Target {
+        uid: fact.id.clone(),
+        endpoint: fact.address.clone(),
+        az: fact.zone.clone(),
+        model: fact.service.clone(),
+        pod_group: 0,
+        state: State::Ready,
+        capacity_hint: 1.0,
+        boot_ms: now / 1_000_000 - cold.as_millis() as u64,
+    }
+}
+
+fn named(id: String, state: State) -> Target {
+    let nothing = String::new;
+    Target {
+        uid: id,
+        endpoint: nothing(),
+        az: nothing(),
+        model: nothing(),
+        pod_group: 0,
+        state,
+        capacity_hint: 1.0,
+        boot_ms: 0,
+    }
+}
--- a/crates/stage/src/backends/answer.rs
+++ b/crates/stage/src/backends/answer.rs
@@ -57,6 +57,6 @@
         head.status == StatusCode::OK
     }
 
-    /// Reads an answer.
-    fn read(&self, request: &Outgoing, answer: Response<Content>) -> Outcome;
+    /// Reads an answer of this backend.
+    fn read(&self, request: &Outgoing, server: &Name, answer: Response<Content>) -> Outcome;
 }
--- a/crates/stage/src/backends/attempt.rs
+++ b/crates/stage/src/backends/attempt.rs
@@ -105,7 +105,7 @@
                         _ => Bytes::from(came.concat()),
                     };
                     let answer = Response::from_parts(head, Content::Whole(whole));
-                    return Ok(Exchanged::Over(self.wire.read(outgoing, answer)));
+                    return Ok(Exchanged::Over(self.wire.read(outgoing, name, answer)));
                 }
                 Ok(Some(Some(Ok(frame)))) => {
                     if let Ok(data) = frame.into_data() {
@@ -123,7 +123,7 @@
         }
         let (relay, stream) = Relay::new(name, connection, body, came, length, progress);
         let answer = Response::from_parts(head, Content::Stream(stream));
-        Ok(Exchanged::Begun(self.wire.read(outgoing, answer), Box::new(relay)))
+        Ok(Exchanged::Begun(self.wire.read(outgoing, name, answer), Box::new(relay)))
     }
 }
 
--- a/crates/stage/src/backends/mod.rs
+++ b/crates/stage/src/backends/mod.rs
@@ -25,6 +25,7 @@
 use granite_interface::{Name, Scope};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -59,6 +60,7 @@
     budget: usize,
     wire: Box<dyn Wire>,
     connect_timeout: Duration,
+    unheard: Option<Duration>,
     idle_time: Duration,
     pub connects: Cell<u64>,
 }
@@ -70,6 +72,8 @@
     pub connect_timeout: Duration,
     /// How long a backend leaves a connection idle.
     pub keepalive: Duration,
+    /// A connection ends on which nothing has been acknowledged for so long; none: when the system says.
+    pub unheard: Option<Duration>,
 }
 
 impl Backends {
@@ -80,6 +84,7 @@
             budget: limits.sockets,
             wire,
             connect_timeout: limits.connect_timeout,
+            unheard: limits.unheard,
             // The backend counts idle time from when it wrote its answer and closes at the settings' time at
             // the latest: half of it keeps clear of requests written to a connection on its way out.
             idle_time: limits.keepalive / 2,
@@ -175,6 +180,9 @@
         let slot = Slot::new(self.open.clone());
         let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
+        if self.unheard.is_some() {
+            SockRef::from(&stream).set_tcp_user_timeout(self.unheard).ok()?;
+        }
         let link = Rc::new(Link::default());
         let io = Counted { io: TokioIo::new(stream), link: link.clone() };
         let (sender, io) = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(io).await.ok()?;
--- a/crates/stage/src/backends/tests.rs
+++ b/crates/stage/src/backends/tests.rs
@@ -16,7 +16,7 @@
             .insert("request-timeout", HeaderValue::try_from(format!("{:.3}", wait.as_secs_f64())).unwrap());
     }
 
-    fn read(&self, _: &Outgoing, answer: Response<Content>) -> Outcome {
+    fn read(&self, _: &Outgoing, _: &Name, answer: Response<Content>) -> Outcome {
         Outcome::without_answer(if answer.status() == 200 { Ending::Pass } else { Ending::Fault })
     }
 }
@@ -49,6 +49,7 @@
         budget: 10,
         wire: Box::new(Plain),
         connect_timeout: Duration::from_secs(5),
+        unheard: None,
         idle_time: Duration::from_secs(5),
         connects: Cell::new(0),
     }
--- /dev/null
+++ b/crates/wings/src/message.rs
@@ -0,0 +1,109 @@
+//! What processes of the system say to each other. The first message on a connection tells which it is and in which form
+//! it speaks; what is of another form ends the connection.
+
+use boxoffice::{Ask, Lent};
+use callboard::Place;
+use greenroom::Fact;
+use promptbook::Configuration;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use understudy::{Id, Message, Term};
+
+/// The form of all messages here.
+pub const FORM: u32 = 1;
+
+/// The first on a connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum First {
+    /// A prompter: what follows is [`Peer`].
+    Prompter { form: u32, id: Id },
+    /// A gateway: what follows is [`Up`], and [`Down`] the other way.
+    Gateway { form: u32, name: String, zone: String, place: Option<Place> },
+}
+
+/// A prompter to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Peer {
+    /// Who it is, whether it is at the first start of all, and whom it knows, each with its zone. Again each second.
+    Hello {
+        id: Id,
+        zone: String,
+        first: bool,
+        known: Vec<(String, String)>,
+    },
+    Agree(Message),
+    /// Beats since the last: those that say something new whole, of the others id and sequence.
+    Beats {
+        facts: Vec<Fact>,
+        again: Vec<(String, u64)>,
+    },
+    /// This backend has said that its life is over.
+    Over {
+        instance: String,
+    },
+    /// To the holder: something to agree on. It may be lost; who wants it asks again.
+    Propose {
+        #[serde(with = "serde_bytes")]
+        word: Vec<u8>,
+    },
+    /// To the holder: a gateway's ask.
+    Ask {
+        gateway: String,
+        ask: Ask,
+    },
+    /// The holder's answer, of its term.
+    Lent {
+        gateway: String,
+        term: Term,
+        lent: Lent,
+    },
+}
+
+/// A gateway to its prompter.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Up {
+    Ask(Ask),
+}
+
+/// A prompter to a gateway that follows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Down {
+    /// All that is known, as of this place.
+    Scene {
+        place: Place,
+        scene: Box<Scene>,
+    },
+    Changes {
+        from: Place,
+        changes: Vec<Change>,
+    },
+    /// Each 200 ms: how long ago this prompter last knew of a majority, in ms, and which prompters there are, by
+    /// address, each with its zone, if that is known.
+    Pulse {
+        touch_ms: u32,
+        prompters: Vec<(String, String)>,
+    },
+    Lent(Lent),
+}
+
+/// All that a gateway follows.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Scene {
+    pub configuration: Option<Arc<Configuration>>,
+    pub backends: Vec<Fact>,
+    /// Whether there are no backends but these: a prompter that has just begun does not know yet.
+    pub whole: bool,
+    pub leaving: Vec<String>,
+    pub gateways: Vec<String>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Change {
+    Configuration(Arc<Configuration>),
+    Backend(Fact),
+    /// Its life is over.
+    Over(String),
+    /// It takes nothing new any more.
+    Leaving(String),
+    Gateways(Vec<String>),
+}
--- /dev/null
+++ b/crates/wings/src/settings.rs
@@ -0,0 +1,212 @@
+//! The settings file that the variable [`VARIABLE`] names.
+
+use displaydoc::Display;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+/// Names the file.
+pub const VARIABLE: &str = "GRANITETHREAD_BOOT";
+const USUAL: &str = "/etc/granitethread/settings.toml";
+const SCHEMA: &str = include_str!("../schema/settings.json");
+
+/// What a process is told.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Settings {
+    #[serde(rename = "ownIdentity")]
+    pub own: Own,
+    #[serde(rename = "networkTerms")]
+    pub net: Net,
+    #[serde(default, rename = "platformTerms")]
+    pub platform: Platform,
+    #[serde(default, rename = "contractTerms")]
+    pub terms: Terms,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Own {
+    pub node_name: String,
+    pub ip_address: IpAddr,
+    pub zone: String,
+    /// Only at the first start of the whole system.
+    #[serde(default)]
+    pub initial_start: bool,
+    /// Where a disk is.
+    #[serde(default)]
+    pub data_directory: Option<PathBuf>,
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub memory_mb: f64,
+    pub max_file_descriptors: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 256.0, max_file_descriptors: 1024 }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Net {
+    /// The first and the last.
+    pub internal_port_range: (u16, u16),
+    /// `controlPlane` addresses of machines that serve it, or served it when the file was written.
+    pub seed_nodes: Vec<SocketAddr>,
+    pub listen_addresses: Listen,
+    /// Regions by zone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Listen {
+    pub front_http1: Option<SocketAddr>,
+    pub readiness: Option<SocketAddr>,
+    pub control_plane: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Platform {
+    pub heartbeat_interval_ms: f64,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Platform { heartbeat_interval_ms: 1500.0 }
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Terms {
+    pub bounds: Bounds,
+}
+
+/// Figures of the rules.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Bounds {
+    /// From SIGTERM to SIGKILL.
+    pub grace_s: f64,
+    pub drain_ms: f64,
+    /// Further tries for each request.
+    pub retry_budget_ratio: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds { grace_s: 6.0, drain_ms: 2500.0, retry_budget_ratio: 0.2 }
+    }
+}
+
+/// What is wrong with a settings file.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Fault {
+    /// {0}: {1}
+    Unread(String, String),
+    /// {0}: at {1}: {2}
+    Schema(String, String, String),
+}
+
+impl std::error::Error for Fault {}
+
+/// The file's path: the variable's, or the usual one.
+pub fn path() -> PathBuf {
+    std::env::var_os(VARIABLE).map_or_else(|| USUAL.into(), PathBuf::from)
+}
+
+impl Settings {
+    /// Reads a file and checks it against its schema.
+    ///
+    /// # Errors
+    /// What is wrong with it, in one line.
+    pub fn load(path: &Path) -> Result<Settings, Fault> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| Fault::Unread(name.clone(), e.to_string()))?;
+        Settings::read(&name, &text)
+    }
+
+    /// Reads the text of a file of this name.
+    ///
+    /// # Errors
+    /// What is wrong with it, in one line.
+    pub fn read(name: &str, text: &str) -> Result<Settings, Fault> {
+        let unread = |e: String| Fault::Unread(name.into(), e.replace('\n', " "));
+        let value: Value = toml::from_str(text).map_err(|e| unread(e.to_string()))?;
+        let schema: Value = serde_json::from_str(SCHEMA).expect("the schema is JSON");
+        let schema = jsonschema::validator_for(&schema).expect("the schema is one");
+        if let Err(e) = schema.validate(&value) {
+            let place = e.instance_path.to_string();
+            return Err(Fault::Schema(name.into(), place, e.to_string()));
+        }
+        serde_json::from_value(value).map_err(|e| unread(e.to_string()))
+    }
+
+    /// Where prompters hear each other and their gateways; the same on all machines.
+    pub fn prompters_port(&self) -> u16 {
+        self.net.internal_port_range.0
+    }
+
+    /// The seeds' machines.
+    pub fn seeds(&self) -> Vec<IpAddr> {
+        self.net.seed_nodes.iter().map(SocketAddr::ip).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = r#"
+        [ownIdentity]
+        nodeName = "edge-1"
+        ipAddress = "10.1.0.5"
+        zone = "a"
+        initialStart = true
+        later = 1
+        [ownIdentity.limits]
+        memoryMb = 260
+        maxFileDescriptors = 4100
+        [networkTerms]
+        internalPortRange = [7660, 7675]
+        seedNodes = ["10.1.0.5:8407", "10.2.0.3:8407"]
+        [networkTerms.listenAddresses]
+        controlPlane = "10.1.0.5:8407"
+        [contractTerms.bounds]
+        graceS = 6
+        quotaOvershoot = 0.1
+        [new]
+        x = []
+    "#;
+
+    #[test]
+    fn fields_that_nobody_knows_are_let_pass_and_defaults_stand_in() {
+        let s = Settings::read("f", TEXT).unwrap();
+        assert_eq!((s.prompters_port(), s.seeds().len(), s.own.initial_start), (7660, 2, true));
+        assert_eq!((s.own.data_directory, s.terms.bounds.drain_ms), (None, 2500.0));
+    }
+
+    #[test]
+    fn what_lacks_or_will_not_do_is_one_line_with_its_place() {
+        let line =
+            |from: &str, to: &str| Settings::read("f", &TEXT.replace(from, to)).unwrap_err().to_string();
+        assert!(line("zone = \"a\"", "").starts_with("f: at /ownIdentity: "));
+        assert!(line("[7660, 7675]", "[7660]").starts_with("f: at /networkTerms/internalPortRange: "));
+        assert!(line("10.2.0.3:8407", "nowhere").starts_with("f: "));
+        for line in [line("zone = \"a\"", "zone ="), line("graceS = 6", "graceS = \"x\"")] {
+            assert!(!line.contains('\n'), "{line:?}");
+        }
+    }
+}
--- a/src/bin/granitethread/wire.rs
+++ b/src/bin/granitethread/wire.rs
@@ -23,7 +23,7 @@
         }
     }
 
-    fn read(&self, _: &Outgoing, answer: Response<Content>) -> Outcome {
+    fn read(&self, _: &Outgoing, _: &Name, answer: Response<Content>) -> Outcome {
         let (answer, content) = answer.into_parts();
         let headers = &answer.headers;
         let status = answer.status;
@@ -93,7 +93,7 @@
             let answer = Response::builder().status(status).header("usage-percent", "85");
             let answer =
                 answer.header("billed-units", "3").body(Content::Whole(Bytes::from_static(b"x"))).unwrap();
-            Backward { most_units: 8.0 }.read(&request, answer)
+            Backward { most_units: 8.0 }.read(&request, &"s".into(), answer)
         };
         let good = answer(200);
         assert_eq!((good.metered, good.settled, good.ending), (Some(0.85), 3.0, Ending::Pass));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -328,6 +328,20 @@
         self.fleet.stale |= std::mem::replace(&mut self.among, told) != told;
     }
 
+    /// New settings, which name at least the classes and plans of the old ones, in their places.
+    pub fn reconfigure(&mut self, s: &Settings) {
+        if s.plans.len() != self.s.plans.len() || s.pools != self.s.pools || check(s).is_err() {
+            return;
+        }
+        let (old, new) = (self.s.classes.len(), s.classes.len());
+        self.usual.extend(s.classes.iter().skip(old).map(|c| secs(c.aim) / 4.0));
+        for server in self.servers.values_mut() {
+            server.ends.splice(old..old, (old..new).map(|_| (0.0, 0.0)));
+        }
+        self.s = s.clone();
+        self.fleet.stale = true;
+    }
+
     // ---- From one process of this gateway to the next ----
 
     /// What the next one is to go on with, as text.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,10 @@
         Gateway::handle(self, now, events, out);
     }
 
+    fn reconfigure(&mut self, settings: &Settings) {
+        Gateway::reconfigure(self, settings);
+    }
+
     fn leave(&self) -> String {
         Gateway::leave(self)
     }
