After a start: what was agreed on before is told at once, first clients wait in the queue

Change: how far the log was agreed on is saved beside the next save, and told at the start; 60 ms for a refused connection; the front accepts once there is a first word, 700 ms at most; -v writes the ring's lines out at once.

--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -67,13 +67,20 @@
         if place > 0 {
             view.install(state);
         }
+        let mut applied = place;
+        for output in core.known() {
+            if let Output::Apply { place, word, .. } = output {
+                view.apply(place, &word);
+                applied = place;
+            }
+        }
         let run = Run {
             view: view.clone(),
             disk,
             core,
             waiting: BTreeMap::new(),
             places: BTreeMap::new(),
-            applied: place,
+            applied,
             tag: 0,
         };
         (agreement, run.run(queue))
@@ -200,7 +207,7 @@
             _ => true,
         });
         if !saves.is_empty() {
-            self.disk.save(saves).await.map_err(|fault| format!("disk: {fault}"))?;
+            self.disk.save(saves, self.core.agreed()).await.map_err(|fault| format!("disk: {fault}"))?;
         }
         for output in outputs.drain(..) {
             match output {
@@ -224,7 +231,10 @@
         if self.core.entries() > FOLD && self.applied > self.core.start().0 {
             let state = self.view.book.borrow().write();
             if let Some(save) = self.core.compact(self.applied, state) {
-                self.disk.save(vec![save]).await.map_err(|fault| format!("disk: {fault}"))?;
+                self.disk
+                    .save(vec![save], self.core.agreed())
+                    .await
+                    .map_err(|fault| format!("disk: {fault}"))?;
             }
         }
         Ok(())
--- a/crates/prompter/src/disk.rs
+++ b/crates/prompter/src/disk.rs
@@ -33,7 +33,8 @@
 }
 
 enum Work {
-    Save(Vec<Save>, oneshot::Sender<Result<(), Fault>>),
+    /// With how far the log is agreed on.
+    Save(Vec<Save>, Place, oneshot::Sender<Result<(), Fault>>),
     /// The cell's lives, for the next start: not synced by themselves.
     Cell(Vec<Fact>),
 }
@@ -70,9 +71,9 @@
         let work = move || {
             for work in works {
                 match work {
-                    Work::Save(all, done) => {
+                    Work::Save(all, agreed, done) => {
                         // Whoever waited is gone when the process ends.
-                        let _ = done.send(store.save(&all));
+                        let _ = done.send(store.save(&all, agreed));
                     }
                     Work::Cell(facts) => {
                         if let Err(e) = store.all.insert("cell", encode(&facts)) {
@@ -91,9 +92,9 @@
     ///
     /// # Errors
     /// What the disk says; then nothing is known of what it holds.
-    pub async fn save(&self, all: Vec<Save>) -> Result<(), Fault> {
+    pub async fn save(&self, all: Vec<Save>, agreed: Place) -> Result<(), Fault> {
         let (done, wait) = oneshot::channel();
-        self.0.send(Work::Save(all, done)).map_err(|_| Fault::Gone)?;
+        self.0.send(Work::Save(all, agreed, done)).map_err(|_| Fault::Gone)?;
         wait.await.map_err(|_| Fault::Gone)?
     }
 
@@ -135,6 +136,7 @@
         };
         let (term, vote): (Term, Option<Id>) = store.read("term")?.unwrap_or_default();
         let snapshot: Snapshot = store.read("snapshot")?.unwrap_or_default();
+        let agreed: Place = store.read("agreed")?.unwrap_or_default();
         let mut entries: Vec<Entry> = Vec::new();
         for pair in store.all.range(entry_key(snapshot.place + 1)..=entry_key(Place::MAX)) {
             let (key, value) = pair.map_err(fault)?;
@@ -146,7 +148,7 @@
         }
         // Soft: what cannot be read is heard anew.
         let cell = store.read("cell").ok().flatten().unwrap_or_default();
-        Ok((store, Held { id: disk, stored: Stored { term, vote, snapshot, entries }, cell }))
+        Ok((store, Held { id: disk, stored: Stored { term, vote, snapshot, entries, agreed }, cell }))
     }
 
     fn read<T: serde::de::DeserializeOwned>(&self, key: &str) -> Result<Option<T>, Fault> {
@@ -155,7 +157,7 @@
         rmp_serde::from_slice(&value).map(Some).map_err(|_| Fault::Unread(self.name.clone()))
     }
 
-    fn save(&self, all: &[Save]) -> Result<(), Fault> {
+    fn save(&self, all: &[Save], agreed: Place) -> Result<(), Fault> {
         let fault = |e| Fault::Store(self.name.clone(), e);
         let mut batch = self.keyspace.batch().durability(Some(PersistMode::SyncAll));
         let drop_entries = |batch: &mut fjall::Batch, from: Place, to: Place| -> Result<(), Fault> {
@@ -182,6 +184,7 @@
                 }
             }
         }
+        batch.insert(&self.all, "agreed", encode(&agreed));
         batch.commit().map_err(fault)
     }
 }
--- a/crates/proscenium/src/follow.rs
+++ b/crates/proscenium/src/follow.rs
@@ -19,8 +19,10 @@
 /// A prompter that has not known of a majority for so long, in ms, is left.
 const STALE: u32 = 800;
 /// One that was stale, or not there, is not tried again so soon while there are others.
-const SHUNNED: Duration = Duration::from_millis(1000);
-const PAUSE: Duration = Duration::from_millis(120);
+const SHUNNED: Duration = Duration::from_millis(600);
+/// Nor one that refused the connection: it may be just starting.
+const REFUSED: Duration = Duration::from_millis(60);
+const PAUSE: Duration = Duration::from_millis(40);
 const QUEUE: usize = 32;
 
 pub struct Follow {
@@ -63,6 +65,9 @@
             self.playing.rights.link(None);
             match end {
                 Ok(End::Nearer) => {}
+                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                    self.shunned.insert(ip, Instant::now() + REFUSED);
+                }
                 Ok(End::Lost | End::Stale) | Err(_) => {
                     self.shunned.insert(ip, Instant::now() + SHUNNED);
                 }
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -27,7 +27,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 use wings::net::{listen, UNHEARD};
 use wings::settings::Settings;
 
@@ -39,6 +39,9 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// The answer leaves so long before its client stops waiting.
 const WAY_BACK: u64 = 25 * MS;
+/// A process that has just begun lets its first clients wait so long for the first word of a prompter.
+const FIRST: Duration = Duration::from_millis(700);
+const FIRST_LOOK: Duration = Duration::from_millis(10);
 /// Backends that took an address over are looked for so often.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -97,7 +100,7 @@
     let door = Front::new(playing.clone(), grace);
     let server = http1::Server::new(door, driver.clone(), backends, Link::new(None), bodies, sockets / 2);
     let server = Rc::new(server);
-    let (seen, watched) = (playing.clone(), server.clone());
+    let (seen, watched, seen_first) = (playing.clone(), server.clone(), playing.clone());
     spawn_local(ready::serve(readiness, Rc::new(move || seen.is_ready() && watched.takes_clients())));
     spawn_local(async move {
         loop {
@@ -118,6 +121,11 @@
     let stop = async move {
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
     };
+    // Clients that connect meanwhile wait in the listener's queue: sooner there would be nothing to tell them.
+    let begun = Instant::now();
+    while !(seen_first.is_ready() && driver.can_serve()) && begun.elapsed() < FIRST {
+        sleep(FIRST_LOOK).await;
+    }
     let driving = spawn_local(async move { driver.run().await });
     tokio::select! {
         lost = driving => Err(format!("the driver ended: {lost:?}")),
--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -90,7 +90,8 @@
     /// Goes on from what is on the disk.
     pub fn new(id: Id, stored: Stored, seed: u64, now: Time) -> Self {
         let log = Log::new(stored.snapshot, stored.entries);
-        let agreed = log.start();
+        // What was agreed on once is for good.
+        let agreed = stored.agreed.clamp(log.start(), log.last().1);
         let mut core = Core {
             id,
             term: stored.term,
@@ -126,6 +127,18 @@
         (self.log.start(), &self.log.snapshot().state)
     }
 
+    /// What is agreed on behind the state at the start, as it was known when this one began.
+    pub fn known(&self) -> Vec<Output> {
+        let places = self.log.start() + 1..=self.agreed;
+        let word = |place| match &self.log.get(place)?.said {
+            Said::Word(word) => {
+                Some(Output::Apply { place, term: self.log.term(place)?, word: word.clone() })
+            }
+            _ => None,
+        };
+        places.filter_map(word).collect()
+    }
+
     /// Entries that are kept.
     pub fn entries(&self) -> usize {
         self.log.len()
--- a/crates/understudy/src/words.rs
+++ b/crates/understudy/src/words.rs
@@ -64,6 +64,8 @@
     pub snapshot: Snapshot,
     /// From the place behind the snapshot on.
     pub entries: Vec<Entry>,
+    /// How far the log was known to be agreed on: this may be old, for nothing waits for it to be saved.
+    pub agreed: Place,
 }
 
 /// What must be on the disk before whatever stands behind it among the outputs is carried out.
--- a/crates/wings/src/command.rs
+++ b/crates/wings/src/command.rs
@@ -19,6 +19,7 @@
     let mut options = getopts::Options::new();
     options.optflag("h", "help", "print this and end");
     options.optflag("V", "version", "print the version and end");
+    options.optflag("v", "verbose", "write out at once what else stays in the ring");
     options.optopt("c", "check", "read a settings file, say what is wrong with it, and end", "FILE");
     let told = match options.parse(std::env::args_os().skip(1)) {
         Ok(told) if told.free.is_empty() => told,
@@ -46,7 +47,7 @@
             Err(fault) => fail(&fault),
         };
     }
-    let ring = ring::start(program);
+    let ring = ring::start(program, told.opt_present("v"));
     let done = Settings::load(&settings::path()).map_err(|fault| fault.to_string()).and_then(|settings| {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
--- a/crates/wings/src/net.rs
+++ b/crates/wings/src/net.rs
@@ -9,7 +9,7 @@
 
 /// A machine without power says nothing: what was written and is not acknowledged for so long ends the connection.
 pub const UNHEARD: Duration = Duration::from_millis(900);
-const CONNECT: Duration = Duration::from_millis(300);
+const CONNECT: Duration = Duration::from_millis(200);
 const BACKLOG: u32 = 1024;
 
 /// Listens, also where a process before this one has connections in their last throes.
@@ -26,7 +26,7 @@
     open().map_err(|e: io::Error| format!("cannot listen on {address}: {e}"))
 }
 
-/// Connects within 300 ms, or not at all.
+/// Connects within 200 ms, or not at all.
 ///
 /// # Errors
 /// The system's, or that it took too long.
--- a/crates/wings/src/ring.rs
+++ b/crates/wings/src/ring.rs
@@ -68,11 +68,11 @@
 }
 
 /// Starts the log of a process.
-pub fn start(program: &'static str) -> Ring {
+pub fn start(program: &'static str, verbose: bool) -> Ring {
     let ring = Ring::new();
     let begun = ring.begun;
     let loud = fern::Dispatch::new()
-        .level(LevelFilter::Warn)
+        .level(if verbose { LevelFilter::Info } else { LevelFilter::Warn })
         .format(move |out, message, record| {
             out.finish(format_args!(
                 "{program} {} {} {message}",
