rig: the whole system on loopback in one command, and the scenario house

Need: a third command that shows the system: three prompters, three gateways, stand-in backends, an operator. The scenario kills a prompter in the middle of a drain and changes the configuration.

--- /dev/null
+++ b/crates/rig/src/house.rs
@@ -0,0 +1,476 @@
+//! The whole system on loopback: three prompters, three gateways, stand-in backends that beat, an operator. One prompter is
+//! killed in the middle, a configuration changes, a backend leaves; what is counted is counted at clients and backends.
+
+use crate::fleet::{lock, serve};
+use crate::peers::{Client, Message};
+use crate::program::locate_system;
+use crate::scenario::{Figures, Play, Scenario};
+use serde_json::json;
+use std::collections::{HashMap, HashSet};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const SCENARIO: Scenario = Scenario {
+    name: "house",
+    about: "three prompters, three gateways, backends that leave, a prompter killed, a changed configuration",
+    seconds: 12,
+    test_seconds: 7,
+    defects: &[
+        ("runs-twice", "the client sends each payment once more under the same id"),
+        ("works-on", "the backend that left is asked by the client itself after its drain"),
+    ],
+    planted: &[],
+    run,
+};
+
+const MACHINES: usize = 3;
+const BACKENDS: usize = 4;
+const BEAT_MS: u64 = 500;
+/// So long after its drain was acknowledged a backend must get nothing more.
+const DRAIN: Duration = Duration::from_millis(1500);
+const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
+
+/// What all backends saw.
+#[derive(Default)]
+struct Seen {
+    /// Runs of payments by their id.
+    runs: Mutex<HashMap<String, u32>>,
+    twice: AtomicU32,
+    /// Requests with the key, or without the tenant's name.
+    exposed: AtomicU32,
+    late: AtomicU32,
+}
+
+struct Backend {
+    id: String,
+    address: SocketAddr,
+    state: &'static str,
+    sequence: u64,
+    drained: Arc<Mutex<Option<Instant>>>,
+}
+
+struct Machine {
+    ip: String,
+    folder: PathBuf,
+    prompter: Child,
+    gateway: Child,
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        for child in [&mut self.prompter, &mut self.gateway] {
+            // It may have ended.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// The whole system, running.
+pub struct House {
+    machines: Vec<Machine>,
+    front: u16,
+    control: u16,
+    prompter: PathBuf,
+    folder: PathBuf,
+}
+
+impl Drop for House {
+    fn drop(&mut self) {
+        self.machines.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Ports that are free on the machines' addresses too, as far as can be known beforehand.
+fn ports(ips: &[String]) -> Result<[u16; 4], String> {
+    let free = |port: u16| ips.iter().all(|ip| TcpListener::bind((ip.as_str(), port)).is_ok());
+    let mut found = Vec::new();
+    while found.len() < 4 {
+        let any = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
+        if free(any.port()) && !found.contains(&any.port()) {
+            found.push(any.port());
+        }
+    }
+    Ok([found[0], found[1], found[2], found[3]])
+}
+
+fn spawn(program: &Path, settings: &Path) -> Result<Child, String> {
+    let mut command = Command::new(program);
+    command
+        .env("GRANITETHREAD_BOOT", settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null());
+    command.spawn().map_err(|e| format!("{}: {e}", program.display()))
+}
+
+impl House {
+    /// Starts all of it, for the first time.
+    ///
+    /// # Errors
+    /// One line, if it can't be built or started.
+    pub fn open(seed: u64) -> Result<House, String> {
+        let (proscenium, prompter) = locate_system()?;
+        // Tests may run beside each other: each has addresses of its own.
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        let net = 100 + (u64::from(std::process::id()) + NEXT.fetch_add(1, Relaxed)) % 100;
+        let ips: Vec<String> = (1..=MACHINES).map(|n| format!("127.0.{net}.{n}")).collect();
+        let [front, readiness, control, inner] = ports(&ips)?;
+        let folder =
+            std::env::temp_dir().join(format!("granitethread-house-{}-{net}-{seed}", std::process::id()));
+        let seeds: Vec<String> = ips.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
+        let seeds = seeds.join(", ");
+        let mut house = House { machines: Vec::new(), front, control, prompter, folder };
+        for (n, ip) in ips.into_iter().enumerate() {
+            let folder = house.folder.join(n.to_string());
+            std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+            let data = folder.join("data");
+            let text = format!(
+                "[ownIdentity]\nnodeName = \"edge-{n}\"\nipAddress = \"{ip}\"\nzone = \"zone-{n}\"\n\
+                 initialStart = true\ndataDirectory = {:?}\n[networkTerms]\ninternalPortRange = [{inner}, {inner}]\n\
+                 seedNodes = [{seeds}]\n[networkTerms.listenAddresses]\nfrontHttp1 = \"{ip}:{front}\"\n\
+                 readiness = \"{ip}:{readiness}\"\ncontrolPlane = \"{ip}:{control}\"\n[networkTerms.zones]\n\
+                 zone-0 = \"r\"\nzone-1 = \"r\"\nzone-2 = \"r\"\n[platformTerms]\nheartbeatIntervalMs = {BEAT_MS}\n",
+                data.display().to_string()
+            );
+            let settings = folder.join("settings.toml");
+            std::fs::create_dir_all(&data).map_err(|e| e.to_string())?;
+            std::fs::write(&settings, text).map_err(|e| format!("{}: {e}", settings.display()))?;
+            let (prompter, gateway) = (spawn(&house.prompter, &settings)?, spawn(&proscenium, &settings)?);
+            house.machines.push(Machine { ip, folder, prompter, gateway });
+        }
+        Ok(house)
+    }
+
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        self.at(self.front)
+    }
+
+    fn controls(&self) -> Vec<SocketAddr> {
+        self.at(self.control)
+    }
+
+    fn at(&self, port: u16) -> Vec<SocketAddr> {
+        let all = self.machines.iter().filter_map(|m| format!("{}:{port}", m.ip).parse().ok());
+        all.collect()
+    }
+
+    /// Kills a prompter and starts it again, no more for the first time.
+    fn kill(&mut self, n: usize) -> Result<(), String> {
+        let machine = &mut self.machines[n];
+        machine.prompter.kill().and_then(|()| machine.prompter.wait()).map_err(|e| e.to_string())?;
+        thread::sleep(Duration::from_millis(300));
+        let settings = machine.folder.join("settings.toml");
+        let text = std::fs::read_to_string(&settings).map_err(|e| e.to_string())?;
+        std::fs::write(&settings, text.replace("initialStart = true", "initialStart = false"))
+            .map_err(|e| e.to_string())?;
+        machine.prompter = spawn(&self.prompter, &settings)?;
+        Ok(())
+    }
+}
+
+/// Calls one after another until one gives a clear answer, as operators and backends do.
+fn call(controls: &[SocketAddr], method: &str, path: &str, body: &str, tries: usize) -> Option<Message> {
+    let mut next = 0;
+    let mut at = None;
+    for _ in 0..tries {
+        let address = at.take().unwrap_or_else(|| {
+            next += 1;
+            controls[next % controls.len()]
+        });
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        match Client::try_connect(address).and_then(|mut c| c.try_ask(&text)) {
+            Some(answer) if answer.status() == 307 => {
+                let place =
+                    answer.header("location").and_then(|l| l.strip_prefix("http://")?.split('/').next());
+                at = place.and_then(|p| p.parse().ok());
+            }
+            Some(answer) if answer.status() < 500 => return Some(answer),
+            _ => thread::sleep(Duration::from_millis(60)),
+        }
+    }
+    None
+}
+
+impl Backend {
+    fn beat(&mut self, controls: &[SocketAddr], tries: usize) -> bool {
+        self.sequence += 1;
+        let body = json!({"address": self.address.to_string(),
+            "nodeInfo": {"targetService": "desk", "configVersion": "v1", "zone": "zone-0", "capacitySlots": 4},
+            "status": {"state": self.state, "callSequence": self.sequence, "warmupLeftMs": 0}});
+        let path = format!("/-/Instances.Heartbeat/{}", self.id);
+        call(controls, "POST", &path, &body.to_string(), tries).is_some_and(|a| a.status() == 200)
+    }
+}
+
+fn backend(n: usize, seen: &Arc<Seen>) -> Result<Backend, String> {
+    let drained: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let (id, over, seen) = (format!("i-{n}"), drained.clone(), seen.clone());
+    let me = id.clone();
+    let script = move |m: &Message, to: &mut TcpStream| {
+        if m.header("target-instance") != Some(&me) {
+            return to.write_all(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n").is_ok();
+        }
+        if lock(&over).is_some_and(|at| at.elapsed() > DRAIN) {
+            seen.late.fetch_add(1, Relaxed);
+        }
+        if m.header("credential").is_some() || m.header("tenant-name") != Some("members") {
+            seen.exposed.fetch_add(1, Relaxed);
+        }
+        let attempt = m.header("attempt-id").unwrap_or_default().to_string();
+        if m.start.starts_with("POST") {
+            let mut runs = lock(&seen.runs);
+            let count = runs.entry(attempt.clone()).or_default();
+            *count += 1;
+            if *count > 1 {
+                seen.twice.fetch_add(1, Relaxed);
+            }
+        }
+        thread::sleep(Duration::from_millis(15));
+        let body = format!("by {me}\n");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: stand-in\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        to.write_all(answer.as_bytes()).is_ok()
+    };
+    let address = serve(Arc::new(script)).map_err(|e| e.to_string())?;
+    Ok(Backend { id, address, state: "ready", sequence: 0, drained })
+}
+
+fn configuration(base: u32, version: u32, prefixes: &[&str]) -> String {
+    let route = |prefix: &&str| {
+        json!({"name": format!("r{prefix}"), "host": "desk.example", "pathPrefix": prefix,
+            "routeKind": if prefix.contains("pay") { "unsafe" } else { "safe" }, "timeoutMs": 2000,
+            "targetLatencyMs": 400, "priority": 1, "targetService": "desk", "maxAttempts": 2, "public": false})
+    };
+    json!({"configVersion": format!("{version:08x}"), "baseVersion": format!("{base:08x}"),
+        "routes": prefixes.iter().map(route).collect::<Vec<_>>(),
+        "services": [{"name": "desk", "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false}],
+        "tenants": [{"name": "members", "apiKeys": [KEY], "priority": 1, "ratePerS": 400, "burstSize": 400}]})
+    .to_string()
+}
+
+/// A request of a client, as text.
+fn request(path: &str, id: u64) -> String {
+    let (method, rest) = match path.contains("pay") {
+        true => ("POST", "Content-Length: 5\r\n\r\nhello"),
+        false => ("GET", "\r\n"),
+    };
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id:016x}\r\nRemaining-Time: 2000\r\n\
+         Credential: {KEY}\r\n{rest}"
+    )
+}
+
+#[derive(Default)]
+struct Counts {
+    asked: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+}
+
+/// Backends that beat until they are stopped; the operator's first configuration.
+struct Running {
+    house: House,
+    seen: Arc<Seen>,
+    backends: Arc<Mutex<Vec<Backend>>>,
+    stop: Arc<AtomicBool>,
+    beating: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.store(true, Relaxed);
+        if let Some(thread) = self.beating.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn begin(seed: u64) -> Result<Running, String> {
+    let house = House::open(seed)?;
+    let controls = house.controls();
+    let seen: Arc<Seen> = Arc::default();
+    let all: Result<Vec<Backend>, String> = (0..BACKENDS).map(|n| backend(n, &seen)).collect();
+    let backends = Arc::new(Mutex::new(all?));
+    let stop: Arc<AtomicBool> = Arc::default();
+    let first = configuration(0, 1, &["/look/", "/pay/"]);
+    let taken = call(&controls, "POST", "/-/Configuration.Replace", &first, 150);
+    if taken.is_none_or(|a| a.status() != 200) {
+        return Err("the first configuration was not taken".into());
+    }
+    let (beats, to, over) = (backends.clone(), controls, stop.clone());
+    let beating = thread::spawn(move || {
+        while !over.load(Relaxed) {
+            for backend in lock(&beats).iter_mut().filter(|b| b.state == "ready") {
+                // One that is lost is made good by the next.
+                backend.beat(&to, 6);
+            }
+            thread::sleep(Duration::from_millis(BEAT_MS / 2));
+        }
+    });
+    let running = Running { house, seen, backends, stop, beating: Some(beating) };
+    let until = Instant::now() + Duration::from_secs(15);
+    for (n, front) in running.house.fronts().into_iter().enumerate() {
+        let serves = || {
+            Client::try_connect(front).and_then(|mut c| c.try_ask(&request("/look/1", u64::MAX - n as u64)))
+        };
+        while serves().is_none_or(|a| a.status() != 200) {
+            if Instant::now() > until {
+                return Err(format!("the gateway at {front} does not serve"));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+    Ok(running)
+}
+
+/// Clients that ask through all gateways in turn until `stop`; each asks again, a few times, what was refused.
+fn clients(
+    fronts: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+    twice: bool,
+) -> (Arc<Mutex<Counts>>, Vec<thread::JoinHandle<()>>) {
+    let counts: Arc<Mutex<Counts>> = Arc::default();
+    let threads = (0..6u64).map(|n| {
+        let (fronts, stop, counts) = (fronts.to_vec(), stop.clone(), counts.clone());
+        thread::spawn(move || {
+            let mut id = (n + 1) << 40;
+            while !stop.load(Relaxed) {
+                id += 1;
+                let path = if id % 3 == 0 { "/pay/1" } else { "/look/1" };
+                let mut status = None;
+                for _ in 0..3 {
+                    id += 1;
+                    let front = fronts[(id as usize) % fronts.len()];
+                    let ask = || Client::try_connect(front).and_then(|mut c| c.try_ask(&request(path, id)));
+                    status = ask().map(|a| a.status());
+                    if twice && path.contains("pay") {
+                        ask();
+                    }
+                    if !matches!(status, Some(429 | 503)) {
+                        break;
+                    }
+                    thread::sleep(Duration::from_millis(100));
+                }
+                let mut counts = lock(&counts);
+                counts.asked += 1;
+                *match status {
+                    Some(200) => &mut counts.served,
+                    Some(429 | 503) => &mut counts.refused,
+                    _ => &mut counts.failed,
+                } += 1;
+                drop(counts);
+                thread::sleep(Duration::from_millis(20));
+            }
+        })
+    });
+    let threads = threads.collect();
+    (counts, threads)
+}
+
+fn run(play: &Play) -> Result<Figures, String> {
+    let mut running = begin(play.seed)?;
+    let controls = running.house.controls();
+    let stop: Arc<AtomicBool> = Arc::default();
+    let (counts, threads) = clients(&running.house.fronts(), &stop, play.has("runs-twice"));
+    let third = play.time / 3;
+    let mut figures = Figures::default();
+    thread::sleep(third);
+    // A backend leaves, and the machine that may have heard of it first dies at once.
+    let (left, drained, address) = {
+        let mut backends = lock(&running.backends);
+        let one = &mut backends[(play.seed % BACKENDS as u64) as usize];
+        one.state = "draining";
+        let acknowledged = one.beat(&controls, 40);
+        *lock(&one.drained) = acknowledged.then(Instant::now);
+        figures.none("drains not acknowledged", usize::from(!acknowledged));
+        (one.id.clone(), one.drained.clone(), one.address)
+    };
+    running.house.kill((play.seed % MACHINES as u64) as usize)?;
+    let began = Instant::now();
+    let second = configuration(1, 2, &["/look/", "/pay/", "/new/"]);
+    let taken = call(&controls, "POST", "/-/Configuration.Replace", &second, 150).map_or(0, |a| a.status());
+    figures.none("changes not taken", usize::from(taken != 200));
+    figures.set("a change past a killed prompter, ms", began.elapsed().as_millis() as u64);
+    let again = call(&controls, "POST", "/-/Configuration.Replace", &second, 50).map_or(0, |a| a.status());
+    figures.none("the same change once more, not taken", usize::from(again != 200));
+    let other = configuration(1, 3, &["/look/"]);
+    let raced = call(&controls, "POST", "/-/Configuration.Replace", &other, 50).map_or(0, |a| a.status());
+    figures.none("another on the same base, taken", usize::from(raced != 412));
+    thread::sleep(third);
+    if play.has("works-on") {
+        thread::sleep(DRAIN);
+        let text =
+            request("/look/1", 7).replace("Credential", &format!("Target-Instance: {left}\r\nCredential"));
+        Client::try_connect(address).and_then(|mut c| c.try_ask(&text));
+    }
+    let fronts = running.house.fronts();
+    let news = fronts.iter().filter(|front| {
+        let answer = Client::try_connect(**front).and_then(|mut c| c.try_ask(&request("/new/1", 0xbeef)));
+        answer.is_none_or(|a| a.status() != 200)
+    });
+    figures.none("gateways without the new route", news.count());
+    thread::sleep(third);
+    stop.store(true, Relaxed);
+    threads.into_iter().for_each(|t| drop(t.join()));
+    let read = call(&controls, "GET", "/-/Configuration.Read", "", 50);
+    let same = read.is_some_and(|a| a.body == second.as_bytes());
+    figures.none("configurations read back that differ", usize::from(!same));
+    let counts = lock(&counts);
+    figures.set("asked", counts.asked);
+    figures.set("refused", counts.refused);
+    figures.bound("served", counts.served as f64 / counts.asked.max(1) as f64, 0.95, 1.0);
+    let seen = &running.seen;
+    figures.none("payments that ran twice", seen.twice.load(Relaxed) as usize);
+    figures.none("requests with the key, or without the tenant's name", exposed(seen, play));
+    figures.none("requests to who had left", seen.late.load(Relaxed) as usize);
+    figures.set("left", lock(&drained).is_some());
+    let ids: HashSet<String> = lock(&running.backends).iter().map(|b| b.id.clone()).collect();
+    figures.set("backends", ids.len());
+    Ok(figures)
+}
+
+/// What the client itself sent past the gateways is not theirs.
+fn exposed(seen: &Seen, play: &Play) -> usize {
+    let count = seen.exposed.load(Relaxed) as usize;
+    count.saturating_sub(usize::from(play.has("works-on")))
+}
+
+/// Runs until `stop`, printing a line each second.
+///
+/// # Errors
+/// One line, if the system can't be built or does not come up.
+pub fn demo(stop: &Arc<AtomicBool>, mut say: impl FnMut(&str)) -> Result<(), String> {
+    let running = begin(1)?;
+    say("three prompters and three gateways before four stand-in backends; try it, or press Ctrl-C to end:");
+    let front = running.house.fronts()[0];
+    say(&format!(
+        "  curl -i http://{front}/look/1 -H 'Host: desk.example' -H 'Attempt-Id: 00000000000000ff' \
+         -H 'Remaining-Time: 2000' -H 'Credential: {KEY}'"
+    ));
+    say(&format!("  curl -iL http://{}/-/Configuration.Read", running.house.controls()[0]));
+    let (counts, threads) = clients(&running.house.fronts(), stop, false);
+    let mut second = 0;
+    while !stop.load(Relaxed) {
+        thread::sleep(Duration::from_secs(1));
+        second += 1;
+        let Counts { asked, served, refused, failed } = std::mem::take(&mut *lock(&counts));
+        say(&format!("{second:4} s  {asked} asked, {served} served, {refused} refused, {failed} failed"));
+    }
+    threads.into_iter().for_each(|t| drop(t.join()));
+    Ok(())
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod gate;
+pub mod house;
 pub mod lives;
 pub mod peers;
 pub mod planners;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -47,7 +47,9 @@
     ExitCode::from(2)
 }
 
-fn demo(seconds: Option<u64>) -> ExitCode {
+type Demo = fn(&Arc<AtomicBool>, fn(&str)) -> Result<(), String>;
+
+fn demo(demo: Demo, seconds: Option<u64>) -> ExitCode {
     let stop = Arc::new(AtomicBool::new(false));
     let on_signal = stop.clone();
     if let Err(e) = ctrlc::set_handler(move || on_signal.store(true, Ordering::Relaxed)) {
@@ -60,7 +62,7 @@
             stop.store(true, Ordering::Relaxed);
         });
     }
-    match granite_rig::demo::run(&stop, say) {
+    match demo(&stop, say) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("granitethread-rig: {what}");
@@ -74,10 +76,12 @@
     match args.name.as_str() {
         "list" => {
             say("demo         a gateway to look at, until Ctrl-C");
+            say("system       the whole system to look at, until Ctrl-C");
             ALL.iter().for_each(|s| say(&format!("{:12} {}", s.name, s.about)));
             return ExitCode::SUCCESS;
         }
-        "demo" => return demo(args.seconds),
+        "demo" => return demo(granite_rig::demo::run, args.seconds),
+        "system" => return demo(granite_rig::house::demo, args.seconds),
         _ => {}
     }
     let Some(scenario) = ALL.iter().find(|s| s.name == args.name) else {
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -35,7 +35,7 @@
     let folder = program.parent().unwrap_or(Path::new("."));
     let profile = folder.file_name().unwrap_or_default();
     let target = folder.parent().unwrap_or(folder).join("defects");
-    if let Some(mut build) = build(profile == "release") {
+    if let Some(mut build) = build(profile == "release", &GATEWAY) {
         build.args(["--features", "defects", "--target-dir"]).arg(&target);
         cargo(&mut build)?;
     }
@@ -59,10 +59,28 @@
     }
 }
 
+/// Where the whole system's programs stand, built first like the gateway's: the data plane's and the control plane's.
+///
+/// # Errors
+/// One line, if they can't be built or are not there.
+pub fn locate_system() -> Result<(PathBuf, PathBuf), String> {
+    let (gateway, testing) = place()?;
+    let folder = gateway.parent().unwrap_or(Path::new("."));
+    let both = [folder.join("proscenium"), folder.join("prompter")];
+    let packages = &["--package", "proscenium", "--package", "prompter"];
+    if !testing || !both.iter().all(|p| p.exists()) {
+        if let Some(mut build) = build(folder.ends_with("release"), packages) {
+            cargo(&mut build)?;
+        }
+    }
+    let [proscenium, prompter] = both;
+    Ok((there(proscenium)?, there(prompter)?))
+}
+
 /// What builds it, if cargo started this program.
-fn build(release: bool) -> Option<Command> {
+fn build(release: bool, packages: &[&str]) -> Option<Command> {
     let mut build = Command::new(env::var_os("CARGO")?);
-    build.args(["build", "--quiet", "--locked", "--package", "granitehub", "--bin", "granitethread"]);
+    build.args(["build", "--quiet", "--locked"]).args(packages);
     build.current_dir(env!("CARGO_MANIFEST_DIR"));
     if release {
         build.arg("--release");
@@ -70,16 +88,25 @@
     Some(build)
 }
 
-/// Where it stands, and what builds it if that is wanted.
-fn beside() -> Result<(PathBuf, Option<Command>), String> {
+/// What builds the gateway in service.
+const GATEWAY: [&str; 4] = ["--package", "granitehub", "--bin", "granitethread"];
+
+/// Where it stands, and whether a test asks.
+fn place() -> Result<(PathBuf, bool), String> {
     let me = env::current_exe().map_err(|e| format!("where this program stands: {e}"))?;
     let mut folder = me.parent().unwrap_or(Path::new("."));
     let testing = folder.ends_with("deps");
     if testing {
         folder = folder.parent().unwrap_or(folder);
     }
-    let program = folder.join("granitethread");
-    let build = build(folder.ends_with("release")).filter(|_| !testing || !program.exists());
+    Ok((folder.join("granitethread"), testing))
+}
+
+/// Where it stands, and what builds it if that is wanted.
+fn beside() -> Result<(PathBuf, Option<Command>), String> {
+    let (program, testing) = place()?;
+    let folder = program.parent().unwrap_or(Path::new("."));
+    let build = build(folder.ends_with("release"), &GATEWAY).filter(|_| !testing || !program.exists());
     Ok((program, build))
 }
 
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -73,4 +73,5 @@
     crate::planning_cost::SCENARIO,
     crate::view::SCENARIO,
     crate::comeback::SCENARIO,
+    crate::house::SCENARIO,
 ];
