--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -5,6 +5,16 @@
 
 /// Nanoseconds on the caller's clock.
 pub type Time = u64;
+/// Seconds of a time.
+pub fn secs(t: Time) -> f64 {
+    t as f64 / 1e9
+}
+
+/// The time of so many seconds; none is less than nothing.
+pub fn nanos(s: f64) -> Time {
+    (s.max(0.0) * 1e9) as Time
+}
+
 /// A request's id, never reused.
 pub type RequestId = u64;
 /// A server's or a customer's name, opaque.
--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -111,7 +111,7 @@
     /// The holder lends, for as long as its term is beyond doubt.
     pub fn lend(&self, gateway: &str, ask: &Ask) -> Option<Lent> {
         let (now, duty) = (self.view.now(), self.view.duty.borrow());
-        if !duty.lease.is_some_and(|until| now < until) {
+        if duty.lease.is_none_or(|until| now >= until) {
             return None;
         }
         let mut office = self.office.borrow_mut();
--- a/crates/prompter/src/links.rs
+++ b/crates/prompter/src/links.rs
@@ -137,10 +137,7 @@
                 break;
             }
         }
-        let voters = self.heard.borrow();
-        let members: Members =
-            voters.iter().filter_map(|(name, disk)| Some((name.clone(), (*disk)?))).collect();
-        drop(voters);
+        let members = self.voters();
         let Some(founder) = members.keys().next().cloned() else {
             return log::error!("no prompter has a disk: nothing can be agreed on");
         };
@@ -155,6 +152,11 @@
         }
     }
 
+    /// Those with a disk that are at their first start.
+    fn voters(&self) -> Members {
+        self.heard.borrow().iter().filter_map(|(name, disk)| Some((name.clone(), (*disk)?))).collect()
+    }
+
     /// What another prompter says on its connection, until it ends.
     pub async fn hear(self: Rc<Self>, from: Id, mut reader: Reader) {
         let view = &self.view;
--- a/crates/prompter/src/view.rs
+++ b/crates/prompter/src/view.rs
@@ -50,9 +50,12 @@
     /// Prompters that were ever heard of: names, and zones as far as they are known.
     pub known: RefCell<BTreeMap<String, String>>,
     /// Beats heard first-hand since they were last passed on.
-    fresh: RefCell<(Vec<Fact>, Vec<(String, u64)>)>,
+    fresh: RefCell<Fresh>,
 }
 
+/// Beats: those that say something new whole, of the others id and sequence.
+type Fresh = (Vec<Fact>, Vec<(String, u64)>);
+
 impl View {
     pub fn new(settings: Settings, me: Id, seed: u64) -> Rc<Self> {
         let begun = Instant::now();
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -71,12 +71,10 @@
                 }
                 Event::ClientGone { id } => drop(self.held.remove(id)),
                 Event::AttemptEnd(e) if e.last || e.ending == Ending::Pass => drop(self.held.remove(&e.id)),
-                Event::AttemptEnd(e) => {
-                    if !self.once_more(e.id, e.ending) {
-                        // The design's module lets go of it, and it is answered: as refused only if nothing ran.
-                        e.last = true;
-                        out.push(Action::Reject { id: e.id, advice: self.advice });
-                    }
+                Event::AttemptEnd(e) if !self.once_more(e.id, e.ending) => {
+                    // The design's module lets go of it, and it is answered: as refused only if nothing ran.
+                    e.last = true;
+                    out.push(Action::Reject { id: e.id, advice: self.advice });
                 }
                 _ => {}
             }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -302,11 +302,9 @@
                 self.at(at, Event::Message(Box::new(message.clone())));
             }
         }
-        for ended in step.ended {
-            if let Some(version) = ended {
-                self.known = self.known.max(version);
-                self.last_ack = self.now;
-            }
+        for version in step.ended.into_iter().flatten() {
+            self.known = self.known.max(version);
+            self.last_ack = self.now;
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -175,3 +175,26 @@
         stream: s.stream,
     })
 }
+
+/// Whether settings are in their sensible range; what the module divides by and draws from rests on it.
+pub(crate) fn check(s: &Settings) -> Result<(), String> {
+    let mut figures = Vec::new();
+    let mut add =
+        |of: &str, all: &[(&str, f64)]| figures.extend(all.iter().map(|(n, v)| (format!("{of}{n}"), *v)));
+    add("", &[("cold_from", s.cold_from), ("fall_multiple", s.fall_multiple)]);
+    add("", &[("most_units", s.most_units), ("cross_zone_price", s.cross_zone_price)]);
+    for p in &s.plans {
+        let of = format!("plan {}: ", p.name);
+        add(&of, &[("rate", p.rate), ("depth", p.depth), ("ceiling_rate", p.ceiling_rate)]);
+        add(&of, &[("ceiling_burst", p.ceiling_burst), ("value_factor", p.value_factor)]);
+        add(&of, &[("over_worth", p.over_worth), ("over_cost", p.over_cost)]);
+    }
+    for c in &s.classes {
+        add(&format!("class {}: ", c.name), &[("points", c.points), ("late_worth", c.late_worth)]);
+    }
+    match figures.iter().find(|(_, v)| !v.is_finite() || *v < 0.0) {
+        Some((name, v)) => Err(format!("{name} is {v}: not a number of zero or more")),
+        None if s.gateways == 0 => Err("gateways is 0: at least one".to_string()),
+        None => Ok(()),
+    }
+}
