--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -121,9 +121,10 @@
     let stop = async move {
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
     };
-    // Clients that connect meanwhile wait in the listener's queue: sooner there would be nothing to tell them.
+    // Clients that connect meanwhile wait in the listener's queue: sooner there would be nothing to tell them. A word
+    // from before a start will do: to wait for a majority's cost more than it saved.
     let begun = Instant::now();
-    while !(seen_first.is_ready() && driver.can_serve()) && begun.elapsed() < FIRST {
+    while !(seen_first.table().is_some() && driver.can_serve()) && begun.elapsed() < FIRST {
         sleep(FIRST_LOOK).await;
     }
     let driving = spawn_local(async move { driver.run().await });
