--- /dev/null
+++ b/crates/foyer/src/show.rs
@@ -0,0 +1,92 @@
+//! Answers in words and as JSON.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use wings::message::{Answer, Query, Told};
+
+/// A prompter that has not known of a majority for so long, in ms, may tell what is old.
+const FRESH_MS: u64 = 1000;
+
+pub fn json(told: &[Told], missing: &[IpAddr]) -> String {
+    let missing = missing.iter().map(|ip| serde_json::json!({"by": ip, "reached": false}).to_string());
+    let told = told.iter().map(|t| serde_json::to_string(t).unwrap_or_default());
+    told.chain(missing).collect::<Vec<_>>().join("\n")
+}
+
+fn freshness(t: &Told) -> String {
+    match t.touch_ms {
+        Some(ms) if ms <= FRESH_MS => format!("a majority {ms} ms ago"),
+        Some(ms) => format!("CUT OFF: a majority {ms} ms ago, what follows may be old"),
+        None => "CUT OFF: no majority since it began, what follows may be old".into(),
+    }
+}
+
+/// Whose word counts most: the one who knew of a majority last.
+fn freshest(told: &[Told]) -> &Told {
+    told.iter().min_by_key(|t| t.touch_ms.unwrap_or(u64::MAX)).expect("somebody was reached")
+}
+
+pub fn words(query: Query, told: &[Told], missing: &[IpAddr]) -> String {
+    let mut out = String::new();
+    let mut line = |text: String| {
+        out.push_str(&text);
+        out.push('\n');
+    };
+    for ip in missing {
+        line(format!("{ip}: NOT REACHED"));
+    }
+    match query {
+        Query::Status => told.iter().for_each(|t| {
+            line(format!("{} ({}), {}", t.by, t.zone, freshness(t)));
+            let Answer::Status { id, term, holder, voters, configuration, backends, leaving, gateways, followers, .. } =
+                &t.answer
+            else {
+                return;
+            };
+            let holder = holder.as_deref().unwrap_or("nobody");
+            line(format!("  {id}: term {term}, held by {holder}; voters {}", voters.join(", ")));
+            let which = configuration.map_or("none".into(), |(v, place)| format!("{v:08x} at {place}"));
+            line(format!(
+                "  configuration {which}; {backends} backends, {leaving} leaving; {gateways} gateways, {} follow it",
+                followers.len()
+            ));
+        }),
+        Query::Backends => {
+            let t = freshest(told);
+            line(format!("by {}, {}", t.by, freshness(t)));
+            if let Answer::Backends(all) = &t.answer {
+                for (f, leaving) in all {
+                    let state = if *leaving { "leaving" } else { "ready" };
+                    line(format!(
+                        "  {:14} {:16} {:22} {:14} {:8} {} slots, {}",
+                        f.id, f.service, f.address, f.zone, state, f.slots, f.version
+                    ));
+                }
+            }
+        }
+        Query::Gateways => {
+            let mut follows: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+            let mut all = BTreeSet::new();
+            for t in told {
+                if let Answer::Gateways(gateways) = &t.answer {
+                    all.extend(gateways.iter().map(|(name, _)| name.as_str()));
+                    let here = gateways.iter().filter(|(_, follows)| *follows);
+                    here.for_each(|(name, _)| follows.entry(name).or_default().push(&t.by));
+                }
+            }
+            line(format!("by {}, {}", freshest(told).by, freshness(freshest(told))));
+            for name in all {
+                let whom = follows.get(name).map_or("nobody who was reached".into(), |by| by.join(", "));
+                line(format!("  {name:28} follows {whom}"));
+            }
+        }
+        Query::Configuration => {
+            let t = freshest(told);
+            line(format!("by {}, {}", t.by, freshness(t)));
+            if let Answer::Configuration(text) = &t.answer {
+                line(text.clone().unwrap_or_else(|| "none".into()));
+            }
+        }
+    }
+    out.trim_end().to_string()
+}
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod disk;
 mod followers;
+mod inquiry;
 mod links;
 mod view;
 
@@ -121,6 +122,7 @@
                 Ok(Ok(Some(First::Gateway { form: FORM, name, place, .. }))) => {
                     followers::serve(view, agreement, name, place, reader, writer).await;
                 }
+                Ok(Ok(Some(First::Shell { form: FORM }))) => inquiry::serve(view, reader, writer).await,
                 // Of another form, or nobody's.
                 _ => log::info!("a connection that said nothing of ours was closed"),
             }
--- a/crates/rig/src/house.rs
+++ b/crates/rig/src/house.rs
@@ -77,6 +77,7 @@
     machines: Vec<Machine>,
     front: u16,
     control: u16,
+    inner: u16,
     prompter: PathBuf,
     folder: PathBuf,
 }
@@ -127,7 +128,7 @@
             std::env::temp_dir().join(format!("granitethread-house-{}-{net}-{seed}", std::process::id()));
         let seeds: Vec<String> = ips.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
         let seeds = seeds.join(", ");
-        let mut house = House { machines: Vec::new(), front, control, prompter, folder };
+        let mut house = House { machines: Vec::new(), front, control, inner, prompter, folder };
         for (n, ip) in ips.into_iter().enumerate() {
             let folder = house.folder.join(n.to_string());
             std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
@@ -463,6 +464,10 @@
          -H 'Remaining-Time: 2000' -H 'Credential: {KEY}'"
     ));
     say(&format!("  curl -iL http://{}/-/Configuration.Read", running.house.controls()[0]));
+    let inner = running.house.at(running.house.inner)[0];
+    say(&format!(
+        "  cargo run --release -q -p foyer -- -a {inner} -c status    # or backends, gateways, configuration"
+    ));
     let (counts, threads) = clients(&running.house.fronts(), stop, false);
     let mut second = 0;
     while !stop.load(Relaxed) {
--- a/crates/wings/src/message.rs
+++ b/crates/wings/src/message.rs
@@ -19,6 +19,50 @@
     Prompter { form: u32, id: Id },
     /// A gateway: what follows is [`Up`], and [`Down`] the other way.
     Gateway { form: u32, name: String, zone: String, place: Option<Place> },
+    /// The shell: what follows is [`Query`], and [`Told`] the other way.
+    Shell { form: u32 },
+}
+
+/// A question of the shell's, and what a prompter knows, with how long ago it last knew of a majority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Query {
+    Status,
+    Backends,
+    Gateways,
+    Configuration,
+}
+
+/// What a prompter says of itself and of what it knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    pub by: String,
+    pub zone: String,
+    /// How long ago it last knew of a majority, in ms; none: not since it began. Older than a second: its word may be old.
+    pub touch_ms: Option<u64>,
+    pub answer: Answer,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Answer {
+    Status {
+        id: String,
+        term: Term,
+        holder: Option<String>,
+        voters: Vec<String>,
+        /// Of the configuration that is agreed on: its version, and its place in the log.
+        configuration: Option<(u32, u64)>,
+        backends: usize,
+        leaving: usize,
+        gateways: usize,
+        followers: Vec<String>,
+        prompters: Vec<(String, String)>,
+    },
+    /// With whether each is leaving.
+    Backends(Vec<(Fact, bool)>),
+    /// With whether each follows this prompter.
+    Gateways(Vec<(String, bool)>),
+    /// As the operator sent it.
+    Configuration(Option<String>),
 }
 
 /// A prompter to another.
