--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -23,6 +23,8 @@
 /// How long backends are slow at the longest that is reckoned with, and how slow.
 pub const COLD: Duration = Duration::from_secs(3);
 const COLD_FROM: f64 = 0.5;
+/// How much longer a wait at a backend of the own zone may be: bytes between zones have a price.
+const FAR: f64 = 0.25;
 /// Refusals of our own for what the configuration does not know rest on one that is known to be the newest of late.
 const FRESH: Duration = Duration::from_millis(1500);
 /// Without a word of a majority for so long new clients are better off elsewhere.
@@ -76,6 +78,7 @@
             most_units: MOST_UNITS,
             cold: COLD.as_nanos() as u64,
             cold_from: COLD_FROM,
+            cross_zone_price: FAR,
             tick: 1_000_000,
             ..Settings::default()
         };
