A gateway cut off from all prompters follows through another

Cause: a cut-off gateway heard no news and had no rights; prompters near by that were cut off too were tried again twice a second (a link each 0.6 s). Change: a gateway lets others through to the prompter that it follows; pulses name some gateways; who fails again and again is shunned for longer, up to eight times; where all are shunned the soonest is tried.

--- a/crates/prompter/src/followers.rs
+++ b/crates/prompter/src/followers.rs
@@ -4,6 +4,7 @@
 use crate::view::View;
 use callboard::Place;
 use promptbook::Word;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -19,13 +20,13 @@
 pub async fn serve(
     view: Rc<View>,
     agreement: Agreement,
-    name: String,
+    (name, ip): (String, IpAddr),
     place: Option<Place>,
     reader: Reader,
     mut writer: Writer,
 ) {
     let (sender, mut answers) = mpsc::channel(QUEUE);
-    view.followers.borrow_mut().insert(name.clone(), sender.clone());
+    view.followers.borrow_mut().insert(name.clone(), (sender.clone(), ip));
     let tell = async {
         let mut at = place;
         let mut changes = view.news();
@@ -57,7 +58,7 @@
     }
     let mut followers = view.followers.borrow_mut();
     // It may have come again on another connection.
-    if followers.get(&name).is_some_and(|f| f.same_channel(&sender)) {
+    if followers.get(&name).is_some_and(|(f, _)| f.same_channel(&sender)) {
         followers.remove(&name);
     }
 }
@@ -81,7 +82,8 @@
 fn beat(view: &View) -> Down {
     let touch = view.duty.borrow().touch;
     let touch_ms = touch.map_or(u64::MAX, |at| view.now().saturating_sub(at) / 1_000_000);
-    Down::Pulse { touch_ms: u32::try_from(touch_ms).unwrap_or(u32::MAX), prompters: view.prompters() }
+    let touch_ms = u32::try_from(touch_ms).unwrap_or(u32::MAX);
+    Down::Pulse { touch_ms, prompters: view.prompters(), neighbours: view.some_followers() }
 }
 
 /// A gateway that is not agreed on yet has no part of what is shared.
@@ -111,9 +113,7 @@
                 };
                 if is_holder {
                     if let Some(lent) = agreement.lend(name, &ask) {
-                        if let Some(follower) = view.followers.borrow().get(name) {
-                            let _ = follower.try_send(Down::Lent(lent));
-                        }
+                        view.hand(name, Down::Lent(lent));
                     }
                 } else if let Some(holder) = holder {
                     view.tell(&holder.name, Peer::Ask { gateway: name.into(), ask });
--- a/crates/prompter/src/links.rs
+++ b/crates/prompter/src/links.rs
@@ -198,9 +198,7 @@
                 Peer::Lent { gateway, term, lent } => {
                     // Of a holder that was: its word counts no more.
                     if term >= view.duty.borrow().term {
-                        if let Some(follower) = view.followers.borrow().get(&gateway) {
-                            let _ = follower.try_send(wings::message::Down::Lent(lent));
-                        }
+                        view.hand(&gateway, wings::message::Down::Lent(lent));
                     }
                 }
             }
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -119,8 +119,8 @@
             let (mut reader, writer) = frame::split(stream);
             match timeout(FIRST, reader.read::<First>()).await {
                 Ok(Ok(Some(First::Prompter { form: FORM, id }))) => links.hear(id, reader).await,
-                Ok(Ok(Some(First::Gateway { form: FORM, name, place, .. }))) => {
-                    followers::serve(view, agreement, name, place, reader, writer).await;
+                Ok(Ok(Some(First::Gateway { form: FORM, name, ip, place, .. }))) => {
+                    followers::serve(view, agreement, (name, ip), place, reader, writer).await;
                 }
                 Ok(Ok(Some(First::Shell { form: FORM }))) => inquiry::serve(view, reader, writer).await,
                 // Of another form, or nobody's.
--- a/crates/prompter/src/view.rs
+++ b/crates/prompter/src/view.rs
@@ -15,6 +15,8 @@
 use wings::message::{Change, Down, Peer, Scene};
 use wings::settings::Settings;
 
+/// Gateways that a pulse names.
+const NEIGHBOURS: usize = 4;
 /// Changes that a follower may be behind without a snapshot.
 const CHANGES: usize = 1024;
 
@@ -43,8 +45,8 @@
     boards: Value<u64>,
     pub duty: RefCell<Duty>,
     news: watch::Sender<()>,
-    /// Gateways that follow: where their loans go.
-    pub followers: RefCell<HashMap<String, mpsc::Sender<Down>>>,
+    /// Gateways that follow: where their loans go, and their machines.
+    pub followers: RefCell<HashMap<String, (mpsc::Sender<Down>, IpAddr)>>,
     /// Links to the other prompters, by name.
     pub links: RefCell<BTreeMap<String, mpsc::Sender<Peer>>>,
     /// Prompters that were ever heard of: names, and zones as far as they are known.
@@ -215,6 +217,21 @@
         }
     }
 
+    /// Hands a gateway something, if it follows and there is room: whatever is handed may be lost.
+    pub fn hand(&self, gateway: &str, down: Down) {
+        if let Some((follower, _)) = self.followers.borrow().get(gateway) {
+            let _ = follower.try_send(down);
+        }
+    }
+
+    /// A few gateways that follow, others each time.
+    pub fn some_followers(&self) -> Vec<IpAddr> {
+        let followers = self.followers.borrow();
+        let all: Vec<IpAddr> = followers.values().map(|(_, ip)| *ip).collect();
+        let first = (self.now() / 200_000_000) as usize;
+        (0..all.len().min(NEIGHBOURS)).map(|n| all[(first + n) % all.len()]).collect()
+    }
+
     // ---- The others ----
 
     /// Sends to another prompter, if there is a link and room on it: whatever is sent may be lost.
--- a/crates/proscenium/src/follow.rs
+++ b/crates/proscenium/src/follow.rs
@@ -24,15 +24,31 @@
 const REFUSED: Duration = Duration::from_millis(60);
 const PAUSE: Duration = Duration::from_millis(40);
 const QUEUE: usize = 32;
+/// Nor one that did not answer at all.
+const UNHEARD: Duration = Duration::from_millis(700);
+/// Through another gateway it is followed for so long before a prompter is tried again.
+const THROUGH: Duration = Duration::from_millis(2000);
+/// A link that lasted so long did well; and how often the time for which one is shunned is doubled.
+const DID_WELL: Duration = Duration::from_millis(2000);
+const MOST_DOUBLED: u32 = 3;
+/// So many in a row that did not answer: this gateway is cut off, not they.
+const CUT_OFF: u32 = 2;
+/// Gateways that are remembered, and that are tried in turn.
+const MOST_NEIGHBOURS: usize = 16;
+const TRIED: usize = 4;
 
 pub struct Follow {
     playing: Rc<Playing>,
     settings: Settings,
     /// Prompters by address, with their zones as far as they are known.
     known: BTreeMap<IpAddr, String>,
-    /// Until when each is not tried.
-    shunned: BTreeMap<IpAddr, Instant>,
+    /// Until when each is not tried while there are others, and how often in a row it came to that.
+    shunned: BTreeMap<IpAddr, (Instant, u32)>,
     follower: Follower,
+    /// Gateways that follow the same prompters.
+    neighbours: BTreeSet<IpAddr>,
+    /// Prompters in a row that did not answer at all.
+    unheard: u32,
 }
 
 /// Why a link ended.
@@ -47,59 +63,97 @@
 
 impl Follow {
     pub fn new(playing: Rc<Playing>, settings: Settings) -> Self {
-        let (known, shunned, follower) = Default::default();
-        Follow { playing, settings, known, shunned, follower }
+        let (known, shunned, follower, neighbours) = Default::default();
+        Follow { playing, settings, known, shunned, follower, neighbours, unheard: 0 }
     }
 
     pub async fn run(mut self) {
         loop {
-            let Some(ip) = self.next() else {
+            let (ip, open) = match self.next() {
+                Some(found) => found,
+                None => {
+                    sleep(PAUSE).await;
+                    continue;
+                }
+            };
+            if !open {
                 // The file may have changed without a word.
                 if let Ok(new) = Settings::load(&settings::path()) {
                     self.settings = new;
                 }
                 sleep(PAUSE + PAUSE.mul_f64(fastrand::f64())).await;
-                continue;
+            }
+            let began = Instant::now();
+            let port = self.settings.prompters_port();
+            let end = self.follow(ip, SocketAddr::new(ip, port)).await;
+            self.playing.unlinked();
+            let shun = match &end {
+                Ok(End::Nearer) => continue,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => REFUSED,
+                Err(e) if e.kind() == io::ErrorKind::TimedOut => UNHEARD,
+                Ok(End::Lost | End::Stale) | Err(_) => SHUNNED,
             };
-            let end = self.follow(ip).await;
-            self.playing.rights.link(None);
-            match end {
-                Ok(End::Nearer) => {}
-                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                    self.shunned.insert(ip, Instant::now() + REFUSED);
-                }
-                Ok(End::Lost | End::Stale) | Err(_) => {
-                    self.shunned.insert(ip, Instant::now() + SHUNNED);
-                }
+            self.unheard = if shun == UNHEARD { self.unheard + 1 } else { 0 };
+            let now = Instant::now();
+            // One that did well for a while begins anew; one that fails again and again is left alone for longer.
+            let before = if now - began >= DID_WELL { 0 } else { self.shunned.get(&ip).map_or(0, |s| s.1) };
+            self.shunned.insert(ip, (now + shun * (1 << before.min(MOST_DOUBLED)), before + 1));
+            if self.unheard >= CUT_OFF {
+                self.through_others().await;
             }
         }
     }
 
-    /// Whom to follow next: one of the own zone first; of the others, any.
-    fn next(&mut self) -> Option<IpAddr> {
+    /// Cut off from prompters: a gateway that is not lets this one through to its own.
+    async fn through_others(&mut self) {
+        let Some(port) = self.settings.relays_port() else { return };
+        let own = self.settings.own.ip_address;
+        let mut others: Vec<IpAddr> = self.neighbours.iter().copied().filter(|ip| *ip != own).collect();
+        fastrand::shuffle(&mut others);
+        for ip in others.into_iter().take(TRIED) {
+            let end = self.follow(ip, SocketAddr::new(ip, port)).await;
+            self.playing.unlinked();
+            if matches!(end, Ok(End::Nearer)) {
+                return;
+            }
+        }
+    }
+
+    /// Whom to follow next: one of the own zone first; of the others, any. Whether it is one that is not shunned: where all
+    /// are, the one that would be tried first.
+    fn next(&mut self) -> Option<(IpAddr, bool)> {
         let now = Instant::now();
-        self.shunned.retain(|_, until| *until > now);
         let all: BTreeSet<IpAddr> = self.known.keys().copied().chain(self.settings.seeds()).collect();
-        let mut open: Vec<IpAddr> = all.into_iter().filter(|ip| !self.shunned.contains_key(ip)).collect();
+        self.shunned.retain(|ip, _| all.contains(ip));
+        let mut open: Vec<IpAddr> = all.iter().copied().filter(|ip| !self.is_shunned(ip, now)).collect();
         fastrand::shuffle(&mut open);
         let near = open.iter().find(|ip| self.is_near(ip)).copied();
-        near.or_else(|| open.first().copied())
+        let first = near.or_else(|| open.first().copied());
+        let soonest = || all.into_iter().min_by_key(|ip| self.shunned.get(ip).map(|s| s.0));
+        first.map(|ip| (ip, true)).or_else(|| soonest().map(|ip| (ip, false)))
+    }
+
+    fn is_shunned(&self, ip: &IpAddr, now: Instant) -> bool {
+        self.shunned.get(ip).is_some_and(|(until, _)| *until > now)
     }
 
     fn is_near(&self, ip: &IpAddr) -> bool {
         *ip == self.settings.own.ip_address || self.known.get(ip) == Some(&self.settings.own.zone)
     }
 
-    async fn follow(&mut self, ip: IpAddr) -> io::Result<End> {
-        let stream = connect(SocketAddr::new(ip, self.settings.prompters_port())).await?;
+    /// Follows a prompter, at this address or through it, until the link ends.
+    async fn follow(&mut self, ip: IpAddr, address: SocketAddr) -> io::Result<End> {
+        let direct = address.port() == self.settings.prompters_port();
+        let stream = connect(address).await?;
         let (mut reader, mut writer) = frame::split(stream);
         let own = &self.settings.own;
         let (name, zone, place) = (own.node_name.clone(), own.zone.clone(), self.follower.place());
-        writer.write(&First::Gateway { form: FORM, name, zone, place }).await?;
+        writer.write(&First::Gateway { form: FORM, name, ip: own.ip_address, zone, place }).await?;
         let (sender, mut asks) = mpsc::channel::<Up>(QUEUE);
-        self.playing.rights.link(Some(sender));
+        self.playing.linked(sender, direct.then_some(ip));
         log::info!("following {ip}");
-        let mut silent = Instant::now() + SILENT;
+        let begun = Instant::now();
+        let mut silent = begun + SILENT;
         let mut sweep = Instant::now();
         loop {
             let message = tokio::select! {
@@ -132,17 +186,21 @@
                     }
                 },
                 Down::Lent(lent) => self.playing.rights.lent(&lent),
-                Down::Pulse { touch_ms, prompters } => {
+                Down::Pulse { touch_ms, prompters, neighbours } => {
+                    if self.neighbours.len() < MOST_NEIGHBOURS {
+                        self.neighbours.extend(neighbours);
+                    }
                     for (name, zone) in prompters {
                         if let Ok(ip) = name.parse() {
                             self.known.insert(ip, zone);
                         }
                     }
-                    let shunned = |other: &IpAddr| self.shunned.get(other).is_some_and(|until| *until > now);
-                    let mut others = self.known.keys().filter(|other| **other != ip && !shunned(other));
+                    let mut others =
+                        self.known.keys().filter(|other| **other != ip && !self.is_shunned(other, now));
                     if touch_ms <= STALE {
                         self.playing.touched(now - Duration::from_millis(u64::from(touch_ms)));
-                        if !self.is_near(&ip) && others.any(|other| self.is_near(other)) {
+                        let settled = direct || begun.elapsed() >= THROUGH;
+                        if settled && !self.is_near(&ip) && others.any(|other| self.is_near(other)) {
                             return Ok(End::Nearer);
                         }
                     } else if others.next().is_some() {
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -8,6 +8,7 @@
 mod house;
 mod playing;
 mod ready;
+mod relay;
 mod rights;
 mod wire;
 
@@ -22,6 +23,7 @@
 use house::House;
 use playing::Playing;
 use rights::Rights;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -94,6 +96,10 @@
     playing.drives(driver.clone());
     spawn_local(rights.run());
     spawn_local(Follow::new(playing.clone(), settings.clone()).run());
+    if let Some(port) = settings.relays_port() {
+        let listener = listen(SocketAddr::new(settings.own.ip_address, port))?;
+        spawn_local(relay::serve(playing.clone(), listener, settings.prompters_port()));
+    }
     spawn_local(backends.clone().reap());
     let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(1.0, 3600.0));
     let bodies = Budget::new((settings.own.limits.memory_mb / 8.0 * 1e6) as usize);
--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -10,9 +10,12 @@
 use playbill::{Kind, Playbill, Route, Table};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
+use wings::message::Up;
 
 /// Services that are told apart; more share the last place.
 pub const POOLS: usize = 32;
@@ -55,6 +58,7 @@
     me: String,
     /// When a majority was last known of.
     touch: Cell<Option<Instant>>,
+    prompter: Cell<Option<IpAddr>>,
 }
 
 impl Playing {
@@ -93,6 +97,7 @@
             driver: RefCell::default(),
             me,
             touch: Cell::new(None),
+            prompter: Cell::new(None),
         })
     }
 
@@ -118,6 +123,22 @@
         self.table.borrow().is_some() && self.touch.get().is_some_and(|at| at.elapsed() < READY)
     }
 
+    /// A link stands; to this prompter itself, or through another gateway.
+    pub fn linked(&self, uplink: mpsc::Sender<Up>, prompter: Option<IpAddr>) {
+        self.rights.link(Some(uplink));
+        self.prompter.set(prompter);
+    }
+
+    pub fn unlinked(&self) {
+        self.rights.link(None);
+        self.prompter.set(None);
+    }
+
+    /// The prompter that it follows itself.
+    pub fn prompter(&self) -> Option<IpAddr> {
+        self.prompter.get()
+    }
+
     pub fn touched(&self, at: Instant) {
         self.touch.set(self.touch.get().max(Some(at)));
     }
--- a/crates/wings/src/message.rs
+++ b/crates/wings/src/message.rs
@@ -6,6 +6,7 @@
 use greenroom::Fact;
 use promptbook::Configuration;
 use serde::{Deserialize, Serialize};
+use std::net::IpAddr;
 use std::sync::Arc;
 use understudy::{Id, Members, Message, Term};
 
@@ -18,7 +19,7 @@
     /// A prompter: what follows is [`Peer`].
     Prompter { form: u32, id: Id },
     /// A gateway: what follows is [`Up`], and [`Down`] the other way.
-    Gateway { form: u32, name: String, zone: String, place: Option<Place> },
+    Gateway { form: u32, name: String, ip: IpAddr, zone: String, place: Option<Place> },
     /// The shell: what follows is [`Query`], and [`Told`] the other way.
     Shell { form: u32 },
 }
@@ -128,10 +129,12 @@
         changes: Vec<Change>,
     },
     /// Each 200 ms: how long ago this prompter last knew of a majority, in ms, and which prompters there are, by
-    /// address, each with its zone, if that is known.
+    /// address, each with its zone, if that is known; and some gateways that follow the same one, through whom it can be
+    /// followed when it cannot be reached.
     Pulse {
         touch_ms: u32,
         prompters: Vec<(String, String)>,
+        neighbours: Vec<IpAddr>,
     },
     Lent(Lent),
 }
--- a/crates/wings/src/settings.rs
+++ b/crates/wings/src/settings.rs
@@ -173,6 +173,12 @@
         self.net.internal_port_range.0
     }
 
+    /// Where gateways let others through to their prompter, if the range has room for it.
+    pub fn relays_port(&self) -> Option<u16> {
+        let (first, last) = self.net.internal_port_range;
+        (first < last).then(|| first + 1)
+    }
+
     /// The seeds' machines.
     pub fn seeds(&self) -> Vec<IpAddr> {
         self.net.seed_nodes.iter().map(SocketAddr::ip).collect()
