rehearsal: one without a disk, hand-overs, one against the holder; who is behind at the end

Change: a node without a disk, SIGTERM before some deaths, a trouble made for that promise; a second of calm must bring everybody up to date.

--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -29,6 +29,8 @@
 
 pub struct Node {
     pub id: Id,
+    /// Without a disk it has no vote, and another id at each start.
+    pub votes: bool,
     /// What would be there after a loss of power.
     pub disk: Stored,
     /// Saves that have not come to the disk, with [`Defect::SendBeforeSync`].
@@ -52,9 +54,10 @@
 }
 
 impl Node {
-    pub fn new(id: Id) -> Self {
+    pub fn new(id: Id, votes: bool) -> Self {
         Node {
             id,
+            votes,
             disk: Stored::default(),
             late: Vec::new(),
             core: None,
@@ -73,6 +76,9 @@
     }
 
     pub fn start(&mut self, now: Time, seed: u64, defect: Option<Defect>) -> Result<(), Broken> {
+        if !self.votes {
+            (self.disk, self.id.disk) = (Stored::default(), self.id.disk + 1);
+        }
         if defect == Some(Defect::TailLost) {
             self.disk.entries.pop();
         }
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -22,6 +22,8 @@
     TwoLend(u64, u64),
     /// More of a tenant's requests passed in five seconds than its limit allows.
     Quota { passed: u32, most: f64 },
+    /// One that could hear all for a second does not know what was acknowledged before.
+    Behind(String),
     /// Nothing was agreed on though nothing was wrong for a long time.
     Stuck,
 }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -24,6 +24,8 @@
     Message(Box<Message>),
     Tick(usize),
     Start(usize),
+    HandOver(usize),
+    Kill(usize, Time),
     /// Prompters say who they are.
     Hello,
     Operator,
@@ -74,6 +76,8 @@
     hot: f64,
     story: Story,
     last_ack: Time,
+    /// The newest that was acknowledged a second before the end.
+    settled: u32,
 }
 
 impl World {
@@ -93,7 +97,8 @@
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next: 0,
-            nodes: (0..count).map(|n| Node::new(id(n))).collect(),
+            // The last has no disk.
+            nodes: (0..=count).map(|n| Node::new(id(n), n < count)).collect(),
             cuts: BTreeMap::new(),
             desks,
             follows: (0..GATEWAYS).map(|g| g % count).collect(),
@@ -109,6 +114,7 @@
             rng,
             story: Story::default(),
             last_ack: 0,
+            settled: 0,
         }
     }
 
@@ -143,7 +149,8 @@
         for n in 0..self.nodes.len() {
             self.nodes[n].start(0, self.rng.u64(..), None)?;
         }
-        let members: Members = self.nodes.iter().map(|n| (n.id.name.clone(), n.id.disk)).collect();
+        let members: Members =
+            self.nodes.iter().filter(|n| n.votes).map(|n| (n.id.name.clone(), n.id.disk)).collect();
         // Whoever dies before its founding is on the disk leaves nobody to found: docs/operate/system.md.
         let step = self.nodes[0].take(0, Input::Found { members }, None, None, &mut self.seen)?;
         self.send(0, step);
@@ -158,6 +165,9 @@
             }
             let Some(event) = self.events.remove(&key) else { continue };
             self.story.steps += 1;
+            if at < LENGTH - 1000 * MS {
+                self.settled = self.seen.newest();
+            }
             self.settle_late();
             self.step(event)?;
             self.check_lease()?;
@@ -168,7 +178,9 @@
             cores.into_iter().for_each(|c| self.tell(c));
             return Err(Broken::Stuck);
         }
-        Ok(())
+        // A second is enough for everybody, with a vote or without one.
+        let behind = self.nodes.iter().find(|n| n.is_up() && n.book().version() < self.settled);
+        behind.map_or(Ok(()), |n| Err(Broken::Behind(n.id.to_string())))
     }
 
     fn is_calm(&self) -> bool {
@@ -221,14 +233,21 @@
                 self.tell(format!("{} begins", self.nodes[n].id));
                 self.nodes[n].start(now, seed, defect)
             }
+            Event::HandOver(n) if self.nodes[n].frozen_until <= self.now => self.take(n, Input::HandOver),
+            Event::HandOver(_) => Ok(()),
+            Event::Kill(n, lasts) => {
+                self.kill(n, lasts);
+                Ok(())
+            }
             Event::Hello => {
                 self.at(self.now + 300 * MS, Event::Hello);
-                let ids: Vec<Id> = self.nodes.iter().filter(|n| n.is_up()).map(|n| n.id.clone()).collect();
+                let up = self.nodes.iter().filter(|n| n.is_up());
+                let ids: Vec<(Id, bool)> = up.map(|n| (n.id.clone(), n.votes)).collect();
                 for n in 0..self.nodes.len() {
-                    for id in &ids {
+                    for (id, votes) in &ids {
                         let from = self.place(&id.name);
                         if self.reaches(from, n) && self.nodes[n].frozen_until <= self.now {
-                            self.take(n, Input::Knock { id: id.clone(), votes: true })?;
+                            self.take(n, Input::Knock { id: id.clone(), votes: *votes })?;
                         }
                     }
                 }
@@ -358,7 +377,8 @@
         let short = self.rng.bool();
         let lasts = if short { self.rng.u64(20..200) } else { self.rng.u64(200..2500) } * MS;
         let until = (self.now + lasts).min(LENGTH - CALM);
-        match self.rng.u8(..8) {
+        match self.rng.u8(..9) {
+            8 => self.one_against_the_holder(),
             0 | 1 => {
                 self.tell(format!("cut {n} -> {m} for {} ms", lasts / MS));
                 self.cuts.insert((n, m), until);
@@ -377,7 +397,13 @@
                 self.tell(format!("freeze {n} for {} ms", lasts / MS));
                 self.nodes[n].frozen_until = until;
             }
-            4 | 5 => self.kill(n, lasts),
+            4 => self.kill(n, lasts),
+            5 => {
+                // Told to end: it names its successor, and dies a little later.
+                self.tell(format!("{} is told to end", self.nodes[n].id));
+                self.at(self.now, Event::HandOver(n));
+                self.at(self.now + 30 * MS, Event::Kill(n, lasts));
+            }
             6 => {
                 self.tell("kill all".into());
                 for n in 0..self.nodes.len() {
@@ -404,13 +430,29 @@
         self.at(at, Event::Start(n));
     }
 
+    /// One does not hear the holder and stands up; another, who does, dies meanwhile and is back at once.
+    fn one_against_the_holder(&mut self) {
+        let holder = self.nodes.iter().position(|n| n.core.as_ref().is_some_and(understudy::Core::is_holder));
+        let Some(holder) = holder else { return };
+        let count = self.nodes.iter().filter(|n| n.votes).count();
+        let (deaf, dies) = ((holder + 1) % count, (holder + 2) % count);
+        self.tell(format!("{deaf} does not hear {holder}, {dies} dies for a moment"));
+        let until = (self.now + 1500 * MS).min(LENGTH - CALM);
+        self.cuts.insert((holder, deaf), until);
+        self.cuts.insert((deaf, holder), until);
+        for _ in 0..3 {
+            let at = self.now + self.rng.u64(500..1300) * MS;
+            self.at(at, Event::Kill(dies, 20 * MS));
+        }
+    }
+
     /// One disk at a time, and not before the one before has caught up.
     fn wipe(&mut self, n: usize, lasts: Time) {
         let recent = |node: &Node| node.wiped_at.is_some_and(|at| self.now < at + CATCH_UP);
-        let all_in = self.nodes.iter().all(|node| {
+        let all_in = self.nodes.iter().filter(|node| node.votes).all(|node| {
             node.core.as_ref().is_some_and(understudy::Core::is_member) && node.frozen_until <= self.now
         });
-        if self.nodes.iter().any(recent) || !all_in {
+        if !self.nodes[n].votes || self.nodes.iter().any(recent) || !all_in {
             return;
         }
         self.kill(n, lasts);
