--- a/crates/rig/src/house.rs
+++ b/crates/rig/src/house.rs
@@ -18,7 +18,7 @@
 
 pub const SCENARIO: Scenario = Scenario {
     name: "house",
-    about: "three prompters, three gateways, backends that leave, a prompter killed, a changed configuration",
+    about: "the whole system: a backend leaves, a prompter is killed, a gateway told to end, a configuration changed",
     seconds: 12,
     test_seconds: 7,
     defects: &[
@@ -34,6 +34,8 @@
 const BEAT_MS: u64 = 500;
 /// So long after its drain was acknowledged a backend must get nothing more.
 const DRAIN: Duration = Duration::from_millis(1500);
+/// A gateway that was told to end has so long.
+const GRACE: Duration = Duration::from_secs(6);
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
 
 /// What all backends saw.
@@ -79,6 +81,7 @@
     control: u16,
     inner: u16,
     prompter: PathBuf,
+    proscenium: PathBuf,
     folder: PathBuf,
 }
 
@@ -128,7 +131,7 @@
             std::env::temp_dir().join(format!("granitethread-house-{}-{net}-{seed}", std::process::id()));
         let seeds: Vec<String> = ips.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
         let seeds = seeds.join(", ");
-        let mut house = House { machines: Vec::new(), front, control, inner, prompter, folder };
+        let mut house = House { machines: Vec::new(), front, control, inner, prompter, proscenium, folder };
         for (n, ip) in ips.into_iter().enumerate() {
             let folder = house.folder.join(n.to_string());
             std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
@@ -144,7 +147,8 @@
             let settings = folder.join("settings.toml");
             std::fs::create_dir_all(&data).map_err(|e| e.to_string())?;
             std::fs::write(&settings, text).map_err(|e| format!("{}: {e}", settings.display()))?;
-            let (prompter, gateway) = (spawn(&house.prompter, &settings)?, spawn(&proscenium, &settings)?);
+            let (prompter, gateway) =
+                (spawn(&house.prompter, &settings)?, spawn(&house.proscenium, &settings)?);
             house.machines.push(Machine { ip, folder, prompter, gateway });
         }
         Ok(house)
@@ -163,6 +167,26 @@
         all.collect()
     }
 
+    /// Tells a gateway to end, waits until it has, and starts it again. How long it took; none if it had to be killed.
+    fn roll(&mut self, n: usize) -> Result<Option<Duration>, String> {
+        let machine = &mut self.machines[n];
+        let began = Instant::now();
+        let told = Command::new("kill").args(["-TERM", &machine.gateway.id().to_string()]).status();
+        told.map_err(|e| format!("kill: {e}"))?;
+        let ended = loop {
+            match machine.gateway.try_wait() {
+                Ok(Some(status)) if status.success() => break Some(began.elapsed()),
+                Ok(None) if began.elapsed() < GRACE => thread::sleep(Duration::from_millis(20)),
+                _ => break None,
+            }
+        };
+        // It may have ended already.
+        let _ = machine.gateway.kill();
+        let _ = machine.gateway.wait();
+        machine.gateway = spawn(&self.proscenium, &machine.folder.join("settings.toml"))?;
+        Ok(ended)
+    }
+
     /// Kills a prompter and starts it again, no more for the first time.
     fn kill(&mut self, n: usize) -> Result<(), String> {
         let machine = &mut self.machines[n];
@@ -356,8 +380,9 @@
                 let mut status = None;
                 for _ in 0..3 {
                     id += 1;
-                    let front = fronts[(id as usize) % fronts.len()];
-                    let ask = || Client::try_connect(front).and_then(|mut c| c.try_ask(&request(path, id)));
+                    // As the entry would: where nobody listens it goes to the next.
+                    let on = |n: u64| Client::try_connect(fronts[((id + n) as usize) % fronts.len()]);
+                    let ask = || (0..3).find_map(on).and_then(|mut c| c.try_ask(&request(path, id)));
                     status = ask().map(|a| a.status());
                     if twice && path.contains("pay") {
                         ask();
@@ -412,6 +437,10 @@
     let other = configuration(1, 3, &["/look/"]);
     let raced = call(&controls, "POST", "/-/Configuration.Replace", &other, 50).map_or(0, |a| a.status());
     figures.none("another on the same base, taken", usize::from(raced != 412));
+    // A gateway is told to end while all this goes on.
+    let rolled = running.house.roll(((play.seed + 1) % MACHINES as u64) as usize)?;
+    figures.none("gateways that did not end by themselves", usize::from(rolled.is_none()));
+    figures.set("a gateway's end, ms", rolled.map_or(0, |d| d.as_millis() as u64));
     thread::sleep(third);
     if play.has("works-on") {
         thread::sleep(DRAIN);
@@ -434,6 +463,7 @@
     let counts = lock(&counts);
     figures.set("asked", counts.asked);
     figures.set("refused", counts.refused);
+    figures.none("left without an answer", counts.failed as usize);
     figures.bound("served", counts.served as f64 / counts.asked.max(1) as f64, 0.95, 1.0);
     let seen = &running.seen;
     figures.none("payments that ran twice", seen.twice.load(Relaxed) as usize);
