A disk that refuses is asked again and never emptied for it; long callers are let go in order

Cause: read again: any error at the start emptied the folder, so that a disk in trouble (full, refusing) would have lost what a majority may need, and a caller's connection was cut after 60 s, in the middle of a call if it came to that. Change: only what cannot be made sense of is damage; the rest is tried again and then ends the process; a connection's last answer is written. Result: two tests with a disk that lost an entry and one that refuses.

--- a/crates/prompter/src/control.rs
+++ b/crates/prompter/src/control.rs
@@ -35,6 +35,8 @@
 const ANSWERED: Duration = Duration::from_millis(850);
 /// Something that was passed on is passed on again after so long.
 const AGAIN: Duration = Duration::from_millis(150);
+/// How long a caller keeps its connection.
+const LASTS: Duration = Duration::from_secs(60);
 /// The most callers at once.
 const CALLERS: usize = 256;
 
@@ -131,8 +133,12 @@
             let service = service_fn(|request| async { Ok::<_, Infallible>(self.call(request).await) });
             let http =
                 http1::Builder::new().max_buf_size(16 << 10).serve_connection(TokioIo::new(stream), service);
-            // Errors are the caller's.
-            let _ = timeout(Duration::from_secs(60), http).await;
+            let mut http = std::pin::pin!(http);
+            // Errors are the caller's. One that has been there for long is let go behind its next answer.
+            if timeout(LASTS, http.as_mut()).await.is_err() {
+                http.as_mut().graceful_shutdown();
+                let _ = timeout(COMES, http).await;
+            }
         }
         self.callers.set(self.callers.get() - 1);
     }
--- a/crates/prompter/src/disk.rs
+++ b/crates/prompter/src/disk.rs
@@ -4,14 +4,19 @@
 use displaydoc::Display;
 use fjall::{Config, Keyspace, PartitionCreateOptions, PartitionHandle, PersistMode};
 use greenroom::Fact;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use understudy::{Entry, Id, Place, Save, Snapshot, Stored, Term};
 
 /// The least that the store allows; a configuration and a few hundred entries are far less.
 const JOURNAL: u64 = 24 << 20;
 const MEMTABLE: u32 = 2 << 20;
+/// A disk that refuses is asked again so often, so long apart.
+const TRIES: u32 = 8;
+const AGAIN: Duration = Duration::from_millis(300);
 
 /// What is wrong with a disk.
 #[derive(Debug, Display)]
@@ -26,6 +31,28 @@
     Gone,
 }
 
+impl Fault {
+    /// Whether the disk holds what cannot be made sense of; else it may do better another time.
+    fn is_damage(&self) -> bool {
+        let store = match self {
+            Fault::Unread(_) => return true,
+            Fault::Store(_, store) => store,
+            Fault::Random(_) | Fault::Gone => return false,
+        };
+        let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(store);
+        while let Some(e) = cause {
+            if let Some(io) = e.downcast_ref::<io::Error>() {
+                // A file that ends too soon, or is missing; what the system refuses is no damage.
+                let kinds =
+                    [io::ErrorKind::UnexpectedEof, io::ErrorKind::NotFound, io::ErrorKind::InvalidData];
+                return kinds.contains(&io.kind());
+            }
+            cause = e.source();
+        }
+        !matches!(store, fjall::Error::Poisoned)
+    }
+}
+
 struct Store {
     name: String,
     keyspace: Keyspace,
@@ -62,17 +89,29 @@
     }
 
     /// Opens the folder and reads what is there; an empty one gets a new id. One that is damaged is emptied, which makes of
-    /// this prompter another one, as if the disk had been lost.
+    /// this prompter another one, as if the disk had been lost. One that refuses for the moment is asked again, and never
+    /// emptied for it.
     ///
     /// # Errors
-    /// What is wrong, if not even an empty one can be had.
+    /// What is wrong, if it stays so.
     pub fn open(folder: &Path) -> Result<(Disk, Held), Fault> {
-        let (store, held) = match Store::open(folder) {
-            Ok(whole) => whole,
-            Err(fault) => {
-                log::warn!("disk: {fault}; begun anew, as with a lost disk");
-                let _ = std::fs::remove_dir_all(folder.join("prompter"));
-                Store::open(folder)?
+        let mut tries = 0;
+        let (store, held) = loop {
+            match Store::open(folder) {
+                Ok(whole) => break whole,
+                Err(fault) if fault.is_damage() => {
+                    log::warn!("disk: {fault}; begun anew, as with a lost disk");
+                    let path = folder.join("prompter");
+                    let emptied = std::fs::remove_dir_all(&path);
+                    emptied.map_err(|e| Fault::Store(path.display().to_string(), fjall::Error::Io(e)))?;
+                    break Store::open(folder)?;
+                }
+                Err(fault) if tries == TRIES => return Err(fault),
+                Err(fault) => {
+                    tries += 1;
+                    log::warn!("disk: {fault}; tried again");
+                    std::thread::sleep(AGAIN);
+                }
             }
         };
         let (sender, works) = mpsc::channel();
@@ -207,3 +246,62 @@
 fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
     rmp_serde::to_vec(value).expect("it can be written")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use understudy::Said;
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("prompter-{name}-{}", std::process::id()));
+        // Of an earlier run.
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        folder
+    }
+
+    fn entries(from: Place, count: u64) -> Save {
+        let said = |n| Said::Word(vec![n as u8; 40]);
+        Save::Entries { from, entries: (0..count).map(|n| Entry { term: 1, said: said(n) }).collect() }
+    }
+
+    fn save(store: &Store, all: &[Save], agreed: Place) {
+        store.save(all, agreed).unwrap();
+    }
+
+    #[test]
+    fn what_was_saved_is_there_again_and_the_id_stays() {
+        let folder = folder("again");
+        let (store, held) = Store::open(&folder).unwrap();
+        let vote = Some(Id { name: "p".into(), disk: 7 });
+        save(&store, &[entries(1, 5), Save::Term { term: 3, vote: vote.clone() }], 0);
+        // From the third on it is another's.
+        save(&store, &[entries(3, 1)], 2);
+        let snapshot = Snapshot { place: 2, term: 1, ..Snapshot::default() };
+        save(&store, &[Save::Snapshot { snapshot: snapshot.clone(), whole: false }], 3);
+        drop(store);
+        let (_, again) = Store::open(&folder).unwrap();
+        assert_eq!(again.id, held.id);
+        let stored = again.stored;
+        assert_eq!((stored.term, stored.vote, stored.agreed, stored.snapshot), (3, vote, 3, snapshot));
+        assert_eq!(stored.entries.len(), 1, "the third alone is behind the snapshot");
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+
+    #[test]
+    fn a_damaged_disk_is_another_one_and_one_that_refuses_is_not() {
+        let folder = folder("damaged");
+        let (store, held) = Store::open(&folder).unwrap();
+        save(&store, &[entries(1, 5), entries(7, 1)], 0);
+        drop(store);
+        let fault = Store::open(&folder).err().expect("an entry is missing");
+        assert!(fault.is_damage(), "{fault}");
+        let (_, again) = Disk::open(&folder).unwrap();
+        assert!(again.id != held.id && again.stored == Stored::default());
+        std::fs::remove_dir_all(folder).unwrap();
+        let refused = |kind| Fault::Store("f".into(), fjall::Error::Io(io::Error::from(kind)));
+        assert!(!refused(io::ErrorKind::StorageFull).is_damage());
+        assert!(!refused(io::ErrorKind::PermissionDenied).is_damage());
+        assert!(refused(io::ErrorKind::UnexpectedEof).is_damage());
+    }
+}
