Who has not said who it is is read 4 KiB of; connections to a prompter are bounded

Cause: read again: a length of 16 MiB on an internal port set as much memory aside before anything was known of the sender. Change: 4 KiB until the first message, 384 connections at once. Result: two tests of frames.

--- a/crates/foyer/src/main.rs
+++ b/crates/foyer/src/main.rs
@@ -140,6 +140,7 @@
 
 async fn one(query: Query, at: SocketAddr) -> std::io::Result<(Told, Told)> {
     let (mut reader, mut writer) = frame::split(connect(at).await?);
+    reader.known();
     writer.write(&First::Shell { form: FORM }).await?;
     let gone = || std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
     writer.write(&Query::Status).await?;
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -14,6 +14,7 @@
 use control::Control;
 use disk::Disk;
 use links::Links;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -31,6 +32,8 @@
 
 /// How long a connection may take to say whose it is.
 const FIRST: Duration = Duration::from_secs(2);
+/// Connections of prompters, gateways and shells at once; one more is closed.
+const MET: usize = 384;
 /// The cell's lives are kept so often, if they have changed.
 const KEEP: Duration = Duration::from_secs(1);
 /// Between being told to end and the end: for the duty to go to another, and for calls that are under way.
@@ -106,18 +109,23 @@
 
 /// Connections of other prompters and of gateways.
 async fn meet(view: Rc<View>, agreement: Agreement, links: Rc<Links>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(5)).await;
             continue;
         };
+        if open.get() >= MET || wings::net::notice(&stream).is_err() {
+            continue;
+        }
         let (view, agreement, links) = (view.clone(), agreement.clone(), links.clone());
+        let open = open.clone();
         spawn_local(async move {
-            if wings::net::notice(&stream).is_err() {
-                return;
-            }
+            open.set(open.get() + 1);
             let (mut reader, writer) = frame::split(stream);
-            match timeout(FIRST, reader.read::<First>()).await {
+            let first = timeout(FIRST, reader.read::<First>()).await;
+            reader.known();
+            match first {
                 Ok(Ok(Some(First::Prompter { form: FORM, id }))) => links.hear(id, reader).await,
                 Ok(Ok(Some(First::Gateway { form: FORM, name, ip, place, .. }))) => {
                     followers::serve(view, agreement, (name, ip), place, reader, writer).await;
@@ -126,6 +134,7 @@
                 // Of another form, or nobody's.
                 _ => log::info!("a connection that said nothing of ours was closed"),
             }
+            open.set(open.get() - 1);
         });
     }
 }
--- a/crates/proscenium/src/follow.rs
+++ b/crates/proscenium/src/follow.rs
@@ -146,6 +146,7 @@
         let direct = address.port() == self.settings.prompters_port();
         let stream = connect(address).await?;
         let (mut reader, mut writer) = frame::split(stream);
+        reader.known();
         let own = &self.settings.own;
         let (name, zone, place) = (own.node_name.clone(), own.zone.clone(), self.follower.place());
         writer.write(&First::Gateway { form: FORM, name, ip: own.ip_address, zone, place }).await?;
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -9,24 +9,35 @@
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+/// The longest that is read of one who has not said who it is: what it claims is set aside for it.
+const STRANGER: usize = 4 << 10;
 /// The longest message. A configuration of thousands of routes fits; what claims to be longer ends the connection.
 pub const LONGEST: usize = 16 << 20;
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_codec()
+fn codec(longest: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(longest).new_codec()
 }
 
 pub struct Reader(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
 
 pub struct Writer(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
 
+/// The two ends of a connection. Its reader takes short messages only, until it is told that the other is known.
 pub fn split(stream: TcpStream) -> (Reader, Writer) {
     let (read, write) = stream.into_split();
     // A link at rest holds no large buffers.
-    (Reader(FramedRead::with_capacity(read, codec(), 2048)), Writer(FramedWrite::new(write, codec())))
+    (
+        Reader(FramedRead::with_capacity(read, codec(STRANGER), 2048)),
+        Writer(FramedWrite::new(write, codec(LONGEST))),
+    )
 }
 
 impl Reader {
+    /// The other side is one of ours: what it says may be long.
+    pub fn known(&mut self) {
+        self.0.decoder_mut().set_max_frame_length(LONGEST);
+    }
+
     /// The next message; none at the connection's end.
     ///
     /// # Errors
@@ -61,3 +72,42 @@
         SinkExt::<Bytes>::flush(&mut self.0).await
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncWriteExt;
+    use tokio::net::TcpListener;
+
+    async fn pair() -> (TcpStream, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (one, two) = tokio::join!(TcpStream::connect(listener.local_addr().unwrap()), listener.accept());
+        (one.unwrap(), two.unwrap().0)
+    }
+
+    #[tokio::test]
+    async fn a_stranger_is_read_a_little_and_one_who_is_known_much() {
+        let (one, two) = pair().await;
+        let ((mut reader, _one), (_two, mut writer)) = (split(one), split(two));
+        let long = "x".repeat(100_000);
+        writer.write(&"who").await.unwrap();
+        assert_eq!(reader.read::<String>().await.unwrap().as_deref(), Some("who"));
+        reader.known();
+        let (told, heard) = tokio::join!(writer.write(&long), reader.read::<String>());
+        told.unwrap();
+        assert_eq!(heard.unwrap(), Some(long));
+
+        let (one, mut two) = pair().await;
+        let (mut reader, _one) = split(one);
+        two.write_all(&(8u32 << 20).to_be_bytes()).await.unwrap();
+        assert!(reader.read::<String>().await.is_err(), "nothing is set aside for what it claims");
+    }
+
+    #[tokio::test]
+    async fn what_is_no_message_of_ours_ends_the_connection() {
+        let (one, mut two) = pair().await;
+        let (mut reader, _one) = split(one);
+        two.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+        assert!(reader.read::<u64>().await.is_err());
+    }
+}
