A request may await its allowance in its queue, a class like any other

Allowance::Awaited holds a request in its queue, passed over by the pointer, until Event::Allowed grants or refuses it; its time then begins like a new one's.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,7 +13,7 @@
 use admission::Admission;
 use granite_forward::{Account, Mode};
 use granite_interface::{
-    Action, Allowance, AttemptEnd, Event, Health, Module, Name, Request, RequestId, Scope, Settings, Time,
+    Action, AttemptEnd, Event, Health, Module, Name, Request, RequestId, Scope, Settings, Time,
 };
 use granite_lifecycle::{self as lifecycle, Arrival, Limits, Lives, Order, Told};
 use granite_maintenance::{Bans, NeverListed};
@@ -130,6 +130,11 @@
         self.lives.fleet().any_ready()
     }
 
+    /// Whether a request is in hand.
+    pub fn holds(&self, id: RequestId) -> bool {
+        self.lives.get(id).is_some()
+    }
+
     /// How many requests are in hand.
     pub fn held(&self) -> usize {
         self.lives.len()
@@ -216,6 +221,7 @@
                 self.feed(now, input, facts, out)?;
             }
             Input::List { scope, rev, entries } => self.list(now, scope, rev, entries, out),
+            Input::Allowed { id, allowance } => self.events.push(Event::Allowed { id, allowance }),
             Input::ListFailed => {
                 if !std::mem::replace(&mut self.list_lost, true) {
                     out.push(Output::Notice(Notice::ListLost));
@@ -256,7 +262,7 @@
             spread: r.spread,
             repeat: r.repeat,
             pool: r.pool,
-            allowance: Allowance::Unknown,
+            allowance: r.allowance,
         };
         self.events.extend(self.admission.consider(now, request, None).map(Event::Request));
         self.notice_account(out);
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -1,6 +1,6 @@
 //! What goes in and out of an [`crate::Engine`], in plain values.
 
-use granite_interface::{Ending, Load, Name, Node, RequestId, Scope, Time};
+use granite_interface::{Allowance, Ending, Load, Name, Node, RequestId, Scope, Time};
 use granite_lifecycle::{Final, Reply, Step};
 use granite_plan::message::{Grant, Report};
 use std::fmt;
@@ -26,6 +26,8 @@
     pub repeat: bool,
     /// Which pool's servers may take it; its place in the settings.
     pub pool: usize,
+    /// What its front knows of its allowance.
+    pub allowance: Allowance,
 }
 
 /// What an attempt's end tells beside its ending.
@@ -60,6 +62,8 @@
     Begun { id: RequestId, attempt: u32, facts: Facts },
     /// An attempt: its end, told once.
     Ended { id: RequestId, attempt: u32, ending: Ending, reply: Reply, facts: Facts },
+    /// Whoever was awaited: what is known by now of a request's allowance.
+    Allowed { id: RequestId, allowance: Allowance },
     /// Discovery: the list, or changes to it. `rev` is its number.
     List { scope: Scope, rev: u64, entries: Vec<Entry> },
     /// Discovery: it can't be reached, or says what can't be read.
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -60,6 +60,7 @@
         spread: 1,
         repeat: false,
         pool: 0,
+        allowance: granite_interface::Allowance::Unknown,
         open: false,
     }
 }
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -200,6 +200,9 @@
     Granted,
     /// None are to be had; more may be after so long.
     Refused { advice: Time },
+    /// They are granted one after another: it waits in its queue until [`Event::Allowed`] says so, until then at the
+    /// latest.
+    Awaited { until: Time },
 }
 
 /// A client's request.
@@ -279,6 +282,11 @@
         id: RequestId,
     },
     AttemptEnd(AttemptEnd),
+    /// What is known by now of a request's allowance that was awaited.
+    Allowed {
+        id: RequestId,
+        allowance: Allowance,
+    },
     Timer {
         token: u64,
     },
--- a/crates/proscenium/src/door.rs
+++ b/crates/proscenium/src/door.rs
@@ -2,7 +2,7 @@
 
 use crate::playing::Playing;
 use crate::wire::{strip_hops, ATTEMPT, CREDENTIAL, REMAINING, TARGET, TENANT};
-use granite_interface::{Name, Time};
+use granite_interface::{Allowance, Name, Time};
 use granite_lifecycle::connection::Patience;
 use granite_stage::backends::{Content, Outgoing};
 use granite_stage::driver::{Answer, Incoming};
@@ -116,6 +116,7 @@
             spread: 1,
             repeat: false,
             pool: self.playing.pool(service),
+            allowance: Allowance::Unknown,
         };
         let outgoing = Outgoing {
             method: head.method,
--- a/crates/sim/src/world/clients.rs
+++ b/crates/sim/src/world/clients.rs
@@ -87,6 +87,7 @@
             spread: self.spec.gateways.min(SET) as u32,
             repeat: ask.tries > 0,
             pool: 0,
+            allowance: granite_interface::Allowance::Unknown,
         };
         let (customer, units) = (ask.customer, ask.units);
         self.trace.tell(now, || {
--- a/crates/stage/src/driver.rs
+++ b/crates/stage/src/driver.rs
@@ -14,7 +14,7 @@
     Calls, Engine, Entry, Error, Facts, Figures, Final, Input, Make, Notice, Output, Reply, Step, Totals,
 };
 use granite_forward::{Account, Mode};
-use granite_interface::{Ending, Health, Module, Name, Node, RequestId, Scope, Settings, Time};
+use granite_interface::{Allowance, Ending, Health, Module, Name, Node, RequestId, Scope, Settings, Time};
 use granite_maintenance::NeverListed;
 use granite_plan::message::{Grant, Report};
 use hyper::StatusCode;
@@ -286,6 +286,16 @@
 
     // ---- Allowances ----
 
+    /// What is known by now of the allowance of a request that awaited it. Whether it is still in hand.
+    pub fn allowed(self: &Rc<Self>, id: RequestId, allowance: Allowance) -> bool {
+        let mut state = self.state.borrow_mut();
+        let held = state.engine.holds(id);
+        if held {
+            self.take(&mut state, Instant::now(), Input::Allowed { id, allowance }, Brought::default());
+        }
+        held
+    }
+
     /// From now on this account says what may be spent.
     pub fn lease(&self, account: Account) {
         self.state.borrow_mut().engine.set_account(account);
--- a/src/bin/granitethread/api.rs
+++ b/src/bin/granitethread/api.rs
@@ -77,6 +77,7 @@
             spread,
             repeat: h.get("client-retry").is_some_and(|v| v == "1"),
             pool: 0,
+            allowance: granite_interface::Allowance::Unknown,
             open: false,
         })
     }
--- a/src/decide/answers.rs
+++ b/src/decide/answers.rs
@@ -105,11 +105,8 @@
     /// The final answer of a request that is not out: a refusal only if nothing can have run.
     pub(super) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.remove(&id) else { return };
-        if h.ran.is_some() {
-            out.push(Action::Fail { id });
-        } else {
-            out.push(Action::Reject { id, advice: self.relief() });
-        }
+        let refusal = || Action::Reject { id, advice: self.relief() };
+        out.push(h.ran.map_or_else(refusal, |_| Action::Fail { id }));
     }
 
     /// When there should be room for one more, for a client that was given up on: as long as it takes, at the
@@ -118,11 +115,8 @@
         let waiting: usize = self.subs.iter().flat_map(|s| &s.queues).map(VecDeque::len).sum();
         let out: f64 = self.subs.iter().step_by(RESOURCES).map(|s| s.in_flight).sum();
         let pace = out.max(1.0) / self.hold.max(secs(self.s.tick));
-        if self.s.retry_after {
-            nanos((waiting + 1) as f64 / pace).min(self.s.max_retry_after)
-        } else {
-            0
-        }
+        let relief = nanos((waiting + 1) as f64 / pace).min(self.s.max_retry_after);
+        relief * Time::from(self.s.retry_after)
     }
 
     /// A request's timer: if it still waits here, it waits no longer; one that was sent before may wait again
@@ -141,15 +135,11 @@
     pub(super) fn forget(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let cancelling = self.s.cancelling;
         let Some(h) = self.held.get_mut(&id) else { return };
-        match h.out.as_mut() {
-            Some(o) => {
-                if cancelling && !o.cancelled && !h.streaming {
-                    o.cancelled = true;
-                    out.push(Action::Cancel { id, attempt: o.attempt });
-                }
-                h.gone = true;
-            }
-            None => drop(self.held.remove(&id)),
+        let Some(o) = h.out.as_mut() else { return drop(self.held.remove(&id)) };
+        h.gone = true;
+        if cancelling && !o.cancelled && !h.streaming {
+            o.cancelled = true;
+            out.push(Action::Cancel { id, attempt: o.attempt });
         }
     }
 }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -4,23 +4,17 @@
 
 impl Gateway {
     pub(super) fn fleet(&mut self, scope: Scope, nodes: Vec<Node>, out: &mut Vec<Action>) {
-        if self.s.subscribe {
-            match scope {
-                Scope::Cached => out.push(Action::Subscribe { on: true }),
-                Scope::Failed => {
-                    let at = self.now + self.s.ask_within / 8;
-                    out.push(Action::Timer { token: TIMER_ASK, at });
-                }
-                _ => {}
-            }
+        let at = self.now + self.s.ask_within / 8;
+        match scope {
+            Scope::Cached if self.s.subscribe => out.push(Action::Subscribe { on: true }),
+            Scope::Failed if self.s.subscribe => out.push(Action::Timer { token: TIMER_ASK, at }),
+            _ => {}
         }
         if scope == Scope::Failed {
             return;
         }
         if scope != Scope::Changes {
-            for s in self.servers.values_mut() {
-                s.health = Health::Removed;
-            }
+            self.servers.values_mut().for_each(|s| s.health = Health::Removed);
         }
         let count = if scope == Scope::Changes { self.servers.len().max(nodes.len()) } else { nodes.len() };
         let fresh_room = FIRST_ROOM * self.stake(count);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -70,6 +70,9 @@
 const TIMER_ASK: u64 = 1;
 const TIMER_REQUESTS: u64 = 2;
 
+/// The room of each resource.
+type Rooms = [f64; RESOURCES];
+
 /// What is held of a request until its final answer.
 #[derive(Clone, Debug)]
 struct Held {
@@ -81,8 +84,9 @@
     /// Past this time an answer can no longer be within the aim, so it is not sent on.
     hope: Time,
     units: f64,
-    /// Its units and its place under the cap are taken from a lease.
+    /// Its units and its place under the cap are taken from a lease, or are yet to be granted.
     leased: bool,
+    awaited: bool,
     sends: u32,
     /// A random part of the fleet's warmth: which cold server, if any, may take the next attempt.
     draw: f64,
@@ -270,11 +274,10 @@
                 Event::Request(r) => self.admit(r, out),
                 Event::ClientGone { id } => self.forget(id, out),
                 Event::AttemptEnd(e) => self.ended(e, out),
+                Event::Allowed { id, allowance } => self.allowed(id, allowance, out),
                 Event::Streaming { id, attempt } => {
-                    let held = self.held.get_mut(&id);
-                    if let Some(h) = held.filter(|h| h.out.as_ref().is_some_and(|o| o.attempt == attempt)) {
-                        h.streaming = true;
-                    }
+                    let out = |h: &&mut Held| h.out.as_ref().is_some_and(|o| o.attempt == attempt);
+                    self.held.get_mut(&id).filter(out).into_iter().for_each(|h| h.streaming = true);
                 }
                 Event::Timer { token: TIMER_PUMP } => self.pumping = false,
                 Event::Timer { token: TIMER_ASK } => out.push(Action::Subscribe { on: true }),
--- a/src/decide/queues.rs
+++ b/src/decide/queues.rs
@@ -22,21 +22,19 @@
         // A lease's word goes before the own guess.
         let refused = match r.allowance {
             Allowance::Unknown => (!self.within_quota(&r)).then_some(0),
-            Allowance::Granted => None,
             Allowance::Refused { advice } => Some(advice),
+            Allowance::Granted | Allowance::Awaited { .. } => None,
         };
         if let Some(advice) = refused {
             out.push(Action::Reject { id: r.id, advice });
             return;
         }
         self.mean_units += (r.units - self.mean_units) * GAIN / 4.0;
-        let class = &self.s.classes[r.class];
-        // Every held request has a timer: at the last moment from which an answer could be within the aim.
-        let last = self.now + class.aim.saturating_sub(nanos(2.0 * self.usual[r.class])).max(class.aim / 4);
-        let hope = last.min(r.deadline.saturating_sub(2 * self.s.tick)).max(self.now);
-        // A client that waits for more than half of its time and is then refused has lost that time for good:
-        // what has not gone out by then is decided a little earlier.
-        let decided = hope.min(self.now + r.deadline.saturating_sub(self.now) / 20 * 9);
+        // Every held request has a timer.
+        let (hope, decided) = match r.allowance {
+            Allowance::Awaited { until } => (r.deadline, until),
+            _ => self.hope(r.class, r.deadline),
+        };
         self.timer(r.id, decided, out);
         let held = Held {
             class: r.class,
@@ -46,7 +44,8 @@
             deadline: r.deadline,
             hope,
             units: r.units,
-            leased: r.allowance == Allowance::Granted,
+            leased: r.allowance != Allowance::Unknown,
+            awaited: matches!(r.allowance, Allowance::Awaited { .. }),
             sends: 0,
             draw: self.rng.f64(),
             out: None,
@@ -60,6 +59,30 @@
         self.subs[res].queues[r.plan].push_back(r.id);
     }
 
+    /// The last moment from which an answer could be within the aim, and when what has not gone out is decided:
+    /// a client that waits for more than half of its time and is then refused has lost that time for good.
+    fn hope(&self, class: usize, deadline: Time) -> (Time, Time) {
+        let (now, aim) = (self.now, self.s.classes[class].aim);
+        let last = now + aim.saturating_sub(nanos(2.0 * self.usual[class])).max(aim / 4);
+        let hope = last.min(deadline.saturating_sub(2 * self.s.tick)).max(now);
+        (hope, hope.min(now + deadline.saturating_sub(now) / 20 * 9))
+    }
+
+    /// The word on a request that awaited one. Granted: its time begins like a new one's.
+    pub(super) fn allowed(&mut self, id: RequestId, allowance: Allowance, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get(&id).filter(|h| h.awaited) else { return };
+        if let Allowance::Refused { advice } = allowance {
+            self.held.remove(&id);
+            out.push(Action::Reject { id, advice });
+        } else if allowance == Allowance::Granted {
+            let (hope, decided) = self.hope(h.class, h.deadline);
+            let h = self.held.get_mut(&id).expect("just seen");
+            (h.awaited, h.hope) = (false, hope);
+            self.timers.retain(|_, of| *of != id);
+            self.timer(id, decided, out);
+        }
+    }
+
     pub(super) fn timer(&mut self, id: RequestId, at: Time, out: &mut Vec<Action>) {
         self.next_timer += 1;
         self.timers.insert(self.next_timer, id);
@@ -76,13 +99,12 @@
 
     /// The main scheduler: wakes the sub-scheduler of the most available resource, else the next.
     pub(super) fn pump(&mut self, out: &mut Vec<Action>) {
-        if self.subs.iter().all(|s| s.queues.iter().all(|q| q.is_empty())) {
+        if !self.waits() {
             return;
         }
         self.survey();
         (0..self.s.pools.max(1)).for_each(|pool| self.pump_pool(pool, out));
-        let waiting = self.subs.iter().any(|s| s.queues.iter().any(|q| !q.is_empty()));
-        if waiting && !self.pumping {
+        if self.waits() && !self.pumping {
             // What holds the queue may ease with time alone: budgets, ceilings, ejections.
             self.pumping = true;
             let at = self.now + (self.s.fall / 50).max(self.s.tick);
@@ -90,6 +112,10 @@
         }
     }
 
+    pub(super) fn waits(&self) -> bool {
+        self.subs.iter().any(|s| s.queues.iter().any(|q| !q.is_empty()))
+    }
+
     pub(super) fn pump_pool(&mut self, pool: usize, out: &mut Vec<Action>) {
         let base = RESOURCES * pool;
         if self.subs[base..base + RESOURCES].iter().all(|s| s.queues.iter().all(|q| q.is_empty())) {
@@ -118,12 +144,7 @@
 
     /// One sub-scheduler's turn: the head under its pointer goes if every availability counter and every
     /// deficit counter of its plan covers it; else the pointer moves on. `short`: only deficits lacked.
-    pub(super) fn pick(
-        &mut self,
-        res: usize,
-        rooms: [f64; 2],
-        short: &mut bool,
-    ) -> Option<(RequestId, Name)> {
+    pub(super) fn pick(&mut self, res: usize, rooms: Rooms, short: &mut bool) -> Option<(RequestId, Name)> {
         let plans = self.s.plans.len();
         for _ in 0..=plans {
             let plan = self.subs[res].pointer;
@@ -158,12 +179,7 @@
 
     /// The first request of a queue that every availability counter covers and that may be sent now, where,
     /// and its place. The cheap checks come first, and a class that finds no server is asked for once.
-    pub(super) fn head(
-        &mut self,
-        res: usize,
-        plan: usize,
-        rooms: [f64; 2],
-    ) -> Option<(RequestId, Name, usize)> {
+    pub(super) fn head(&mut self, res: usize, plan: usize, rooms: Rooms) -> Option<(RequestId, Name, usize)> {
         let pool = res / RESOURCES;
         let fits = |g: &Self, kind: usize, cost: f64| {
             let used = g.subs[RESOURCES * pool + kind].in_flight;
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -74,7 +74,7 @@
             return true;
         }
         let draw = self.rng.f64();
-        let queued = self.subs.iter().any(|s| s.queues.iter().any(|q| !q.is_empty()));
+        let queued = self.waits();
         let plan = &self.s.plans[r.plan];
         let c = self.customers.get_mut(&r.customer).expect("entered above");
         c.asked += r.units / tau;
@@ -103,7 +103,7 @@
         let h = &self.held[&id];
         let (name, units, sends) = (h.customer.clone(), h.units, h.sends);
         if h.leased {
-            return true;
+            return !h.awaited;
         }
         self.advance(&name);
         let Some(c) = self.customers.get(&name) else { return true };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -703,6 +703,33 @@
 }
 
 /// Waiting past half of a client's time for a refusal costs it the rest; the refusal says when to come back.
+#[test]
+fn a_request_that_awaits_its_allowance_waits_in_its_queue_and_holds_up_nobody() {
+    let mut rig = Rig::new(settings(), 2);
+    let (now, until) = (rig.now, rig.now + 2 * SEC);
+    let awaits = |rig: &mut Rig, id| {
+        let allowance = Allowance::Awaited { until };
+        let r = Request { allowance, ..Request::new(id, 0, 0, "c", now + 4 * SEC, 1.0) };
+        rig.tell(Event::Request(r))
+    };
+    let first = awaits(&mut rig, 901);
+    assert_eq!((sends(&first), timer(&first).1), (vec![], until));
+    awaits(&mut rig, 902);
+    awaits(&mut rig, 903);
+    let (other, sent) = rig.request(0, 0, "other", 1.0);
+    assert_eq!(sends(&sent), [other], "behind them in the same queue");
+    rig.now += SEC;
+    // The second is let go first; past its aim by now, it has a new one's time.
+    let sent = rig.tell(Event::Allowed { id: 902, allowance: Allowance::Granted });
+    assert_eq!(sends(&sent), [902]);
+    let refused = rig.tell(Event::Allowed { id: 903, allowance: Allowance::Refused { advice: 300 * MS } });
+    assert!(refused.contains(&Action::Reject { id: 903, advice: 300 * MS }), "{refused:?}");
+    assert_eq!(rig.tell(Event::Allowed { id: 903, allowance: Allowance::Granted }), [], "it is gone");
+    rig.now = until;
+    let late = rig.tell(Event::Timer { token: timer(&first).0 });
+    assert!(rejected(&late, 901), "nobody said anything until then: {late:?}");
+}
+
 #[test]
 fn what_never_went_out_is_refused_before_half_of_its_time_with_advice() {
     let advised = Settings { retry_after: true, max_retry_after: 2 * SEC, ..settings() };
