--- a/src/decide/queues.rs
+++ b/src/decide/queues.rs
@@ -59,7 +59,7 @@
         self.subs[res].queues[r.plan].push_back(r.id);
     }
 
-    /// The last moment from which an answer could be within the aim, and when what has not gone out is decided:
+    /// The last moment from which an answer could be within the aim, and when what has not gone out is over:
     /// a client that waits for more than half of its time and is then refused has lost that time for good.
     fn hope(&self, class: usize, deadline: Time) -> (Time, Time) {
         let (now, aim) = (self.now, self.s.classes[class].aim);
