--- a/crates/boxoffice/src/desk.rs
+++ b/crates/boxoffice/src/desk.rs
@@ -1,6 +1,8 @@
 //! A gateway's part: the chance, the units that it was lent, its even part when it hears nothing.
 
-use crate::{secs, Ask, Lent, Limit, Time, Want, ALONE_AFTER, ASK_EVERY, GOES_ON, GOES_ON_AT, LENT_FOR, MS};
+use crate::line::{Line, Standing, Waiter, Word};
+use crate::{from_micros, secs, Ask, Lent, Limit, Slow, Time, Want};
+use crate::{ALONE_AFTER, ASK_EVERY, GOES_ON, GOES_ON_AT, LENT_FOR, MS};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A request waits so long for a unit at the most: a little longer than it takes to know that one is alone.
@@ -31,6 +33,8 @@
     Wait { until: Time },
     /// Come back after so long.
     Refused { advice: Time },
+    /// The tenant is slowed: it goes on by [`Desk::enter`], if it can wait for so long at the most.
+    Slowed { wait: Time },
 }
 
 #[derive(Clone, Debug)]
@@ -51,6 +55,8 @@
     waiting: u32,
     asked: u32,
     back: u32,
+    /// Of a tenant with a trial.
+    line: Option<Line>,
 }
 
 /// A gateway's desk.
@@ -61,6 +67,8 @@
     gateways: u32,
     /// When the latest ask was sent that was answered.
     heard: Option<Time>,
+    /// Who answered it, and when that one first did.
+    keeper: (u64, Time),
     number: u64,
     sent: VecDeque<(u64, Time)>,
     next_ask: Time,
@@ -73,6 +81,7 @@
             tenants: BTreeMap::new(),
             gateways: 0,
             heard: None,
+            keeper: (0, 0),
             number: 0,
             sent: VecDeque::new(),
             next_ask: now,
@@ -97,8 +106,16 @@
                 waiting: 0,
                 asked: 0,
                 back: 0,
+                line: None,
             };
-            self.tenants.entry(name.clone()).or_insert(fresh).limit = *limit;
+            let t = self.tenants.entry(name.clone()).or_insert(fresh);
+            t.limit = *limit;
+            match (&mut t.line, limit.slow) {
+                (Some(line), Some(slow)) => (line.slow, line.leaving) = (slow, false),
+                (Some(line), None) => line.leaving = true,
+                (line, Some(slow)) => *line = Some(Line::new(slow, false)),
+                (None, None) => {}
+            }
         }
     }
 
@@ -117,12 +134,16 @@
         let alone = self.is_alone(now);
         let gateways = self.gateways;
         let Some(t) = self.tenants.get_mut(name) else { return Verdict::Granted };
+        if since.is_some() {
+            t.waiting = t.waiting.saturating_sub(1);
+        }
+        if let Some(line) = t.line.as_ref().filter(|line| line.is_slow(now)) {
+            return Verdict::Slowed { wait: line.slow.wait };
+        }
         if t.limit.rate <= 0.0 {
             return Verdict::Granted;
         }
-        if since.is_some() {
-            t.waiting = t.waiting.saturating_sub(1);
-        } else {
+        if since.is_none() {
             if draw < t.chance && !alone {
                 // What comes past it tells what is asked; this one does not.
                 return Verdict::Refused { advice: advice(&t.limit, t.chance) };
@@ -150,6 +171,59 @@
         }
     }
 
+    /// A request waits for its turn from now on; [`Desk::poll`] tells when that is.
+    ///
+    /// # Errors
+    /// Too many do: come back after so long.
+    pub fn enter(&mut self, name: &str, waiter: Waiter) -> Result<(), Time> {
+        let Some(line) = self.tenants.get_mut(name).and_then(|t| t.line.as_mut()) else { return Err(0) };
+        if !line.enter(waiter) {
+            return Err(line.slow.wait);
+        }
+        self.urgent = true;
+        Ok(())
+    }
+
+    /// Whose word it is now, one at a time: the tenant, the request, what becomes of it.
+    pub fn poll(&mut self, now: Time) -> Option<(String, u64, Word)> {
+        let standing = Standing { alone_since: self.alone_since(now), gateways: self.gateways };
+        for (name, t) in &mut self.tenants {
+            let Some(line) = t.line.as_mut().filter(|line| !line.is_empty()) else { continue };
+            let said = if line.is_slow(now) {
+                line.poll(now, standing)
+            } else {
+                // What waited for a turn goes at full speed, by units like any other.
+                line.forget(now);
+                let may = !line.is_empty() && (t.limit.rate <= 0.0 || t.take(now));
+                let line = t.line.as_mut().filter(|_| may);
+                line.and_then(|line| line.release(now)).map(|id| (id, Word::Go))
+            };
+            if let Some((id, word)) = said {
+                return Some((name.clone(), id, word));
+            }
+        }
+        None
+    }
+
+    /// The one that was to go is not there any more: its turn, or its unit, is another's.
+    pub fn again(&mut self, now: Time, name: &str) {
+        let Some(t) = self.tenants.get_mut(name) else { return };
+        match &mut t.line {
+            Some(line) if line.is_slow(now) => line.again(now),
+            _ => t.back += 1,
+        }
+    }
+
+    /// When [`Desk::poll`] has something new to say, if nothing is heard until then.
+    pub fn next_poll(&self, now: Time) -> Option<Time> {
+        let alone_at = self.heard.map_or(0, |at| at + ALONE_AFTER);
+        self.tenants.values().filter_map(|t| t.line.as_ref()?.next_due(now, alone_at)).min()
+    }
+
+    fn alone_since(&self, now: Time) -> Option<Time> {
+        self.is_alone(now).then(|| self.heard.map_or(0, |at| at + ALONE_AFTER))
+    }
+
     /// The unit of a request that was not sent after all.
     pub fn give_back(&mut self, now: Time, name: &str) {
         if let Some(t) = self.tenants.get_mut(name) {
@@ -174,26 +248,33 @@
             return None;
         }
         let mut waits = false;
-        let mut wants = Vec::new();
+        let (mut wants, mut queues) = (Vec::new(), Vec::new());
+        let number = self.number + 1;
         for (name, t) in &mut self.tenants {
             t.expire(now);
-            waits |= t.waiting > 0;
+            let slow = t.line.as_ref().is_some_and(|line| line.is_slow(now));
+            if let Some(line) = t.line.as_mut().filter(|_| slow) {
+                queues.extend(line.queue(now, number, name));
+                waits |= line.lacks();
+            }
+            let waiting = t.waiting + t.line.as_ref().filter(|_| !slow).map_or(0, Line::len);
+            waits |= waiting > 0;
             let stock: u32 = t.stock.iter().map(|s| s.1).sum();
             let ahead = (t.demand(now) * AHEAD) as u32;
-            let units = if t.waiting > 0 { (t.waiting + ahead).saturating_sub(stock) } else { 0 };
+            let units = if waiting > 0 { (waiting + ahead).saturating_sub(stock) } else { 0 };
             if units > 0 || t.asked > 0 || t.back > 0 || t.chance > 0.0 {
                 let (asked, back) = (std::mem::take(&mut t.asked), std::mem::take(&mut t.back));
                 wants.push(Want { tenant: name.clone(), units, asked, back });
             }
         }
-        self.number += 1;
+        self.number = number;
         self.sent.push_back((self.number, now));
         if self.sent.len() > ASKS {
             self.sent.pop_front();
         }
         self.urgent = false;
         self.next_ask = now + if waits { AGAIN } else { ASK_EVERY };
-        Some(Ask { number: self.number, wants })
+        Some(Ask { number, wants, queues })
     }
 
     /// The keeper's answer. Whether somebody who waits may go on.
@@ -203,9 +284,34 @@
             return false;
         };
         self.sent.retain(|(n, _)| *n != lent.number);
+        let newest = self.heard.is_none_or(|at| sent >= at);
+        if newest && lent.keeper != self.keeper.0 {
+            self.keeper = (lent.keeper, now);
+        }
+        let keeper_since = self.keeper.1;
         self.heard = self.heard.max(Some(sent));
         let ends = sent + LENT_FOR;
         let mut news = false;
+        for (name, t) in &mut self.tenants {
+            let phase = lent.phases.iter().find(|p| p.tenant == *name);
+            if let (None, Some(p)) = (&t.line, phase) {
+                // The configuration that puts it on trial has yet to come.
+                let slow = Slow { pace: p.pace.max(0.001), wait: from_micros(p.wait_us) };
+                t.line = Some(Line::new(slow, true));
+            }
+            let Some(line) = &mut t.line else { continue };
+            if newest {
+                line.phase(now, sent, phase, keeper_since);
+                if phase.is_none() && line.leaving && line.is_empty() && !line.is_slow(now) {
+                    t.line = None;
+                    continue;
+                }
+            }
+            if let Some(turns) = lent.turns.iter().find(|turns| turns.tenant == *name) {
+                line.given(now, lent.number, lent.keeper, turns);
+            }
+            news |= !line.is_empty();
+        }
         for loan in &lent.loans {
             let Some(t) = self.tenants.get_mut(&loan.tenant) else { continue };
             let rate = t.limit.rate.max(1e-9);
@@ -220,7 +326,8 @@
             }
             news |= t.waiting > 0 && loan.units > 0;
         }
-        if self.tenants.values().any(|t| t.waiting > 0) {
+        let lacks = |t: &Tenant| t.waiting > 0 || t.line.as_ref().is_some_and(Line::lacks);
+        if self.tenants.values().any(lacks) {
             self.next_ask = self.next_ask.min(now + AGAIN);
         }
         news
@@ -300,7 +407,7 @@
     const S: Time = 1_000_000_000;
 
     fn limits(rate: f64, burst: f64) -> BTreeMap<String, Limit> {
-        BTreeMap::from([("t".to_string(), Limit { rate, burst })])
+        BTreeMap::from([("t".to_string(), Limit::new(rate, burst))])
     }
 
     fn names(n: usize) -> BTreeSet<String> {
@@ -311,7 +418,7 @@
     /// How many passed in each 10 ms, and how many were turned away.
     fn play(rate: f64, asked: f64, cut: std::ops::Range<u64>, new_keeper: u64) -> (Vec<u32>, u32) {
         let (all, limits) = (names(6), limits(rate, rate));
-        let mut keeper = Keeper::begin(0, &limits, &all);
+        let mut keeper = Keeper::begin(0, 1, &limits, &BTreeSet::new(), &all);
         let mut desks: Vec<Desk> = (0..6).map(|_| Desk::new(0)).collect();
         desks.iter_mut().for_each(|d| {
             d.limits(0, &limits);
@@ -326,7 +433,7 @@
         for step in 0..3000u64 {
             let now = step * 10 * MS;
             if step == new_keeper {
-                keeper = Keeper::begin(now, &limits, &all);
+                keeper = Keeper::begin(now, step, &limits, &BTreeSet::new(), &all);
             }
             let mut through = 0;
             for (g, desk) in desks.iter_mut().enumerate() {
@@ -340,6 +447,7 @@
                         Verdict::Granted => through += 1,
                         Verdict::Refused { .. } => refused += 1,
                         Verdict::Wait { .. } => waits[g].push(since.unwrap_or(now)),
+                        Verdict::Slowed { .. } => unreachable!("it has no trial"),
                     }
                 }
                 if let Some(ask) = desk.ask(now).filter(|_| reached) {
@@ -382,11 +490,11 @@
         desk.limits(0, &limits(10.0, 10.0));
         assert!(!matches!(desk.spend(0, "t", 0.5, None), Verdict::Granted), "nothing is known yet");
         let ask = desk.ask(0).expect("it is time");
-        desk.lent(MS, &Lent { number: ask.number, loans: vec![] });
+        desk.lent(MS, &Lent { number: ask.number, ..Lent::default() });
         assert!(matches!(desk.spend(MS, "t", 0.5, None), Verdict::Wait { .. }));
         let ask = desk.ask(MS).expect("somebody waits");
         let loan = crate::Loan { tenant: "t".into(), units: 3, left: 5.0, metered: 1.0 };
-        assert!(desk.lent(2 * MS, &Lent { number: ask.number, loans: vec![loan] }));
+        assert!(desk.lent(2 * MS, &Lent { number: ask.number, loans: vec![loan], ..Lent::default() }));
         assert_eq!(desk.spend(3 * MS, "t", 0.5, Some(MS)), Verdict::Granted);
         // Awake from a freeze: the two others have ended, whatever the desk thinks of the time between.
         assert!(!matches!(desk.spend(S, "t", 0.5, None), Verdict::Granted));
--- a/crates/boxoffice/src/lib.rs
+++ b/crates/boxoffice/src/lib.rs
@@ -15,10 +15,12 @@
 
 mod desk;
 mod keeper;
+mod line;
 mod tries;
 
 pub use desk::{Desk, Verdict};
-pub use keeper::Keeper;
+pub use keeper::{Keeper, Node, Trial};
+pub use line::{Waiter, Word};
 pub use tries::Tries;
 
 use serde::{Deserialize, Serialize};
@@ -41,12 +43,36 @@
 /// What all who are cut off go on with stands in nobody's store: at the most this part of the rate, for [`GOES_ON`].
 pub const GOES_ON_AT: f64 = 0.7;
 
+/// So long before a tenant with a trial is slowed, or fast again, that is announced: longer than a gateway may go at full
+/// speed without a word, and by [`GAP`] more.
+pub const LEAD: Time = ALONE_AFTER + GAP;
+/// Between the last request at full speed anywhere and the first refusal for the pace, and the other way round.
+pub const GAP: Time = 100 * MS;
+
 /// A tenant's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Units a second; 0: no limit.
     pub rate: f64,
     pub burst: f64,
+    /// It is on trial: what it is slowed to once that is over.
+    pub slow: Option<Slow>,
+}
+
+impl Limit {
+    /// Without a trial.
+    pub fn new(rate: f64, burst: f64) -> Self {
+        Limit { rate, burst, slow: None }
+    }
+}
+
+/// What a tenant has whose trial is over.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Slow {
+    /// Turns a second over all gateways, more than 0.
+    pub pace: f64,
+    /// How long a request waits for its turn at the most.
+    pub wait: Time,
 }
 
 /// What a gateway wants of one tenant's units.
@@ -61,10 +87,27 @@
 }
 
 /// A gateway's call to the keeper. Its number comes back with the answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     pub number: u64,
     pub wants: Vec<Want>,
+    /// Of tenants that are slowed here.
+    pub queues: Vec<Queue>,
+}
+
+/// What a gateway wants of a slowed tenant's turns.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Queue {
+    pub tenant: String,
+    /// Turns for reads, and for work that would lose its aim if it waited for longer than `slack_us`.
+    pub reads: u32,
+    pub pressing: u32,
+    pub slack_us: u32,
+    /// Turns that nobody wants any more.
+    pub back: u32,
+    /// How many wait here, and how long those waited that went lately.
+    pub waiting: u32,
+    pub waited_us: u32,
 }
 
 /// What the keeper lends of one tenant's units, and what it knows of the tenant.
@@ -78,12 +121,50 @@
     pub metered: f32,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Lent {
     pub number: u64,
+    /// Tells keepers apart: turns of one at a time count.
+    pub keeper: u64,
     pub loans: Vec<Loan>,
+    /// Each tenant with a trial, whether it was asked for or not.
+    pub phases: Vec<Phase>,
+    pub turns: Vec<Turns>,
+}
+
+/// Whether a tenant with a trial is slowed, and in how long that changes, if that is announced.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Phase {
+    pub tenant: String,
+    pub slow: bool,
+    pub changes_us: Option<u32>,
+    /// For a gateway that does not know of the trial yet.
+    pub pace: f64,
+    pub wait_us: u32,
+}
+
+/// A slowed tenant's turns that a gateway is given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Turns {
+    pub tenant: String,
+    /// In how long each is, the soonest first.
+    pub after_us: Vec<u32>,
+    /// There is none within the wait for the rest: when to come back. None: nothing is known of them yet.
+    pub later_us: Option<u32>,
 }
 
 fn secs(t: Time) -> f64 {
     t as f64 / 1e9
 }
+
+fn micros(t: Time) -> u32 {
+    u32::try_from(t / 1000).unwrap_or(u32::MAX)
+}
+
+fn from_micros(us: u32) -> Time {
+    Time::from(us) * 1000
+}
+
+fn nanos(secs: f64) -> Time {
+    (secs.max(0.0) * 1e9) as Time
+}
--- /dev/null
+++ b/crates/boxoffice/tests/trials.rs
@@ -0,0 +1,261 @@
+//! A trial runs out over six gateways: nobody goes at full speed beside one that refuses, waits are alike, the pace is kept,
+//! whoever is cut off, and whoever keeps.
+
+use boxoffice::{Desk, Keeper, Lent, Limit, Slow, Time, Verdict, Waiter, Word, GAP};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+
+const MS: Time = 1_000_000;
+const STEP: Time = 5 * MS;
+const GATEWAYS: usize = 6;
+const S: u64 = 200;
+
+/// Steps are 5 ms each.
+struct Play {
+    pace: f64,
+    wait: Time,
+    asked: f64,
+    /// Of all requests, this part is work that must not wait for more than 400 ms.
+    pressing: f64,
+    /// When the trial is over.
+    over: Vec<Range<u64>>,
+    /// The first two gateways hear nothing.
+    cut: Range<u64>,
+    /// Others keep from these steps on, and nobody for half a second before.
+    keepers: Vec<u64>,
+    /// All requests come through one gateway.
+    one: bool,
+    length: u64,
+}
+
+impl Default for Play {
+    fn default() -> Self {
+        let (over, cut) = (Vec::from_iter(std::iter::once(6 * S..u64::MAX)), 0..0);
+        Play {
+            pace: 20.0,
+            wait: 2000 * MS,
+            asked: 60.0,
+            pressing: 0.0,
+            over,
+            cut,
+            keepers: vec![],
+            one: false,
+            length: 16 * S,
+        }
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Gateway and time.
+    full: Vec<(usize, Time)>,
+    /// Whether it was in touch.
+    refused: Vec<(usize, Time, bool)>,
+    /// Gateway, when it came, how long it waited, whether it could not.
+    paced: Vec<(usize, Time, Time, bool)>,
+}
+
+fn play(p: &Play) -> Seen {
+    let slow = Slow { pace: p.pace, wait: p.wait };
+    let limit = Limit { slow: Some(slow), ..Limit::new(100.0, 100.0) };
+    let limits = BTreeMap::from([("t".to_string(), limit)]);
+    let names: BTreeSet<String> = (0..GATEWAYS).map(|g| format!("g{g}")).collect();
+    let agreed = |step: u64| -> BTreeSet<String> {
+        p.over.iter().filter(|r| r.contains(&step)).map(|_| "t".to_string()).collect()
+    };
+    let mut keeper = Keeper::begin(0, 1, &limits, &agreed(0), &names);
+    let mut desks: Vec<Desk> = (0..GATEWAYS).map(|_| Desk::new(0)).collect();
+    desks.iter_mut().for_each(|d| {
+        d.limits(0, &limits);
+        d.gateways(GATEWAYS as u32);
+    });
+    let mut answers: Vec<(u64, usize, Lent)> = Vec::new();
+    let mut waits: Vec<Vec<Time>> = vec![Vec::new(); GATEWAYS];
+    let mut held: BTreeMap<u64, (usize, Time, bool)> = BTreeMap::new();
+    let (mut seen, mut rng, mut next) = (Seen::default(), fastrand::Rng::with_seed(7), 0);
+    for step in 0..p.length {
+        let now = step * STEP;
+        let over = agreed(step);
+        if p.keepers.contains(&step) {
+            keeper = Keeper::begin(now, step, &limits, &over, &names);
+        }
+        let nobody = p.keepers.iter().any(|k| (k.saturating_sub(S / 2)..*k).contains(&step));
+        keeper.limits(now, &limits, &over);
+        answers.retain(|(at, g, lent)| {
+            if *at == step {
+                desks[*g].lent(now, lent);
+            }
+            *at > step
+        });
+        for g in 0..GATEWAYS {
+            let cut = p.cut.contains(&step) && g < 2;
+            let mut tries: Vec<Option<Time>> = waits[g].drain(..).map(Some).collect();
+            let rate = if p.one { p.asked * f64::from(u8::from(g == 0)) } else { p.asked / GATEWAYS as f64 };
+            if rng.f64() < rate * 0.005 {
+                tries.push(None);
+            }
+            for since in tries {
+                match desks[g].spend(now, "t", 1.0, since) {
+                    Verdict::Granted => seen.full.push((g, now)),
+                    Verdict::Refused { .. } => {}
+                    Verdict::Wait { .. } => waits[g].push(since.unwrap_or(now)),
+                    Verdict::Slowed { wait } => {
+                        next += 1;
+                        let pressing = rng.f64() < p.pressing;
+                        let by = pressing.then_some(now + 400 * MS);
+                        let waiter = Waiter { id: next, since: now, until: now + wait, by };
+                        assert!(desks[g].enter("t", waiter).is_ok());
+                        held.insert(next, (g, now, pressing));
+                    }
+                }
+            }
+            let slow = desks[g].spend(now, "t", 1.0, None);
+            let is_slow = matches!(slow, Verdict::Slowed { .. });
+            if matches!(slow, Verdict::Wait { .. }) {
+                desks[g].left("t");
+            }
+            while let Some((_, id, word)) = desks[g].poll(now) {
+                let (_, since, pressing) = held.remove(&id).expect("it waits");
+                match word {
+                    Word::Go if is_slow => seen.paced.push((g, since, now - since, pressing)),
+                    Word::Go => seen.full.push((g, now)),
+                    Word::Refused { advice } => {
+                        assert!(advice > 0 && now - since < p.wait, "{advice}, {}", now - since);
+                        seen.refused.push((g, now, !cut && !desks[g].is_alone(now)));
+                    }
+                }
+            }
+            if let Some(ask) = desks[g].ask(now).filter(|_| !cut && !nobody) {
+                let lent = keeper.ask(now, &format!("g{g}"), &ask).expect("it is known");
+                answers.push((step + 1 + rng.u64(..4), g, lent));
+            }
+        }
+    }
+    seen
+}
+
+/// No two within the promised gap, one at full speed and one refused in touch.
+fn never_both(seen: &Seen) {
+    for (g, at, touch) in &seen.refused {
+        let beside = seen.full.iter().find(|(other, full)| other != g && full.abs_diff(*at) < GAP);
+        assert!(!touch || beside.is_none(), "{beside:?} at full speed beside {g} that refuses at {at}");
+    }
+}
+
+fn most_in(seen: &Seen, span: Time) -> usize {
+    let mut times: Vec<Time> = seen.paced.iter().map(|(_, since, waited, _)| since + waited).collect();
+    times.sort_unstable();
+    let within = |from: &Time| times.iter().filter(|at| (*from..from + span).contains(at)).count();
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+/// Mean waits of the gateways, in ms, of those that came in this time.
+fn waits(seen: &Seen, from: u64, to: u64) -> Vec<f64> {
+    let at = |g| {
+        let of = seen.paced.iter().filter(move |p| p.0 == g && (from * STEP..to * STEP).contains(&p.1));
+        let all: Vec<f64> = of.map(|p| p.2 as f64 / 1e6).collect();
+        all.iter().sum::<f64>() / all.len().max(1) as f64
+    };
+    (0..GATEWAYS).map(at).collect()
+}
+
+#[test]
+fn all_are_slowed_at_once_and_wait_alike() {
+    let seen = play(&Play::default());
+    never_both(&seen);
+    let last = seen.full.iter().map(|f| f.1).max().unwrap();
+    assert!((6 * S * STEP..6 * S * STEP + boxoffice::LEAD).contains(&last), "{last}");
+    assert!(!seen.refused.is_empty(), "three times the pace was asked for");
+    let paced = seen.paced.iter().filter(|p| p.1 + p.2 > 8 * S * STEP).count() as f64;
+    assert!((0.93..1.02).contains(&(paced / (20.0 * 8.0))), "the pace is had: {paced} in 8 s");
+    assert!(most_in(&seen, 5000 * MS) <= 20 * 5 + 10, "{}", most_in(&seen, 5000 * MS));
+    let waits = waits(&seen, 8 * S, 14 * S);
+    let (least, most) = waits.iter().fold((f64::MAX, 0f64), |s, w| (s.0.min(*w), s.1.max(*w)));
+    assert!(most <= 1.5 * least || most - least < 100.0, "{waits:?}");
+}
+
+#[test]
+fn below_the_pace_nobody_is_refused_and_hardly_anybody_waits() {
+    let seen = play(&Play { asked: 14.0, ..Play::default() });
+    assert_eq!(seen.refused, []);
+    let waited = waits(&seen, 8 * S, 16 * S);
+    assert!(waited.iter().all(|w| *w < 150.0), "{waited:?}");
+}
+
+#[test]
+fn one_gateway_alone_has_the_whole_pace() {
+    let seen = play(&Play { one: true, ..Play::default() });
+    let paced = seen.paced.iter().filter(|p| p.1 + p.2 > 8 * S * STEP).count() as f64;
+    assert!(paced / (20.0 * 8.0) > 0.93, "{paced} in 8 s");
+}
+
+#[test]
+fn who_hears_nothing_of_the_end_is_slow_before_it() {
+    for cut in [5 * S..9 * S, 6 * S - 10..9 * S, 6 * S + 20..9 * S] {
+        let from = cut.start;
+        let seen = play(&Play { cut, ..Play::default() });
+        never_both(&seen);
+        let last = seen.full.iter().filter(|f| f.0 < 2).map(|f| f.1).max().unwrap();
+        assert!(last <= (6 * S * STEP + boxoffice::LEAD).min(from * STEP + boxoffice::ALONE_AFTER + STEP));
+        assert!(most_in(&seen, 5000 * MS) <= 20 * 5 + 20, "{}", most_in(&seen, 5000 * MS));
+    }
+}
+
+#[test]
+fn another_keeper_goes_on_with_the_pace_and_refuses_nobody_at_its_beginning() {
+    for keeper in [6 * S + 10, 6 * S + 60, 8 * S] {
+        let seen = play(&Play { keepers: vec![keeper], ..Play::default() });
+        never_both(&seen);
+        let last = seen.full.iter().map(|f| f.1).max().unwrap();
+        assert!(last < 6 * S * STEP + boxoffice::LEAD, "{last}");
+        let settles = keeper * STEP..keeper * STEP + boxoffice::LEAD;
+        assert!(!seen.refused.iter().any(|r| settles.contains(&r.1)));
+        assert!(most_in(&seen, 5000 * MS) <= 20 * 5 + 20, "{}", most_in(&seen, 5000 * MS));
+    }
+}
+
+#[test]
+fn extended_and_over_again_within_a_second_each_step_is_taken_by_all() {
+    let over = vec![6 * S..7 * S, 7 * S + 40..7 * S + 100, 8 * S..u64::MAX];
+    let seen = play(&Play { over, ..Play::default() });
+    never_both(&seen);
+    assert!(seen.full.iter().any(|f| f.1 > 7 * S * STEP + boxoffice::LEAD), "fast again");
+    assert!(seen.full.iter().all(|f| f.1 < 9 * S * STEP), "and slow again");
+}
+
+#[test]
+fn work_that_cannot_wait_goes_ahead_of_reads_and_the_pace_is_kept() {
+    let seen = play(&Play { pressing: 0.2, ..Play::default() });
+    let of = |pressing| seen.paced.iter().filter(move |p| p.3 == pressing && p.1 > 8 * S * STEP);
+    let late = of(true).filter(|p| p.2 > 400 * MS).count();
+    assert!(late * 20 <= of(true).count(), "{late} of {} waited for more than 400 ms", of(true).count());
+    assert!(of(false).map(|p| p.2).max() > Some(1500 * MS), "reads wait for as long as they may");
+    assert!(most_in(&seen, 5000 * MS) <= 20 * 9 + 1, "{}", most_in(&seen, 5000 * MS));
+    let paced = seen.paced.iter().filter(|p| p.1 + p.2 > 8 * S * STEP).count();
+    assert!(paced <= 20 * 8 + 40, "over eight seconds it is the pace: {paced}");
+}
+
+#[test]
+fn a_turn_whose_client_is_gone_is_the_next_ones() {
+    let slow = Slow { pace: 10.0, wait: 2000 * MS };
+    let limits = BTreeMap::from([("t".to_string(), Limit { slow: Some(slow), ..Limit::new(50.0, 50.0) })]);
+    let names = BTreeSet::from(["g0".to_string()]);
+    let over = BTreeSet::from(["t".to_string()]);
+    let mut keeper = Keeper::begin(0, 1, &limits, &over, &names);
+    let mut desk = Desk::new(0);
+    desk.limits(0, &limits);
+    desk.gateways(1);
+    let start = 1000 * MS;
+    for id in [1, 2] {
+        let waiter = Waiter { id, since: start, until: start + 2000 * MS, by: None };
+        desk.enter("t", waiter).unwrap();
+    }
+    let ask = desk.ask(start).expect("somebody waits");
+    desk.lent(start, &keeper.ask(start, "g0", &ask).unwrap());
+    assert_eq!(desk.poll(start), Some(("t".into(), 1, Word::Go)));
+    assert_eq!(desk.poll(start), None, "the second's turn is 100 ms later");
+    desk.again(start, "t");
+    assert_eq!(desk.poll(start), Some(("t".into(), 2, Word::Go)));
+    let ask = desk.ask(start + 100 * MS).expect("it is time");
+    assert_eq!(ask.queues[0].back, 1, "the turn that nobody wants any more");
+}
--- a/crates/foyer/src/main.rs
+++ b/crates/foyer/src/main.rs
@@ -21,6 +21,7 @@
                     backends       service, address, zone, state of each\n\
                     gateways       which are agreed on, and whom they follow\n\
                     configuration  the one that is agreed on, as it was sent\n\
+                    trials         when each ends, which are over, pace and waits by gateway\n\
                     help, quit";
 
 fn main() -> ExitCode {
@@ -105,6 +106,7 @@
         "backends" => Query::Backends,
         "gateways" => Query::Gateways,
         "configuration" => Query::Configuration,
+        "trials" => Query::Trials,
         other => return Err(format!("{other:?} is no query; help names them")),
     };
     let (told, missing) = all(query, at).await;
--- a/crates/foyer/src/show.rs
+++ b/crates/foyer/src/show.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
-use wings::message::{Answer, Query, Told};
+use wings::message::{Answer, Query, Told, Trial};
 
 /// A prompter that has not known of a majority for so long, in ms, may tell what is old.
 const FRESH_MS: u64 = 1000;
@@ -80,6 +80,15 @@
                 line(format!("  {name:28} follows {whom}"));
             }
         }
+        Query::Trials => {
+            // The keeper knows what the others don't.
+            let keeps = |t: &&Told| matches!(&t.answer, Answer::Trials(all) if all.iter().any(|t| t.now.is_some()));
+            let t = told.iter().find(keeps).unwrap_or(freshest(told));
+            line(format!("by {}, {}", t.by, freshness(t)));
+            if let Answer::Trials(all) = &t.answer {
+                all.iter().for_each(|trial| trial_lines(trial, &mut line));
+            }
+        }
         Query::Configuration => {
             let t = freshest(told);
             line(format!("by {}, {}", t.by, freshness(t)));
@@ -90,3 +99,20 @@
     }
     out.trim_end().to_string()
 }
+
+fn trial_lines(t: &Trial, line: &mut impl FnMut(String)) {
+    let ends =
+        humantime::format_rfc3339_seconds(std::time::UNIX_EPOCH + std::time::Duration::from_millis(t.ends));
+    let over = if t.over { "over" } else { "under way" };
+    let now = match t.now {
+        None => "whether it is slowed is not known here".into(),
+        Some((slow, changes)) => {
+            let now = if slow { "slowed" } else { "at full speed" };
+            changes.map_or(now.to_string(), |ms| format!("{now}, changes in {ms} ms"))
+        }
+    };
+    line(format!("  {:20} ends {ends}, {over}; {now}; then {}/s, waits {} ms", t.tenant, t.pace, t.wait_ms));
+    for (name, ago, waiting, waited) in &t.nodes {
+        line(format!("    {name:26} {waiting} wait, of late for {waited} ms; said {ago} ms ago"));
+    }
+}
--- a/crates/playbill/src/check.rs
+++ b/crates/playbill/src/check.rs
@@ -1,6 +1,6 @@
 //! Whether what an operator sends is sound.
 
-use crate::{Fault, Playbill};
+use crate::{Fault, Playbill, Tenant};
 use jsonschema::Validator;
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
@@ -59,6 +59,22 @@
             return Err(Fault::SamePlace(other.clone(), name()));
         }
     }
+    playbill.tenants.iter().try_for_each(trial)
+}
+
+/// Whether a tenant's trial has an end, and a pace behind it that stays within its limits (`docs/design/trials.md`).
+fn trial(tenant: &Tenant) -> Result<(), Fault> {
+    let Some(trial) = &tenant.trial else { return Ok(()) };
+    let name = || tenant.name.clone();
+    if trial.ends_ms().is_none() {
+        return Err(Fault::NoTime(name(), trial.ends_at.clone()));
+    }
+    if tenant.rate_per_s > 0.0 && trial.pace_per_s > tenant.rate_per_s {
+        return Err(Fault::PaceOverRate(name()));
+    }
+    if tenant.rate_per_s > 0.0 && 2.0 * trial.pace_per_s * trial.wait_ms / 1000.0 > tenant.burst_size {
+        return Err(Fault::WaitOverBurst(name()));
+    }
     Ok(())
 }
 
@@ -91,6 +107,22 @@
         assert_eq!(told(|v| v["baseVersion"] = json!(0)).unwrap().base_version, 0);
     }
 
+    #[test]
+    fn a_trial_has_an_end_and_a_pace_within_the_limits() {
+        let trial = |ends: &str, pace: f64, wait: f64| {
+            let trial = json!({"endsAt": ends, "pacePerS": pace, "waitMs": wait});
+            told(move |v| v["tenants"][0]["trial"] = trial)
+        };
+        let end = "2026-12-31T23:00:00Z";
+        let sound = trial(end, 5.0, 2000.0).unwrap();
+        assert_eq!(sound.tenants[0].trial.as_ref().unwrap().ends_ms(), Some(1_798_758_000_000));
+        assert_eq!(trial("tomorrow", 5.0, 0.0), Err(Fault::NoTime("t1".into(), "tomorrow".into())));
+        assert_eq!(trial(end, 147.0, 0.0), Err(Fault::PaceOverRate("t1".into())));
+        assert_eq!(trial(end, 40.0, 2000.0), Err(Fault::WaitOverBurst("t1".into())));
+        assert!(matches!(trial(end, 0.0, 0.0), Err(Fault::Schema(..))), "a pace of nothing shuts it out");
+        assert!(matches!(trial(end, 5.0, 60_000.0), Err(Fault::Schema(..))));
+    }
+
     #[test]
     fn whatever_is_wrong_is_found() {
         let route = |key: &'static str, value: Value| move |v: &mut Value| v["routes"][0][key] = value;
--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -110,6 +110,34 @@
     pub rate_per_s: f64,
     #[serde(default)]
     pub burst_size: f64,
+    /// None: its limits are its own for good.
+    #[serde(default)]
+    pub trial: Option<Trial>,
+}
+
+/// Until when a tenant has its limits, and what it is slowed to then (`docs/operate/trials.md`).
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Trial {
+    /// A time in UTC (RFC 3339).
+    pub ends_at: String,
+    /// Requests a second over all gateways.
+    pub pace_per_s: f64,
+    /// How long a request waits for its turn at the most.
+    #[serde(default = "two_seconds")]
+    pub wait_ms: f64,
+}
+
+fn two_seconds() -> f64 {
+    2000.0
+}
+
+impl Trial {
+    /// In Unix milliseconds; none if it is no time after 1970.
+    pub fn ends_ms(&self) -> Option<u64> {
+        let at = humantime::parse_rfc3339(&self.ends_at).ok()?;
+        at.duration_since(std::time::UNIX_EPOCH).ok().map(|d| d.as_millis() as u64)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -142,6 +170,12 @@
     NoTarget(String),
     /// routes {0} and {1} have the same host and prefix
     SamePlace(String, String),
+    /// tenant {0}: {1:?} is no time like 2026-12-31T23:00:00Z
+    NoTime(String, String),
+    /// tenant {0}: its trial's pacePerS is more than its ratePerS
+    PaceOverRate(String),
+    /// tenant {0}: twice its trial's pacePerS over waitMs does not fit into its burstSize
+    WaitOverBurst(String),
 }
 
 impl std::error::Error for Fault {}
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -18,6 +18,8 @@
 const LEAVING: usize = 4096;
 /// So many gateways are known. More are a fault of the platform's.
 const GATEWAYS: usize = 4096;
+/// So many trials are remembered as over; of more, those that ended last.
+const OVER: usize = 4096;
 
 /// Something to agree on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +35,8 @@
     Leaving { instance: String },
     /// This gateway is there, and has its even part of what is shared.
     Gateway { name: String },
+    /// This end of a tenant's trial has passed, in Unix milliseconds.
+    TrialOver { tenant: String, ends: u64 },
 }
 
 impl Word {
@@ -77,6 +81,10 @@
     known: VecDeque<(Version, Mark)>,
     leaving: BTreeMap<String, Place>,
     gateways: BTreeSet<String>,
+    /// The latest end of each tenant's trial that has passed, and where that was agreed on. An earlier version, which knows of
+    /// none, reads a book without any.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    over: BTreeMap<String, (u64, Place)>,
 }
 
 impl Book {
@@ -122,6 +130,16 @@
         &self.gateways
     }
 
+    /// Whether this end of the tenant's trial has passed.
+    pub fn is_over(&self, tenant: &str, ends: u64) -> bool {
+        self.over.get(tenant).is_some_and(|(end, _)| *end == ends)
+    }
+
+    /// Where the latest word on a trial stands.
+    pub fn over_at(&self) -> Place {
+        self.over.values().map(|(_, at)| *at).max().unwrap_or(0)
+    }
+
     /// Folds a word in.
     pub fn apply(&mut self, place: Place, word: &Word) -> Applied {
         match word {
@@ -161,6 +179,19 @@
                 }
             }
             Word::Gateway { .. } => Applied::Same,
+            Word::TrialOver { tenant, ends } => {
+                if self.is_over(tenant, *ends) {
+                    return Applied::Same;
+                }
+                self.over.insert(tenant.clone(), (*ends, place));
+                if self.over.len() > OVER {
+                    let oldest = self.over.iter().min_by_key(|(_, (_, at))| *at);
+                    if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+                        self.over.remove(&oldest);
+                    }
+                }
+                Applied::Changed
+            }
         }
     }
 }
@@ -198,6 +229,21 @@
         assert_eq!(Book::read(b"nonsense"), None);
     }
 
+    #[test]
+    fn a_trial_that_is_over_is_so_for_that_end_alone_and_a_book_without_any_is_as_it_was() {
+        let mut book = Book::new();
+        book.apply(1, &Word::Gateway { name: "g".into() });
+        // An earlier version's: it has five fields.
+        assert_eq!(book.write()[0], 0x95);
+        assert_eq!(Book::read(&book.write()), Some(book.clone()));
+        let word = |ends| Word::TrialOver { tenant: "t".into(), ends };
+        assert_eq!((book.apply(2, &word(7)), book.apply(3, &word(7))), (Applied::Changed, Applied::Same));
+        assert!(book.is_over("t", 7) && !book.is_over("t", 8) && !book.is_over("u", 7));
+        assert_eq!((book.apply(4, &word(8)), book.over_at()), (Applied::Changed, 4));
+        assert!(!book.is_over("t", 7));
+        assert_eq!(Book::read(&book.write()), Some(book));
+    }
+
     #[test]
     fn who_leaves_leaves_for_good_and_memory_is_bounded() {
         let mut book = Book::new();
--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -2,8 +2,7 @@
 
 use crate::disk::Disk;
 use crate::view::{Duty, View};
-use boxoffice::{Ask, Keeper, Lent, Limit};
-use playbill::Playbill;
+use boxoffice::{Ask, Keeper, Lent};
 use promptbook::Applied;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -48,8 +47,9 @@
 struct Office {
     term: Term,
     keeper: Keeper,
-    /// Of the book that its limits and gateways are from: the configuration's place, how many gateways.
-    as_of: (Place, usize),
+    /// Of the book that its limits, trials and gateways are from: the configuration's place, the latest trial's, how many
+    /// gateways.
+    as_of: (Place, Place, usize),
 }
 
 impl Agreement {
@@ -116,31 +116,32 @@
         }
         let mut office = self.office.borrow_mut();
         if office.as_ref().is_none_or(|o| o.term != duty.term) {
-            let keeper = Keeper::begin(now, &limits(&self.view), self.view.book.borrow().gateways());
+            let (terms, book) = (self.view.current.terms(&self.view), self.view.book.borrow());
+            let keeper = Keeper::begin(now, duty.term, &terms.limits, &terms.over(&book), book.gateways());
             log::info!("rights: lending in term {}", duty.term);
             *office = Some(Office { term: duty.term, keeper, as_of: self.as_of() });
         }
         let office = office.as_mut()?;
         let as_of = self.as_of();
         if std::mem::replace(&mut office.as_of, as_of) != as_of {
-            office.keeper.limits(now, &limits(&self.view));
-            office.keeper.gateways(self.view.book.borrow().gateways());
+            let (terms, book) = (self.view.current.terms(&self.view), self.view.book.borrow());
+            office.keeper.limits(now, &terms.limits, &terms.over(&book));
+            office.keeper.gateways(book.gateways());
         }
         office.keeper.ask(now, gateway, ask)
     }
 
-    fn as_of(&self) -> (Place, usize) {
-        let book = self.view.book.borrow();
-        (book.configuration().map_or(0, |c| c.place), book.gateways().len())
+    /// How trials stand, if this one lends.
+    pub fn trials(&self) -> Vec<boxoffice::Trial> {
+        let (office, term) = (self.office.borrow(), self.view.duty.borrow().term);
+        let lends = office.as_ref().filter(|o| self.view.duty.borrow().is_holder && o.term == term);
+        lends.map(|o| o.keeper.trials(self.view.now())).unwrap_or_default()
     }
-}
 
-/// The tenants' limits by the current configuration.
-fn limits(view: &View) -> BTreeMap<String, Limit> {
-    let book = view.book.borrow();
-    let playbill = book.configuration().and_then(|c| Playbill::read(&c.body).ok());
-    let tenants = playbill.map(|p| p.tenants).unwrap_or_default();
-    tenants.into_iter().map(|t| (t.name, Limit { rate: t.rate_per_s, burst: t.burst_size })).collect()
+    fn as_of(&self) -> (Place, Place, usize) {
+        let book = self.view.book.borrow();
+        (book.configuration().map_or(0, |c| c.place), book.over_at(), book.gateways().len())
+    }
 }
 
 struct Run {
--- a/crates/prompter/src/links.rs
+++ b/crates/prompter/src/links.rs
@@ -2,6 +2,7 @@
 //! to say. What comes is handed to the agreement, the cell and the office.
 
 use crate::agreement::Agreement;
+use crate::trials::wall;
 use crate::view::View;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -107,6 +108,7 @@
             first: self.view.settings.own.initial_start,
             votes: self.view.settings.own.data_directory.is_some(),
             known: self.view.prompters(),
+            wall: wall(),
         }
     }
 
@@ -163,7 +165,8 @@
         view.knows(&from.name, "");
         while let Ok(Some(message)) = reader.read::<Peer>().await {
             match message {
-                Peer::Hello { id, zone, first, votes, known } => {
+                Peer::Hello { id, zone, first, votes, known, wall } => {
+                    view.clocks.borrow_mut().hear(view.now(), &id.name, wall);
                     known.iter().for_each(|(name, zone)| view.knows(name, zone));
                     view.knows(&id.name, &zone);
                     if first {
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -8,6 +8,7 @@
 mod followers;
 mod inquiry;
 mod links;
+mod trials;
 mod view;
 
 use agreement::Agreement;
@@ -71,6 +72,7 @@
     spawn_local(links.clone().run());
     spawn_local(keep_cell(view.clone(), disk));
     spawn_local(meet(view.clone(), agreement.clone(), links, inner));
+    spawn_local(trials::run(view.clone(), agreement.clone()));
     let calls = Control::new(view.clone(), agreement.clone());
     let mut calls = spawn_local(calls.serve(outer));
     loop {
@@ -130,7 +132,9 @@
                 Ok(Ok(Some(First::Gateway { form: FORM, name, ip, place, .. }))) => {
                     followers::serve(view, agreement, (name, ip), place, reader, writer).await;
                 }
-                Ok(Ok(Some(First::Shell { form: FORM }))) => inquiry::serve(view, reader, writer).await,
+                Ok(Ok(Some(First::Shell { form: FORM }))) => {
+                    inquiry::serve(view, agreement, reader, writer).await
+                }
                 // Of another form, or nobody's.
                 _ => log::info!("a connection that said nothing of ours was closed"),
             }
--- a/crates/prompter/src/view.rs
+++ b/crates/prompter/src/view.rs
@@ -1,7 +1,9 @@
 //! What all parts of this process see: the agreed book, the cell, the board, who holds the duty. Folded from what happens in
 //! one place each; tasks wait for news of it.
 
+use crate::trials::{wall, Current};
 use callboard::Board;
+use curtain::Clocks;
 use greenroom::{Cell, Fact, Heard};
 use promptbook::{Applied, Book, Place, Word};
 use std::cell::{Cell as Value, RefCell};
@@ -53,6 +55,10 @@
     pub known: RefCell<BTreeMap<String, String>>,
     /// Beats heard first-hand since they were last passed on.
     fresh: RefCell<Fresh>,
+    /// What prompters say of the time of day.
+    pub clocks: RefCell<Clocks>,
+    /// What tenants may do by the agreed configuration.
+    pub current: Current,
 }
 
 /// Beats: those that say something new whole, of the others id and sequence.
@@ -79,6 +85,8 @@
             links: RefCell::default(),
             known: RefCell::new(known),
             fresh: RefCell::default(),
+            clocks: RefCell::default(),
+            current: Current::default(),
         })
     }
 
@@ -120,6 +128,11 @@
                 }
                 Word::Leaving { instance } => Some(Change::Leaving(instance)),
                 Word::Gateway { .. } => Some(Change::Gateways(book.gateways().iter().cloned().collect())),
+                // Gateways hear of it with their rights.
+                Word::TrialOver { tenant, ends } => {
+                    log::info!("agreed: the trial of {tenant} that ended at {ends} is over");
+                    None
+                }
             };
             self.board.borrow_mut().extend(change);
         }
@@ -128,6 +141,15 @@
         applied
     }
 
+    /// Trials whose end has passed by the clocks of a majority of the voters, as words to agree on.
+    pub fn trials_passed(&self) -> Vec<Word> {
+        let (now, terms, duty) = (self.now(), self.current.terms(self), self.duty.borrow());
+        let mut clocks = self.clocks.borrow_mut();
+        clocks.hear(now, &self.me.name, wall());
+        let voters = duty.members.keys().map(String::as_str).collect();
+        terms.due(&self.book.borrow(), now, &clocks, &voters)
+    }
+
     /// The book as a whole; followers get it as a scene.
     pub fn install(&self, state: &[u8]) {
         let Some(book) = Book::read(state) else {
--- a/crates/proscenium/src/door.rs
+++ b/crates/proscenium/src/door.rs
@@ -1,6 +1,7 @@
 //! What clients' requests mean (`PROTOCOL.md`, Requests and Answers).
 
 use crate::playing::Playing;
+use crate::rights::Pass;
 use crate::wire::{strip_hops, ATTEMPT, CREDENTIAL, REMAINING, TARGET, TENANT};
 use granite_interface::{Allowance, Name, Time};
 use granite_lifecycle::connection::Patience;
@@ -131,8 +132,17 @@
 
     async fn admit(&self, incoming: &mut Incoming) -> Result<(), Unsound> {
         let tenant: &Name = &incoming.request.customer;
-        let spent = self.playing.rights.spend(tenant).await;
-        spent.map_err(|after| later(StatusCode::TOO_MANY_REQUESTS, after))
+        let refused = |after| later(StatusCode::TOO_MANY_REQUESTS, after);
+        let pass = self.playing.rights.spend(tenant).await.map_err(refused)?;
+        if let Pass::InTurn { wait } = pass {
+            let request = &mut incoming.request;
+            let left = Duration::from_nanos(request.timeout).saturating_sub(incoming.arrived.elapsed());
+            let (wait, pressing) = self.playing.patience(request.class, left, wait);
+            self.playing.rights.enter(&request.customer, request.id, wait, pressing).map_err(refused)?;
+            let until = self.playing.time_in(wait);
+            (request.plan, request.allowance) = (Playing::SLOWED, Allowance::Awaited { until });
+        }
+        Ok(())
     }
 
     fn reply(&self, answer: Answer) -> Response<Payload> {
--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -2,7 +2,7 @@
 
 use crate::fold::{Fold, News};
 use crate::rights::Rights;
-use boxoffice::Limit;
+use curtain::Terms;
 use granite_interface::{Class, Effect, Group, Plan, Scope, Settings};
 use granite_stage::driver::Driver;
 use granite_stage::list::{List, State, Target};
@@ -67,6 +67,8 @@
             value_factor: (RANKS - rank) as f64,
             ..Plan::new(&format!("rank {rank}"), 0.0, 0.0)
         });
+        // Who is slowed, in queues of their own, of the least weight.
+        let plans = plans.chain([Plan::new("slowed", 0.0, 0.0)]);
         let first = Sort { kind: Kind::Unsafe, aim_ms: 1000.0, timeout_ms: 10_000.0, attempts: 1 };
         let settings = Settings {
             zone,
@@ -106,6 +108,7 @@
     }
 
     pub fn drives(&self, driver: Rc<Driver>) {
+        self.rights.drives(driver.clone());
         *self.driver.borrow_mut() = Some(driver);
     }
 
@@ -162,6 +165,24 @@
         (priority as usize).min(RANKS - 1)
     }
 
+    /// The place of those who are slowed.
+    pub const SLOWED: usize = RANKS;
+
+    /// How long a request of this class may wait for its turn, with so much time left: not so long that it could not be
+    /// served behind it. And how long without losing its aim, if it can be sent only once.
+    pub fn patience(&self, class: usize, left: Duration, wait: Duration) -> (Duration, Option<Duration>) {
+        let settings = self.settings.borrow();
+        let class = &settings.classes[class.min(settings.classes.len() - 1)];
+        let aim = Duration::from_nanos(class.aim);
+        let pressing = (class.effect == Effect::Unsafe).then_some(aim / 2);
+        (wait.min(left - aim.min(left / 2)), pressing)
+    }
+
+    /// The driver's time in so long.
+    pub fn time_in(&self, after: Duration) -> granite_interface::Time {
+        self.driver.borrow().as_ref().map_or(0, |d| d.time(Instant::now() + after))
+    }
+
     /// The guess at a request's units, which nothing tells beforehand: operators set aims by the work.
     pub fn units(route: &Route) -> f64 {
         (route.target_latency_ms / 4.0 / UNIT_MS).clamp(0.25, MOST_UNITS)
@@ -202,9 +223,7 @@
                 sorts.push(sort);
             }
         }
-        let limits = playbill.tenants.iter();
-        let limits = limits.map(|t| (t.name.clone(), Limit { rate: t.rate_per_s, burst: t.burst_size }));
-        self.rights.limits(&limits.collect());
+        self.rights.limits(&Terms::of(&playbill).limits);
         *self.attempts.borrow_mut() = sorts.iter().map(|s| s.attempts).collect();
         self.settings.borrow_mut().classes = sorts.iter().map(class).collect();
         drop(sorts);
--- a/crates/proscenium/src/rights.rs
+++ b/crates/proscenium/src/rights.rs
@@ -1,7 +1,8 @@
 //! The desk's sockets: asks go up the link to the prompter, requests wait here for a unit.
 
-use boxoffice::{Ask, Desk, Lent, Limit, Verdict};
-use granite_interface::Name;
+use boxoffice::{Ask, Desk, Lent, Limit, Verdict, Waiter, Word};
+use granite_interface::{Allowance, Name, RequestId};
+use granite_stage::driver::Driver;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -10,12 +11,23 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 use wings::message::Up;
 
+/// How a request that may pass goes on.
+pub enum Pass {
+    Now,
+    /// By [`Rights::enter`]: its tenant is slowed.
+    InTurn {
+        wait: Duration,
+    },
+}
+
 pub struct Rights {
     begun: Instant,
     desk: RefCell<Desk>,
     lent: watch::Sender<()>,
     urgent: Notify,
     uplink: RefCell<Option<mpsc::Sender<Up>>>,
+    /// Where requests wait for their turn.
+    driver: RefCell<Option<Rc<Driver>>>,
 }
 
 impl Rights {
@@ -26,6 +38,7 @@
             lent: watch::Sender::new(()),
             urgent: Notify::new(),
             uplink: RefCell::default(),
+            driver: RefCell::default(),
         })
     }
 
@@ -44,9 +57,16 @@
     pub fn lent(&self, lent: &Lent) {
         if self.desk.borrow_mut().lent(self.now(), lent) {
             self.lent.send_replace(());
+            self.let_go();
+            // What is due has changed.
+            self.urgent.notify_one();
         }
     }
 
+    pub fn drives(&self, driver: Rc<Driver>) {
+        *self.driver.borrow_mut() = Some(driver);
+    }
+
     /// Where asks go from now on.
     pub fn link(&self, uplink: Option<mpsc::Sender<Up>>) {
         *self.uplink.borrow_mut() = uplink;
@@ -56,7 +76,7 @@
     ///
     /// # Errors
     /// None is to be had: when to come back.
-    pub async fn spend(&self, tenant: &Name) -> Result<(), Duration> {
+    pub async fn spend(&self, tenant: &Name) -> Result<Pass, Duration> {
         let draw = fastrand::f64();
         let mut news = self.lent.subscribe();
         let mut since = None;
@@ -64,7 +84,8 @@
             let now = self.now();
             let verdict = self.desk.borrow_mut().spend(now, tenant, draw, since);
             match verdict {
-                Verdict::Granted => return Ok(()),
+                Verdict::Granted => return Ok(Pass::Now),
+                Verdict::Slowed { wait } => return Ok(Pass::InTurn { wait: Duration::from_nanos(wait) }),
                 Verdict::Refused { advice } => return Err(Duration::from_nanos(advice)),
                 Verdict::Wait { until } => {
                     since.get_or_insert(now);
@@ -78,14 +99,55 @@
         }
     }
 
-    /// Asks whenever it is time.
+    /// A request waits for its turn from now on, for so long at the most, and if it is pressed for time for so long. It is
+    /// handed to the driver next, and hears there.
+    ///
+    /// # Errors
+    /// Too many wait: when to come back.
+    pub fn enter(
+        &self,
+        tenant: &Name,
+        id: RequestId,
+        wait: Duration,
+        pressing: Option<Duration>,
+    ) -> Result<(), Duration> {
+        let since = self.now();
+        let after = |d: Duration| since + d.as_nanos() as u64;
+        let waiter = Waiter { id, since, until: after(wait), by: pressing.map(after) };
+        self.desk.borrow_mut().enter(tenant, waiter).map_err(Duration::from_nanos)?;
+        self.urgent.notify_one();
+        Ok(())
+    }
+
+    /// Whose turn it is goes; who would wait in vain is told so.
+    fn let_go(&self) {
+        let Some(driver) = self.driver.borrow().clone() else { return };
+        let now = self.now();
+        loop {
+            let Some((tenant, id, word)) = self.desk.borrow_mut().poll(now) else { return };
+            let allowance = match word {
+                Word::Go => Allowance::Granted,
+                Word::Refused { advice } => Allowance::Refused { advice },
+            };
+            if !driver.allowed(id, allowance) && word == Word::Go {
+                self.desk.borrow_mut().again(now, &tenant);
+            }
+        }
+    }
+
+    /// Asks whenever it is time, and lets go whose turn it is.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let due = self.begun + Duration::from_nanos(self.desk.borrow().next_due());
+            let due = {
+                let desk = self.desk.borrow();
+                desk.next_poll(self.now()).map_or(desk.next_due(), |at| at.min(desk.next_due()))
+            };
+            let due = self.begun + Duration::from_nanos(due);
             tokio::select! {
                 () = sleep_until(due) => {}
                 () = self.urgent.notified() => {}
             }
+            self.let_go();
             let ask: Option<Ask> = self.desk.borrow_mut().ask(self.now());
             if let Some(ask) = ask {
                 if let Some(uplink) = &*self.uplink.borrow() {
--- a/crates/rehearsal/src/defect.rs
+++ b/crates/rehearsal/src/defect.rs
@@ -25,10 +25,20 @@
     AloneAndFree,
     /// The log is cut short at each start.
     TailLost,
+    /// A trial is over when the holder's own clock says so.
+    HoldersClock,
+    /// A gateway that is alone lets a tenant on trial go at full speed.
+    FullWhileAlone,
+    /// A slowed tenant's requests are refused, not made to wait.
+    RefusedAtOnce,
+    /// A slowed tenant's requests go without a turn.
+    PaceIgnored,
+    /// A new keeper does not know whose trial is over.
+    OverForgotten,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 11] = [
+    pub const ALL: [Defect; 16] = [
         Defect::SendBeforeSync,
         Defect::WipedVotes,
         Defect::ReadAlone,
@@ -40,6 +50,11 @@
         Defect::EvenPartsLentToo,
         Defect::AloneAndFree,
         Defect::TailLost,
+        Defect::HoldersClock,
+        Defect::FullWhileAlone,
+        Defect::RefusedAtOnce,
+        Defect::PaceIgnored,
+        Defect::OverForgotten,
     ];
 
     /// Its name on a command line.
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod defect;
+mod guest;
 mod node;
 mod rules;
 mod world;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -42,12 +42,14 @@
         eprintln!("rehearsal: no such defect; --list-defects names them");
         return ExitCode::FAILURE;
     }
-    let (mut steps, mut acknowledged) = (0, 0);
+    let (mut steps, mut acknowledged, mut guest) = (0, 0, [0u64; 3]);
     for seed in first..first + count {
         match play(seed, planted) {
             Ok(story) => {
                 steps += story.steps;
                 acknowledged += u64::from(story.acknowledged);
+                let (full, paced, refused) = story.guest;
+                guest.iter_mut().zip([full, paced, refused]).for_each(|(sum, n)| *sum += u64::from(n));
                 if told.opt_present("story") {
                     story.lines.iter().for_each(|l| println!("{l}"));
                 }
@@ -60,5 +62,7 @@
         }
     }
     println!("{count} seeds from {first}: no rule broken; {steps} steps, {acknowledged} acknowledged");
+    let [full, paced, refused] = guest;
+    println!("on trial: {full} at full speed, {paced} in turn, {refused} refused for the pace");
     ExitCode::SUCCESS
 }
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -2,8 +2,9 @@
 
 use crate::defect::Defect;
 use crate::rules::{Broken, Seen};
-use crate::{Time, MS};
+use crate::{guest, Time, MS};
 use boxoffice::{Ask, Keeper, Lent, Limit};
+use curtain::{Clocks, Wall};
 use promptbook::{Applied, Book, Word};
 use std::collections::{BTreeMap, BTreeSet};
 use understudy::{Core, Entry, Id, Input, Message, Output, Place, Save, Stored, Term};
@@ -15,6 +16,7 @@
     Change {
         base: u32,
         version: u32,
+        ends: Option<Wall>,
     },
     /// Proposed, at this place of this term.
     Proposed {
@@ -38,6 +40,10 @@
     pub core: Option<Core>,
     pub frozen_until: Time,
     pub wiped_at: Option<Time>,
+    /// What prompters say of the time of day.
+    pub clocks: Clocks,
+    /// How far this machine's own is from true time, in ms.
+    pub skew: i64,
     book: Book,
     applied: Place,
     calls: BTreeMap<u64, Call>,
@@ -63,6 +69,8 @@
             core: None,
             frozen_until: 0,
             wiped_at: None,
+            clocks: Clocks::default(),
+            skew: 0,
             book: Book::new(),
             applied: 0,
             calls: BTreeMap::new(),
@@ -168,7 +176,7 @@
                     }
                 }
                 Output::Apply { place, term, word } => {
-                    self.apply(place, term, &word, defect, seen, &mut step)?
+                    self.apply(now, (place, term), &word, defect, seen, &mut step)?
                 }
                 Output::Install { place, state } => {
                     if place < self.applied {
@@ -204,8 +212,8 @@
 
     fn apply(
         &mut self,
-        place: Place,
-        term: Term,
+        now: Time,
+        (place, term): (Place, Term),
         word: &[u8],
         defect: Option<Defect>,
         seen: &mut Seen,
@@ -214,7 +222,7 @@
         if place <= self.applied {
             return Err(Broken::Order(place));
         }
-        seen.applied(place, word)?;
+        seen.applied(now, place, word)?;
         let applied = self.fold(place, word, defect);
         let here = |call: &Call| matches!(call, Call::Proposed { at: Some((p, _)), .. } if *p <= place);
         let tags: Vec<u64> = self.calls.iter().filter(|(_, c)| here(c)).map(|(t, _)| *t).collect();
@@ -241,8 +249,8 @@
                 step.ended.push(Some(book.version()));
                 Ok(None)
             }
-            Some(Call::Change { base, version }) => {
-                let body = version.to_be_bytes().to_vec();
+            Some(Call::Change { base, version, ends }) => {
+                let body = guest::body(version, ends);
                 if self.book.has_taken(version, &body) {
                     step.ended.push(Some(version));
                 } else if self.book.version() != base {
@@ -280,6 +288,31 @@
         }
     }
 
+    /// The guest's trial by the agreed configuration.
+    pub fn ends(&self) -> Option<Wall> {
+        guest::ends(&self.book.configuration()?.body)
+    }
+
+    /// This machine's time of day.
+    pub fn wall(&self, now: Time) -> Wall {
+        (guest::BEGAN + now / MS).saturating_add_signed(self.skew)
+    }
+
+    /// Trials that have passed by the clocks of a majority, as proposals of the holder's.
+    pub fn trials(&mut self, now: Time, defect: Option<Defect>) -> Vec<Input> {
+        let Some(core) = self.core.as_ref().filter(|c| c.is_holder()) else { return Vec::new() };
+        let members = core.members().clone();
+        let wall = self.wall(now);
+        self.clocks.hear(now, &self.id.name, wall);
+        let mut voters: BTreeSet<&str> = members.keys().map(String::as_str).collect();
+        if defect == Some(Defect::HoldersClock) {
+            voters.retain(|name| *name == self.id.name);
+        }
+        let terms = guest::terms(&BTreeMap::new(), self.ends());
+        let due = terms.due(&self.book, now, &self.clocks, &voters);
+        due.into_iter().map(|word| Input::Propose { tag: 0, word: word.write() }).collect()
+    }
+
     /// The term in which it lends now, if it does.
     pub fn lends(&self, now: Time, defect: Option<Defect>) -> Option<Term> {
         let core = self.core.as_ref()?;
@@ -292,18 +325,26 @@
         now: Time,
         gateway: &str,
         ask: &Ask,
-        limits: &BTreeMap<String, Limit>,
+        others: &BTreeMap<String, Limit>,
         gateways: &BTreeSet<String>,
         defect: Option<Defect>,
     ) -> Option<Lent> {
         let term = self.lends(now, defect)?;
+        let terms = guest::terms(others, self.ends());
+        let mut over = terms.over(&self.book);
         if self.office.as_ref().is_none_or(|(t, _)| *t != term) {
-            let keeper = Keeper::begin(now, limits, gateways);
+            if defect == Some(Defect::OverForgotten) {
+                over.clear();
+            }
+            let keeper = Keeper::begin(now, term, &terms.limits, &over, gateways);
             self.office = Some((term, keeper));
         }
         let keeper = &mut self.office.as_mut()?.1;
+        if defect != Some(Defect::OverForgotten) {
+            keeper.limits(now, &terms.limits, &over);
+        }
         if defect == Some(Defect::EvenPartsLentToo) {
-            let nothing = Ask { number: 0, wants: Vec::new() };
+            let nothing = Ask::default();
             gateways.iter().for_each(|g| drop(keeper.ask(now, g, &nothing)));
         }
         keeper.ask(now, gateway, ask)
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -1,6 +1,8 @@
 //! What must hold after each step.
 
-use crate::Time;
+use crate::{guest, Time};
+use boxoffice::{Slow, ASK_EVERY, GAP, LEAD};
+use curtain::Wall;
 use promptbook::{Place, Word};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
@@ -22,6 +24,16 @@
     TwoLend(u64, u64),
     /// More of a tenant's requests passed in five seconds than its limit allows.
     Quota { passed: u32, most: f64 },
+    /// A gateway in touch refused a tenant for its pace within 100 ms of another's letting it go at full speed.
+    Both { refuses: usize, full: usize },
+    /// A tenant went at full speed that long after its trial was agreed to be over, in ms.
+    Full { after: u64 },
+    /// More than its pace allows passed in five seconds.
+    Pace { passed: u32, most: f64 },
+    /// A trial was over so many ms before its end.
+    TooEarly { by: u64 },
+    /// A trial's end has long passed, and it is not over.
+    NeverOver,
     /// One that could hear all for a second does not know what was acknowledged before.
     Behind(String),
     /// Nothing was agreed on though nothing was wrong for a long time.
@@ -38,6 +50,11 @@
 const WINDOW: Time = 5_000_000_000;
 const OVERSHOOT: f64 = 0.1;
 const SLACK: f64 = 20.0;
+/// How far clocks that are not stepped are from true time, in ms, and a little.
+const SKEW_MS: u64 = 60;
+/// Behind the word that a trial is over: the step's lead, behind the one before if that is on its way, each seen with the next
+/// ask that comes.
+const FULL_BEHIND: Time = 2 * (LEAD + ASK_EVERY);
 
 /// All that was seen so far.
 #[derive(Debug, Default)]
@@ -47,18 +64,27 @@
     taken: BTreeMap<u32, u32>,
     drains: BTreeSet<String>,
     passed: VecDeque<Time>,
+    guest: GuestSeen,
     pub acknowledged: u32,
     pub reads: u32,
     pub through: u32,
 }
 
 impl Seen {
-    pub fn applied(&mut self, place: Place, word: &[u8]) -> Result<(), Broken> {
+    pub fn applied(&mut self, now: Time, place: Place, word: &[u8]) -> Result<(), Broken> {
+        let first = !self.agreed.contains_key(&place);
         let known = self.agreed.entry(place).or_insert_with(|| word.to_vec());
-        if known == word {
-            Ok(())
-        } else {
-            Err(Broken::Agreed(place))
+        if known != word {
+            return Err(Broken::Agreed(place));
+        }
+        match Word::read(word).filter(|_| first) {
+            Some(Word::TrialOver { ends, .. }) => self.guest.over(now, ends),
+            Some(Word::Configuration { base, version, body }) if base == self.guest.version => {
+                self.guest.version = version;
+                self.guest.moved(now, guest::ends(&body));
+                Ok(())
+            }
+            _ => Ok(()),
         }
     }
 
@@ -81,7 +107,7 @@
                 }
             }
             Word::Leaving { instance } => drop(self.drains.insert(instance.clone())),
-            Word::Gateway { .. } => {}
+            Word::Gateway { .. } | Word::TrialOver { .. } => {}
         }
         Ok(())
     }
@@ -107,15 +133,129 @@
     /// One of the tenant's requests passed.
     pub fn pass(&mut self, now: Time, rate: f64, burst: f64) -> Result<(), Broken> {
         self.through += 1;
-        self.passed.push_back(now);
-        while self.passed.front().is_some_and(|at| now - at > WINDOW) {
-            self.passed.pop_front();
+        quota(&mut self.passed, now, rate, burst)
+    }
+
+    // ---- The guest ----
+
+    /// One of the guest's requests passed at full speed, at this gateway.
+    pub fn full(&mut self, now: Time, gateway: usize, rate: f64, burst: f64) -> Result<(), Broken> {
+        let g = &mut self.guest;
+        g.counts.0 += 1;
+        let beside = |(other, at): &&(usize, Time)| *other != gateway && now - at < GAP;
+        if let Some((refuses, _)) = g.refused.iter().find(beside) {
+            return Err(Broken::Both { refuses: *refuses, full: gateway });
+        }
+        let after = g.over_since.map_or(0, |since| now.saturating_sub(since));
+        if after > FULL_BEHIND {
+            return Err(Broken::Full { after: after / 1_000_000 });
         }
-        let most = (rate * WINDOW as f64 / 1e9 + burst) * (1.0 + OVERSHOOT) + SLACK;
-        let passed = self.passed.len() as u32;
+        note(&mut g.full, now, gateway);
+        quota(&mut g.passed, now, rate, burst)
+    }
+
+    /// One was refused for the pace.
+    pub fn refused(&mut self, now: Time, gateway: usize, in_touch: bool) -> Result<(), Broken> {
+        let g = &mut self.guest;
+        g.counts.2 += 1;
+        if !in_touch {
+            return Ok(());
+        }
+        if let Some((full, _)) = g.full.iter().find(|(other, at)| *other != gateway && now - at < GAP) {
+            return Err(Broken::Both { refuses: gateway, full: *full });
+        }
+        note(&mut g.refused, now, gateway);
+        Ok(())
+    }
+
+    /// One passed in its turn.
+    pub fn paced(&mut self, now: Time, slow: Slow) -> Result<(), Broken> {
+        let g = &mut self.guest;
+        g.counts.1 += 1;
+        let passed = window(&mut g.paced, now);
+        // Twice the wait by what is promised, a fifth of a second for each change of the keeper's, and those alone.
+        let span = (WINDOW + 2 * slow.wait) as f64 / 1e9;
+        let most = slow.pace * (span + 1.0) + 6.0;
         if f64::from(passed) > most {
-            return Err(Broken::Quota { passed, most });
+            return Err(Broken::Pace { passed, most });
+        }
+        Ok(())
+    }
+
+    /// At the end of a world that was calm for long.
+    pub fn trial_at_the_end(&self, now: Time) -> Result<(), Broken> {
+        let g = &self.guest;
+        let passed = g.ends.is_some_and(|ends| ends + 2000 < guest::BEGAN + now / 1_000_000);
+        let long = now.saturating_sub(g.moved_at) > 2_000_000_000;
+        if passed && long && g.over_since.is_none() {
+            return Err(Broken::NeverOver);
         }
         Ok(())
     }
+
+    /// How many of the guest's requests went at full speed, in their turn, and were refused for the pace.
+    pub fn guest_counts(&self) -> (u32, u32, u32) {
+        self.guest.counts
+    }
+}
+
+/// What was seen of the tenant on trial.
+#[derive(Debug, Default)]
+struct GuestSeen {
+    version: u32,
+    ends: Option<Wall>,
+    moved_at: Time,
+    /// Since when its trial is agreed to be over.
+    over_since: Option<Time>,
+    full: VecDeque<(usize, Time)>,
+    refused: VecDeque<(usize, Time)>,
+    passed: VecDeque<Time>,
+    paced: VecDeque<Time>,
+    counts: (u32, u32, u32),
+}
+
+impl GuestSeen {
+    fn over(&mut self, now: Time, ends: Wall) -> Result<(), Broken> {
+        let true_now = guest::BEGAN + now / 1_000_000;
+        if ends > true_now + SKEW_MS {
+            return Err(Broken::TooEarly { by: ends - true_now });
+        }
+        if self.ends == Some(ends) {
+            self.over_since.get_or_insert(now);
+        }
+        Ok(())
+    }
+
+    fn moved(&mut self, now: Time, ends: Option<Wall>) {
+        if std::mem::replace(&mut self.ends, ends) != ends {
+            self.moved_at = now;
+            // The last end that passed is the one that is remembered.
+            self.over_since = None;
+        }
+    }
+}
+
+fn note(list: &mut VecDeque<(usize, Time)>, now: Time, gateway: usize) {
+    list.push_back((gateway, now));
+    while list.front().is_some_and(|(_, at)| now - at > GAP) {
+        list.pop_front();
+    }
+}
+
+/// How many there were in the last five seconds, with this one.
+fn window(list: &mut VecDeque<Time>, now: Time) -> u32 {
+    list.push_back(now);
+    while list.front().is_some_and(|at| now - at > WINDOW) {
+        list.pop_front();
+    }
+    list.len() as u32
+}
+
+fn quota(list: &mut VecDeque<Time>, now: Time, rate: f64, burst: f64) -> Result<(), Broken> {
+    let passed = window(list, now);
+    let most = (rate * WINDOW as f64 / 1e9 + burst) * (1.0 + OVERSHOOT) + SLACK;
+    if f64::from(passed) > most {
+        return Err(Broken::Quota { passed, most });
+    }
+    Ok(())
 }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -1,6 +1,7 @@
 //! The world: prompters, gateways with one hot tenant, operators and leaving backends, and what goes wrong.
 
 use crate::defect::Defect;
+use crate::guest::{self, Guest};
 use crate::node::{save, Call, Node, Step};
 use crate::rules::{Broken, Seen};
 use crate::{Time, MS};
@@ -31,6 +32,8 @@
     Operator,
     Trouble,
     Gateway,
+    /// Holders look whether a trial is over.
+    Trials,
     Ask {
         gateway: usize,
         to: usize,
@@ -50,6 +53,8 @@
     pub acknowledged: u32,
     pub reads: u32,
     pub through: u32,
+    /// Of the tenant on trial: at full speed, in turn, refused for the pace.
+    pub guest: (u32, u32, u32),
 }
 
 pub struct World {
@@ -67,6 +72,14 @@
     follows: Vec<usize>,
     unreached: Vec<Time>,
     waits: Vec<Vec<Time>>,
+    guest: Guest,
+    /// Requests of the guest's a second.
+    guests: f64,
+    /// Until when each gateway stands still, and which configuration it has.
+    asleep: Vec<Time>,
+    configured: Vec<u32>,
+    /// When a clock last jumped.
+    stepped: Time,
     limits: BTreeMap<String, Limit>,
     names: BTreeSet<String>,
     seen: Seen,
@@ -85,10 +98,10 @@
         let mut rng = Rng::with_seed(seed);
         let count = if rng.bool() { 3 } else { 5 };
         let id = |n: usize| Id { name: format!("p{n}"), disk: 100 + n as u64 };
-        let limits = BTreeMap::from([("t".to_string(), Limit { rate: RATE, burst: RATE })]);
+        let limits = BTreeMap::from([("t".to_string(), Limit::new(RATE, RATE))]);
         let mut desks: Vec<Desk> = (0..GATEWAYS).map(|_| Desk::new(0)).collect();
         for d in &mut desks {
-            d.limits(0, &limits);
+            d.limits(0, &guest::terms(&limits, None).limits);
             d.gateways(GATEWAYS as u32);
         }
         World {
@@ -104,6 +117,11 @@
             follows: (0..GATEWAYS).map(|g| g % count).collect(),
             unreached: vec![0; GATEWAYS],
             waits: vec![Vec::new(); GATEWAYS],
+            guest: Guest::new(GATEWAYS),
+            guests: 5.0 + rng.f64() * 90.0,
+            asleep: vec![0; GATEWAYS],
+            configured: vec![0; GATEWAYS],
+            stepped: 0,
             limits,
             names: (0..GATEWAYS).map(|g| format!("g{g}")).collect(),
             seen: Seen::default(),
@@ -140,6 +158,7 @@
     }
 
     fn end(mut self) -> Story {
+        self.story.guest = self.seen.guest_counts();
         let Seen { acknowledged, reads, through, .. } = self.seen;
         (self.story.acknowledged, self.story.reads, self.story.through) = (acknowledged, reads, through);
         self.story
@@ -155,7 +174,10 @@
         let step = self.nodes[0].take(0, Input::Found { members }, None, None, &mut self.seen)?;
         self.send(0, step);
         (0..self.nodes.len()).for_each(|n| self.at(0, Event::Tick(n)));
-        for event in [Event::Hello, Event::Operator, Event::Trouble, Event::Gateway] {
+        for n in 0..self.nodes.len() {
+            self.nodes[n].skew = self.rng.i64(-20..=20);
+        }
+        for event in [Event::Hello, Event::Operator, Event::Trouble, Event::Gateway, Event::Trials] {
             self.at(200 * MS, event);
         }
         while let Some(Reverse((at, key))) = self.queue.pop() {
@@ -172,6 +194,7 @@
             self.step(event)?;
             self.check_lease()?;
         }
+        self.seen.trial_at_the_end(self.now)?;
         if self.now.saturating_sub(self.last_ack) > CALM {
             let cores = self.nodes.iter().filter_map(|n| n.core.as_ref());
             let cores: Vec<String> = cores.map(|c| format!("{c:?}")).collect();
@@ -247,6 +270,10 @@
                     for (id, votes) in &ids {
                         let from = self.place(&id.name);
                         if self.reaches(from, n) && self.nodes[n].frozen_until <= self.now {
+                            if self.nodes[from].frozen_until <= self.now {
+                                let wall = self.nodes[from].wall(self.now);
+                                self.nodes[n].clocks.hear(self.now, &id.name, wall);
+                            }
                             self.take(n, Input::Knock { id: id.clone(), votes: *votes })?;
                         }
                     }
@@ -259,6 +286,17 @@
                 Ok(())
             }
             Event::Gateway => self.gateways(),
+            Event::Trials => {
+                self.at(self.now + 100 * MS, Event::Trials);
+                for n in 0..self.nodes.len() {
+                    if self.nodes[n].frozen_until <= self.now {
+                        for input in self.nodes[n].trials(self.now, self.defect) {
+                            self.take(n, input)?;
+                        }
+                    }
+                }
+                Ok(())
+            }
             Event::Ask { gateway, to, ask } => {
                 let (now, defect) = (self.now, self.defect);
                 let name = format!("g{gateway}");
@@ -273,6 +311,11 @@
                 Ok(())
             }
             Event::Lent { gateway, lent } => {
+                let awake = self.asleep[gateway];
+                if awake > self.now {
+                    self.at(awake, Event::Lent { gateway, lent });
+                    return Ok(());
+                }
                 self.desks[gateway].lent(self.now, &lent);
                 Ok(())
             }
@@ -298,7 +341,12 @@
 
     fn take(&mut self, n: usize, input: Input) -> Result<(), Broken> {
         let breaks = (!self.is_calm() && self.rng.u16(..4000) == 0).then(|| self.rng.bool());
+        let before = self.seen.acknowledged;
         let step = self.nodes[n].take(self.now, input, self.defect, breaks, &mut self.seen)?;
+        // A drain's end tells no version.
+        if self.seen.acknowledged > before {
+            self.last_ack = self.now;
+        }
         if breaks.is_some() {
             self.tell(format!("{} dies in the middle of a step", self.nodes[n].id));
             self.nodes[n].stop();
@@ -331,7 +379,12 @@
     fn operator(&mut self) -> Result<(), Broken> {
         let at = self.now + self.rng.u64(10..120) * MS;
         self.at(at, Event::Operator);
-        let n = self.rng.usize(..self.nodes.len());
+        let mut n = self.rng.usize(..self.nodes.len());
+        // In the end they find whoever holds the duty, as they do by its word; chance alone may miss it for long.
+        let holds = |n: &Node| n.core.as_ref().is_some_and(understudy::Core::is_holder);
+        if self.is_calm() {
+            n = self.nodes.iter().position(holds).unwrap_or(n);
+        }
         if self.nodes[n].frozen_until > self.now {
             return Ok(());
         }
@@ -341,7 +394,8 @@
                 self.version += 1;
                 let old = self.rng.u8(..4) == 0;
                 let base = if old { self.known } else { self.nodes[n].book().version() };
-                Call::Change { base, version: self.version.max(base + 1) }
+                let ends = guest::moved(&mut self.rng, self.now, self.nodes[n].ends());
+                Call::Change { base, version: self.version.max(base + 1), ends }
             }
             2 => {
                 self.instance += 1;
@@ -369,6 +423,7 @@
     fn trouble(&mut self) {
         if self.is_calm() {
             self.cuts.clear();
+            self.nodes.iter_mut().for_each(|n| n.skew = n.skew.clamp(-20, 20));
             return;
         }
         let at = self.now + self.rng.u64(100..900) * MS;
@@ -377,8 +432,9 @@
         let short = self.rng.bool();
         let lasts = if short { self.rng.u64(20..200) } else { self.rng.u64(200..2500) } * MS;
         let until = (self.now + lasts).min(LENGTH - CALM);
-        match self.rng.u8(..9) {
+        match self.rng.u8(..10) {
             8 => self.one_against_the_holder(),
+            9 => self.step_a_clock(n),
             0 | 1 => {
                 self.tell(format!("cut {n} -> {m} for {} ms", lasts / MS));
                 self.cuts.insert((n, m), until);
@@ -418,6 +474,28 @@
         if self.rng.u8(..3) == 0 {
             self.unreached[g] = self.now + self.rng.u64(200..4000) * MS;
         }
+        if self.rng.u8(..5) == 0 {
+            let g = self.rng.usize(..GATEWAYS);
+            self.asleep[g] = self.now + self.rng.u64(50..2500) * MS;
+            self.tell(format!("gateway {g} stands still"));
+        }
+    }
+
+    /// One machine's time of day jumps, by seconds or by hours; never those of so many that they are a majority.
+    fn step_a_clock(&mut self, n: usize) {
+        let stepped = self.nodes.iter().any(|n| n.skew.abs() > 20);
+        if stepped {
+            self.tell("the clock that jumped is back".into());
+            self.nodes.iter_mut().for_each(|n| n.skew = n.skew.clamp(-20, 20));
+            self.stepped = self.now;
+        }
+        if stepped || self.now < self.stepped + curtain::OLD + 500 * MS {
+            return;
+        }
+        let by = if self.rng.bool() { self.rng.i64(500..5000) } else { self.rng.i64(5000..4_000_000) };
+        let by = if self.rng.bool() { by } else { -by };
+        self.tell(format!("the clock of {n} jumps by {by} ms"));
+        self.nodes[n].skew = by;
     }
 
     fn kill(&mut self, n: usize, lasts: Time) {
@@ -470,6 +548,13 @@
         self.at(self.now + 10 * MS, Event::Gateway);
         let now = self.now;
         for g in 0..GATEWAYS {
+            if self.asleep[g] > now {
+                continue;
+            }
+            self.configure(g);
+            let comes = self.rng.f64() < self.guests * 0.01 / GATEWAYS as f64;
+            let desk = &mut self.desks[g];
+            self.guest.turn((now, g), comes, desk, &mut self.rng, self.defect, &mut self.seen)?;
             let mut tries: Vec<Option<Time>> =
                 std::mem::take(&mut self.waits[g]).into_iter().map(Some).collect();
             if self.rng.f64() < self.hot * 0.01 / GATEWAYS as f64 {
@@ -483,7 +568,7 @@
                 }
                 match verdict {
                     Verdict::Granted => self.seen.pass(now, RATE, RATE)?,
-                    Verdict::Refused { .. } => {}
+                    Verdict::Refused { .. } | Verdict::Slowed { .. } => {}
                     Verdict::Wait { .. } => self.waits[g].push(since.unwrap_or(now)),
                 }
             }
@@ -504,4 +589,21 @@
         }
         Ok(())
     }
+
+    /// A gateway hears of the configuration from the prompter that it follows; it never goes back.
+    fn configure(&mut self, g: usize) {
+        let node = &self.nodes[self.follows[g]];
+        let reached = self.unreached[g] <= self.now && node.is_up() && node.frozen_until <= self.now;
+        if reached && node.book().version() > self.configured[g] {
+            self.configured[g] = node.book().version();
+            let ends = node.ends();
+            if ends.is_some() {
+                self.guest.unaware.remove(&g);
+            } else {
+                self.guest.unaware.insert(g);
+            }
+            let terms = guest::terms(&self.limits, ends);
+            self.desks[g].limits(self.now, &terms.limits);
+        }
+    }
 }
--- a/crates/rehearsal/tests/rehearsal.rs
+++ b/crates/rehearsal/tests/rehearsal.rs
@@ -11,21 +11,25 @@
 fn no_rule_is_broken_whatever_a_seed_brings() {
     let threads = 4;
     let work = |part: u64| {
-        let mut acknowledged = 0;
+        let (mut acknowledged, mut refused) = (0, 0);
         for seed in (part..SEEDS).step_by(threads as usize) {
             match play(seed, None) {
-                Ok(story) => acknowledged += u64::from(story.acknowledged),
+                Ok(story) => {
+                    acknowledged += u64::from(story.acknowledged);
+                    refused += u64::from(story.guest.2);
+                }
                 Err(broken) => panic!("seed {seed}: {}\n{:#?}", broken.0, broken.1.lines),
             }
         }
-        acknowledged
+        (acknowledged, refused)
     };
-    let sums: Vec<u64> = std::thread::scope(|s| {
+    let sums: Vec<(u64, u64)> = std::thread::scope(|s| {
         let all: Vec<_> = (0..threads).map(|part| s.spawn(move || work(part))).collect();
         all.into_iter().map(|t| t.join().expect("no rule is broken")).collect()
     });
-    // A world in which nothing is acknowledged proves nothing.
-    expect_that!(sums.iter().sum::<u64>(), gt(10 * SEEDS));
+    // A world in which nothing is acknowledged, or nobody is slowed, proves nothing.
+    expect_that!(sums.iter().map(|s| s.0).sum::<u64>(), gt(10 * SEEDS));
+    expect_that!(sums.iter().map(|s| s.1).sum::<u64>(), gt(10 * SEEDS));
 }
 
 #[gtest]
--- a/crates/wings/src/message.rs
+++ b/crates/wings/src/message.rs
@@ -11,7 +11,7 @@
 use understudy::{Id, Members, Message, Term};
 
 /// The form of all messages here.
-pub const FORM: u32 = 1;
+pub const FORM: u32 = 2;
 
 /// The first on a connection.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -31,6 +31,7 @@
     Backends,
     Gateways,
     Configuration,
+    Trials,
 }
 
 /// What a prompter says of itself and of what it knows.
@@ -64,6 +65,23 @@
     Gateways(Vec<(String, bool)>),
     /// As the operator sent it.
     Configuration(Option<String>),
+    Trials(Vec<Trial>),
+}
+
+/// A tenant's trial, as a prompter knows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Trial {
+    pub tenant: String,
+    /// In Unix milliseconds.
+    pub ends: u64,
+    /// Whether that has been agreed to have passed.
+    pub over: bool,
+    pub pace: f64,
+    pub wait_ms: u64,
+    /// By the keeper alone: whether it is slowed now, in how many ms that changes, and what gateways said of it: name, how
+    /// many ms ago, how many wait there, for how many ms those waited that went lately.
+    pub now: Option<(bool, Option<u64>)>,
+    pub nodes: Vec<(String, u64, u32, u64)>,
 }
 
 /// A prompter to another.
@@ -77,6 +95,8 @@
         first: bool,
         votes: bool,
         known: Vec<(String, String)>,
+        /// Its time of day, in Unix milliseconds.
+        wall: u64,
     },
     /// To the one that is to found, from the first seed: these are the voters.
     Found {
