Waits are alike: turns are dealt out in turn, and reads keep theirs when payments go ahead

Cause: the new scenario trial (three prompters, three gateways, a live expiry) showed mean waits of 284 to 682 ms by gateway, and reads refused late: whoever asked first after a change of the keeper got all turns within the wait, and a payment took a read's turn.

--- a/crates/boxoffice/src/keeper.rs
+++ b/crates/boxoffice/src/keeper.rs
@@ -8,8 +8,11 @@
 const MEMORY: f64 = 0.7;
 /// What a store holds that a new keeper begins with, as a part of the burst.
 const BEGIN: f64 = 0.25;
-/// The most turns that are given at once.
+/// The most turns that are taken back at once.
 const AT_ONCE: u32 = 1024;
+/// So many seconds' turns are given at once, and one at the least: who wants more asks again, 25 times a second, so that what
+/// many gateways ask for at the same moment is dealt out in turn.
+const DEALT: f64 = 0.06;
 
 #[derive(Clone, Debug)]
 struct Store {
@@ -244,16 +247,17 @@
     fn turns(&mut self, now: Time, q: &Queue, open: f64) -> Option<Turns> {
         let pace = self.pace.as_mut().filter(|p| p.is_slow)?;
         let slow = pace.slow;
-        let mut turns = Turns { tenant: q.tenant.clone(), after_us: Vec::new(), later_us: None };
+        let tenant = q.tenant.clone();
+        let mut turns = Turns { tenant, after_us: Vec::new(), pressing_us: Vec::new(), later_us: None };
         if open <= 0.0 {
             return Some(turns);
         }
         let apart = nanos(1.0 / (slow.pace * open));
         pace.next = pace.next.saturating_sub(apart * Time::from(q.back.min(AT_ONCE)));
         self.level = (self.level + f64::from(q.back.min(AT_ONCE))).min(self.limit.burst);
+        let most = (slow.pace * DEALT).ceil() as usize;
         // Whoever cannot wait first.
-        let wanted =
-            (0..q.pressing.min(AT_ONCE)).map(|_| true).chain((0..q.reads.min(AT_ONCE)).map(|_| false));
+        let wanted = (0..q.pressing).map(|_| true).chain((0..q.reads).map(|_| false)).take(most);
         for pressing in wanted {
             let next = pace.next.max(now);
             let ahead = pressing && next - now > from_micros(q.slack_us);
@@ -273,9 +277,10 @@
             }
             pace.next = next + apart;
             self.level -= 1.0;
-            turns.after_us.push(micros(at - now));
+            let given = if pressing { &mut turns.pressing_us } else { &mut turns.after_us };
+            given.push(micros(at - now));
         }
-        turns.after_us.sort_unstable();
+        turns.pressing_us.sort_unstable();
         Some(turns)
     }
 }
--- a/crates/boxoffice/src/lib.rs
+++ b/crates/boxoffice/src/lib.rs
@@ -147,8 +147,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Turns {
     pub tenant: String,
-    /// In how long each is, the soonest first.
+    /// In how long each is, the soonest first; and those for work that was pressing.
     pub after_us: Vec<u32>,
+    pub pressing_us: Vec<u32>,
     /// There is none within the wait for the rest: when to come back. None: nothing is known of them yet.
     pub later_us: Option<u32>,
 }
--- a/crates/boxoffice/src/line.rs
+++ b/crates/boxoffice/src/line.rs
@@ -1,7 +1,7 @@
 //! A slowed tenant's requests at one gateway: they wait in the order in which they came, for turns that the keeper gives. Work
 //! that would lose its aim by that order goes ahead of reads. `docs/design/trials.md` says what is promised and why it holds.
 
-use crate::{from_micros, micros, nanos, Phase, Queue, Slow, Time, Turns, ALONE_AFTER, LEAD, MS};
+use crate::{from_micros, micros, nanos, Phase, Queue, Slow, Time, Turns, ALONE_AFTER, LEAD, LENT_FOR, MS};
 use std::collections::VecDeque;
 
 /// More do not wait at one gateway.
@@ -65,8 +65,9 @@
     /// When the ask was sent that was answered last.
     heard: Time,
     waiters: Vec<Waiter>,
-    /// The soonest first.
+    /// The soonest first; and those that were given for work that was pressing.
     turns: VecDeque<Time>,
+    pressing: VecDeque<Time>,
     owner: Owner,
     /// Asks that are not answered: number, reads, pressing, when.
     asked: VecDeque<(u64, u32, u32, Time)>,
@@ -89,6 +90,7 @@
             heard: 0,
             waiters: Vec::new(),
             turns: VecDeque::new(),
+            pressing: VecDeque::new(),
             owner: Owner::Nobody,
             asked: VecDeque::new(),
             back: 0,
@@ -182,8 +184,10 @@
     /// What to ask for, if anything is to be said.
     pub fn queue(&mut self, now: Time, number: u64, tenant: &str) -> Option<Queue> {
         self.asked.retain(|(_, _, _, at)| now.saturating_sub(*at) < UNANSWERED);
-        while self.turns.len() > self.waiters.len() {
-            self.turns.pop_back();
+        let pressed = self.waiters.iter().filter(|w| w.by.is_some()).count();
+        while self.turns.len() + self.pressing.len() > self.waiters.len() {
+            let surplus = if self.pressing.len() > pressed { &mut self.pressing } else { &mut self.turns };
+            surplus.pop_back();
             self.back += u32::from(matches!(self.owner, Owner::Keeper(_)));
         }
         let plan = self.plan();
@@ -217,7 +221,7 @@
     /// Whether some who wait have yet to be asked for.
     pub fn lacks(&self) -> bool {
         let asked: u32 = self.asked.iter().map(|a| a.1 + a.2).sum();
-        self.waiters.len() > self.turns.len() + asked as usize
+        self.waiters.len() > self.turns.len() + self.pressing.len() + asked as usize
     }
 
     /// The keeper's turns, in answer to the ask of this number.
@@ -226,19 +230,23 @@
         self.owned_by(Owner::Keeper(keeper));
         let Some((_, reads, pressing, _)) = asked else {
             // Nobody remembers: they are nobody's.
-            self.back += turns.after_us.len() as u32;
+            self.back += (turns.after_us.len() + turns.pressing_us.len()) as u32;
             return;
         };
-        self.turns.extend(turns.after_us.iter().map(|us| now + from_micros(*us)));
-        self.turns.make_contiguous().sort_unstable();
+        for (held, given) in [(&mut self.turns, &turns.after_us), (&mut self.pressing, &turns.pressing_us)] {
+            held.extend(given.iter().map(|us| now + from_micros(*us)));
+            held.make_contiguous().sort_unstable();
+        }
         if let Some(us) = turns.later_us {
-            self.refuse = ((reads + pressing).saturating_sub(turns.after_us.len() as u32), from_micros(us));
+            let given = turns.after_us.len() + turns.pressing_us.len();
+            self.refuse = ((reads + pressing).saturating_sub(given as u32), from_micros(us));
         }
     }
 
     fn owned_by(&mut self, owner: Owner) {
         if std::mem::replace(&mut self.owner, owner) != owner {
             self.turns.clear();
+            self.pressing.clear();
             self.asked.clear();
             self.back = 0;
             self.refuse = (0, 0);
@@ -247,14 +255,26 @@
 
     // ---- Turns ----
 
-    /// Each one's turn, by the order in which they came, but that work which would lose its aim so goes ahead where that
-    /// helps it.
+    /// Each one's turn, by the order in which they came: reads have theirs, work that is pressed for time its own. What one kind
+    /// leaves over is the other's; work that would lose its aim so goes ahead of reads where that helps it.
     fn plan(&self) -> Vec<Option<Time>> {
         let mut plan = vec![None; self.waiters.len()];
-        let mut left: Vec<usize> = (0..self.waiters.len()).collect();
-        for (n, at) in self.turns.iter().enumerate() {
+        let is_pressed = |w: &usize| self.waiters[*w].by.is_some();
+        let (pressed, mut left): (Vec<usize>, Vec<usize>) = (0..self.waiters.len()).partition(is_pressed);
+        for (w, at) in pressed.iter().zip(&self.pressing) {
+            plan[*w] = Some(*at);
+        }
+        let lack = pressed.iter().skip(self.pressing.len());
+        let over = self.pressing.iter().skip(pressed.len());
+        if self.owner == Owner::Own || left.len() < self.turns.len() {
+            left.extend(lack);
+            left.sort_unstable();
+        }
+        let mut turns: Vec<Time> = self.turns.iter().chain(over).copied().collect();
+        turns.sort_unstable();
+        for (n, at) in turns.iter().enumerate() {
             let late = |(place, w): (usize, &usize)| {
-                let own = self.turns.get(n + place);
+                let own = turns.get(n + place);
                 self.waiters[*w].by.is_some_and(|by| *at <= by && own.is_none_or(|own| *own > by))
             };
             let next = left.iter().enumerate().position(late).unwrap_or(0);
@@ -269,6 +289,8 @@
     pub fn poll(&mut self, now: Time, standing: Standing) -> Option<(u64, Word)> {
         self.forget(now);
         match (standing.alone_since, self.owner) {
+            // What was given is good for as long as a unit is: the keeper does not count on more from this gateway so soon.
+            (Some(since), Owner::Keeper(_)) if now < since + LENT_FOR - ALONE_AFTER => {}
             (Some(since), owner) => {
                 if owner != Owner::Own {
                     self.owned_by(Owner::Own);
@@ -285,10 +307,16 @@
                 return Some(refused);
             }
         }
-        let at = self.turns.front().filter(|at| **at <= now)?;
-        let place = plan.iter().position(|p| p.as_ref() == Some(at))?;
-        self.turns.pop_front();
-        Some((self.go(now, place), Word::Go))
+        let due = |turns: &VecDeque<Time>| turns.front().copied().filter(|at| *at <= now);
+        for pressing in [true, false] {
+            let held = if pressing { &mut self.pressing } else { &mut self.turns };
+            let place = due(held).and_then(|at| plan.iter().position(|p| *p == Some(at)));
+            if let Some(place) = place {
+                held.pop_front();
+                return Some((self.go(now, place), Word::Go));
+            }
+        }
+        None
     }
 
     /// One at a time who cannot be served within its wait.
@@ -300,7 +328,8 @@
             return Some((waiter.id, Word::Refused { advice }));
         }
         if standing.alone_since.is_some() {
-            let lack = self.waiters.len().saturating_sub(self.turns.len()) as u32;
+            let turns = self.turns.len() + self.pressing.len();
+            let lack = self.waiters.len().saturating_sub(turns) as u32;
             let advice = (self.next_own + 1).saturating_sub(now + self.slow.wait);
             self.refuse = (lack, advice.max(nanos(1.0 / self.slow.pace)));
         }
@@ -344,7 +373,7 @@
     /// Turns of one's own, of the even part of the pace.
     fn mint(&mut self, now: Time, gateways: u32) {
         let apart = nanos(f64::from(gateways) / self.slow.pace);
-        while gateways > 0 && self.turns.len() < self.waiters.len() {
+        while gateways > 0 && self.turns.len() + self.pressing.len() < self.waiters.len() {
             let at = self.next_own.max(now);
             if at > now + self.slow.wait {
                 return;
@@ -359,8 +388,10 @@
         if self.waiters.is_empty() {
             return None;
         }
-        let turn = self.turns.front().copied();
-        let change = [self.from, self.until, alone_at, alone_at + PATIENT, self.slow_since(now) + LEAD];
+        // A turn that is nobody's goes back with the next ask.
+        let turn = self.plan().into_iter().flatten().min();
+        let void = alone_at + LENT_FOR - ALONE_AFTER;
+        let change = [self.from, self.until, alone_at, void, alone_at + PATIENT, self.slow_since(now) + LEAD];
         let change = change.into_iter().filter(|at| *at > now);
         turn.into_iter().chain(change).min()
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -15,5 +15,6 @@
 mod planning_cost;
 pub mod program;
 pub mod scenario;
+pub mod trial;
 pub mod upgrade;
 pub mod view;
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -74,4 +74,5 @@
     crate::view::SCENARIO,
     crate::comeback::SCENARIO,
     crate::house::SCENARIO,
+    crate::trial::SCENARIO,
 ];
--- /dev/null
+++ b/crates/rig/src/trial.rs
@@ -0,0 +1,301 @@
+//! A live expiry: a tenant on trial asks through all three gateways while its trial runs out, with a prompter killed in that second, a
+//! gateway frozen over it and another prompter frozen later; then it is extended, and over once more. What is counted is
+//! counted at clients and backends.
+
+use crate::fleet::lock;
+use crate::house::{begin_with, call, configured, request_by, Running, GUEST, KEY, MACHINES};
+use crate::peers::Client;
+use crate::scenario::{Figures, Play, Scenario};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep, JoinHandle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const SCENARIO: Scenario = Scenario {
+    name: "trial",
+    about: "a trial runs out under load: a prompter killed in that second, a gateway frozen over it; extended; over again",
+    seconds: 24,
+    test_seconds: 18,
+    defects: &[
+        ("runs-twice", "the client sends each payment once more under the same id"),
+        ("not-slowed", "the configuration names no trial"),
+        ("shut-out", "the configuration lets nobody wait"),
+        ("uneven", "the clients of one gateway come with another tenant's key"),
+        ("answers-lost", "backends run one payment in fifty and do not answer it"),
+    ],
+    planted: &[],
+    run,
+};
+
+/// The guest's pace behind its trial, a second, and how long its requests may wait, in ms.
+const PACE: f64 = 20.0;
+const WAIT_MS: u64 = 1000;
+/// Clients of the guest's at each gateway, each asking so often while it is served at once.
+const CLIENTS: usize = 12;
+const EVERY: Duration = Duration::from_millis(250);
+/// More than so many served at one gateway within a window is full speed: in turn all three together serve six, and a few that
+/// could not wait.
+const WINDOW: Duration = Duration::from_millis(300);
+const FULL: usize = 11;
+const ROUTES: [&str; 2] = ["/look/", "/pay/"];
+
+/// One request of a client, when it was answered since the beginning.
+#[derive(Clone)]
+struct Seen {
+    gateway: usize,
+    at: Duration,
+    took: Duration,
+    status: Option<u16>,
+    /// Of a payment.
+    id: Option<String>,
+    /// It was asked of a gateway that stood still.
+    frozen: bool,
+}
+
+type Book = Arc<Mutex<Vec<Seen>>>;
+
+fn unix_ms(after: Duration) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (now + after).as_millis() as u64
+}
+
+/// A time as RFC 3339 words it.
+fn rfc3339(ms: u64) -> String {
+    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(ms)).to_string()
+}
+
+fn tenants(play: &Play, ends: u64) -> Vec<Value> {
+    let members =
+        json!({"name": "members", "apiKeys": [KEY], "priority": 1, "ratePerS": 400, "burstSize": 400});
+    let mut guest =
+        json!({"name": "guest", "apiKeys": [GUEST], "priority": 1, "ratePerS": 300, "burstSize": 300});
+    if !play.has("not-slowed") {
+        let wait = if play.has("shut-out") { 0 } else { WAIT_MS };
+        guest["trial"] = json!({"endsAt": rfc3339(ends), "pacePerS": PACE, "waitMs": wait});
+    }
+    vec![members, guest]
+}
+
+/// Clients of one tenant at one gateway until `stop`.
+fn clients(
+    (gateway, front): (usize, SocketAddr),
+    key: &'static str,
+    count: usize,
+    (began, frozen, stop): (Instant, Arc<AtomicBool>, Arc<AtomicBool>),
+    twice: bool,
+) -> (Book, Vec<JoinHandle<()>>) {
+    let book: Book = Arc::default();
+    let threads = (0..count).map(|n| {
+        let (book, frozen, stop) = (book.clone(), frozen.clone(), stop.clone());
+        thread::spawn(move || {
+            let mut id = (((gateway + count * MACHINES) * 100 + n + 1) as u64) << 32;
+            sleep(EVERY.mul_f64(n as f64 / count as f64));
+            while !stop.load(Relaxed) {
+                id += 1;
+                let pays = id.is_multiple_of(10);
+                let text = request_by(key, if pays { "/pay/1" } else { "/look/1" }, id);
+                let asked = Instant::now();
+                let was_frozen = frozen.load(Relaxed);
+                let ask = || Client::try_connect(front).and_then(|mut c| c.try_ask(&text));
+                let answer = ask();
+                if twice && pays {
+                    ask();
+                }
+                let status = answer.as_ref().map(|a| a.status());
+                let after = answer.as_ref().and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
+                lock(&book).push(Seen {
+                    gateway,
+                    at: began.elapsed(),
+                    took: asked.elapsed(),
+                    status,
+                    id: pays.then(|| format!("{id:016x}")),
+                    frozen: was_frozen || frozen.load(Relaxed),
+                });
+                let rest = EVERY.saturating_sub(asked.elapsed());
+                sleep(rest.max(Duration::from_secs_f64(after.unwrap_or(0.0).clamp(0.0, 1.0))));
+            }
+        })
+    });
+    let threads = threads.collect();
+    (book, threads)
+}
+
+fn replace(running: &Running, base: u32, version: u32, tenants: &[Value]) -> Result<(), String> {
+    let text = configured(base, version, &ROUTES, tenants);
+    let taken = call(&running.house.controls(), "POST", "/-/Configuration.Replace", &text, 150);
+    match taken.map(|a| a.status()) {
+        Some(200) => Ok(()),
+        other => Err(format!("the configuration {version} was not taken: {other:?}")),
+    }
+}
+
+fn run(play: &Play) -> Result<Figures, String> {
+    let part = play.time / 6;
+    let first = configured(0, 1, &ROUTES, &tenants(play, unix_ms(Duration::from_secs(3600))));
+    let mut running = begin_with(play.seed, &first)?;
+    if play.has("answers-lost") {
+        running.seen.unanswered.store(50, Relaxed);
+    }
+    // A part at full speed, then it ends.
+    let began = Instant::now();
+    replace(&running, 1, 2, &tenants(play, unix_ms(part)))?;
+    let stop: Arc<AtomicBool> = Arc::default();
+    let frozen: Vec<Arc<AtomicBool>> = (0..MACHINES).map(|_| Arc::default()).collect();
+    let (mut books, mut members, mut threads) = (Vec::new(), Vec::new(), Vec::new());
+    for (n, front) in running.house.fronts().into_iter().enumerate() {
+        let key = if play.has("uneven") && n == 0 { KEY } else { GUEST };
+        let ends = || (began, frozen[n].clone(), stop.clone());
+        let (book, more) = clients((n, front), key, CLIENTS, ends(), play.has("runs-twice"));
+        books.push(book);
+        threads.extend(more);
+        let (book, more) = clients((n, front), KEY, 2, ends(), false);
+        members.push(book);
+        threads.extend(more);
+    }
+    let until = |at: Duration| sleep(at.saturating_sub(began.elapsed()));
+    let (dies, sleeps) = ((play.seed % 3) as usize, ((play.seed / 3) % 3) as usize);
+    let other = (dies + 1) % MACHINES;
+    // In the second of the end one prompter dies, and one gateway stands still over it.
+    until(part - Duration::from_millis(300));
+    frozen[sleeps].store(true, Relaxed);
+    running.house.freeze(sleeps, true, true)?;
+    until(part - Duration::from_millis(play.seed % 200));
+    running.house.kill(dies)?;
+    until(part + Duration::from_millis(900));
+    running.house.freeze(sleeps, true, false)?;
+    until(part + Duration::from_millis(1900));
+    frozen[sleeps].store(false, Relaxed);
+    // Slowed; late in that another prompter hangs for a while.
+    until(part * 3);
+    running.house.freeze(other, false, true)?;
+    until(part * 3 + Duration::from_millis(400));
+    running.house.freeze(other, false, false)?;
+    // Extended, and over again.
+    until(part * 4);
+    replace(&running, 2, 3, &tenants(play, unix_ms(Duration::from_secs(3600))))?;
+    let extended = began.elapsed();
+    until(part * 5);
+    replace(&running, 3, 4, &tenants(play, unix_ms(Duration::ZERO) - 60_000))?;
+    let over = began.elapsed();
+    // A gateway is told to end while requests wait there for their turn.
+    until(over + Duration::from_millis(1300));
+    let (rolls, told) = ((sleeps + 1) % MACHINES, began.elapsed());
+    frozen[rolls].store(true, Relaxed);
+    let rolled = running.house.roll(rolls)?;
+    until(part * 6);
+    stop.store(true, Relaxed);
+    threads.into_iter().for_each(|t| drop(t.join()));
+    let all: Vec<Seen> = books.iter().flat_map(|b| lock(b).clone()).collect();
+    let members: Vec<Seen> = members.iter().flat_map(|b| lock(b).clone()).collect();
+    let mut figures = Figures::default();
+    let left = |s: &&Seen| s.gateway == rolls && s.at - s.took < told && s.at > told && s.status.is_none();
+    figures.none("left without an answer by a gateway told to end", all.iter().filter(left).count());
+    figures.none("gateways that did not end by themselves", usize::from(rolled.is_none()));
+    figures.set("a gateway's end, ms", rolled.map_or(0, |d| d.as_millis() as u64));
+    ledger(&running, &all, &mut figures);
+    figures.none("windows with one gateway at full speed and another refusing", both(&all));
+    let settled = part + Duration::from_millis(2400)..part * 3;
+    let again = extended + Duration::from_millis(1200)..over;
+    paced(&all, &settled, &mut figures);
+    let served = |within: &std::ops::Range<Duration>| {
+        let of = all.iter().filter(|s| within.contains(&s.at) && s.status == Some(200));
+        of.count() as f64 / (within.end.saturating_sub(within.start)).as_secs_f64()
+    };
+    let before = Duration::from_millis(500)..part - Duration::from_millis(400);
+    figures.set("served a second before the end", served(&before));
+    figures.bound("served a second once extended, of before", served(&again) / served(&before), 0.8, 1.3);
+    let last = over + Duration::from_millis(600)..told;
+    figures.bound("served a second once over again, of the pace", served(&last) / PACE, 0.4, 2.5);
+    let wait = |within: &std::ops::Range<Duration>| {
+        let of = members.iter().filter(|s| within.contains(&s.at) && s.status == Some(200) && !s.frozen);
+        let took: Vec<f64> = of.map(|s| s.took.as_secs_f64() * 1e3).collect();
+        took.iter().sum::<f64>() / took.len().max(1) as f64
+    };
+    figures.set("another tenant's mean wait before, ms", wait(&before));
+    figures.bound("another tenant's mean wait longer by, ms", wait(&settled) - wait(&before), -1e3, 20.0);
+    by_node(&all, &mut figures);
+    Ok(figures)
+}
+
+/// What payments came to, at clients and backends.
+fn ledger(running: &Running, all: &[Seen], figures: &mut Figures) {
+    let runs = lock(&running.seen.runs);
+    let ran = |s: &&Seen| s.id.as_ref().is_some_and(|id| runs.contains_key(id));
+    let payments = || all.iter().filter(|s| s.id.is_some());
+    figures.set("payments", payments().count());
+    figures.none("payments doubled", runs.values().filter(|n| **n > 1).count());
+    let refused = |s: &&Seen| matches!(s.status, Some(429 | 503));
+    figures.none("refused payments that ran", payments().filter(refused).filter(ran).count());
+    let confirmed = payments().filter(|s| s.status == Some(200));
+    figures.none("confirmed payments that did not run", confirmed.filter(|s| !ran(s)).count());
+    let lost = payments().filter(|s| !matches!(s.status, Some(200 | 429 | 503)) && !s.frozen).filter(ran);
+    figures.none("payments that ran and were not confirmed", lost.count());
+    let failed = |s: &&Seen| !matches!(s.status, Some(200 | 429 | 503)) && !s.frozen;
+    figures.none("left without an answer", all.iter().filter(failed).count());
+}
+
+/// Windows in which one gateway served at full speed while another refused. One that stands still refuses nobody, and what it
+/// does when it wakes counts like any other's.
+fn both(all: &[Seen]) -> usize {
+    let refused = all.iter().filter(|s| matches!(s.status, Some(429 | 503)));
+    let beside = |r: &&Seen| {
+        let mut served = [0; MACHINES];
+        let near = all.iter().filter(|s| s.status == Some(200) && s.at <= r.at && s.at + WINDOW > r.at);
+        near.for_each(|s| served[s.gateway] += 1);
+        (0..MACHINES).any(|g| g != r.gateway && served[g] > FULL)
+    };
+    refused.filter(beside).count()
+}
+
+/// The pace and the waits while it is slowed.
+fn paced(all: &[Seen], within: &std::ops::Range<Duration>, figures: &mut Figures) {
+    let of = |g: Option<usize>| {
+        let at = move |s: &&Seen| g.is_none_or(|g| s.gateway == g) && within.contains(&s.at);
+        all.iter().filter(at).filter(|s| s.status == Some(200))
+    };
+    // Payments go ahead of reads everywhere; reads wait alike.
+    let reads = |g| of(Some(g)).filter(|s| s.id.is_none());
+    let span = within.end.saturating_sub(within.start).as_secs_f64();
+    figures.bound("slowed: served a second, of the pace", of(None).count() as f64 / span / PACE, 0.75, 1.25);
+    let refused = all.iter().filter(|s| within.contains(&s.at) && matches!(s.status, Some(429 | 503)));
+    let early = refused.clone().filter(|s| s.took < Duration::from_millis(WAIT_MS / 2)).count();
+    let refused = refused.count();
+    figures.set("slowed: refused", refused);
+    figures.bound("slowed: refused at once, of all refused", early as f64 / refused.max(1) as f64, 0.9, 1.0);
+    let waits: Vec<f64> = (0..MACHINES)
+        .map(|g| {
+            let took: Vec<f64> = reads(g).map(|s| s.took.as_secs_f64() * 1e3).collect();
+            took.iter().sum::<f64>() / took.len().max(1) as f64
+        })
+        .collect();
+    let (least, most) = waits.iter().fold((f64::MAX, 0f64), |s, w| (s.0.min(*w), s.1.max(*w)));
+    figures.set("slowed: mean waits by gateway, ms", waits.clone());
+    figures.bound("slowed: mean wait, ms", waits.iter().sum::<f64>() / MACHINES as f64, 200.0, 1200.0);
+    let alike = most - least < 100.0;
+    let paid: Vec<f64> = of(None).filter(|s| s.id.is_some()).map(|s| s.took.as_secs_f64() * 1e3).collect();
+    figures.set("slowed: mean wait of payments, ms", paid.iter().sum::<f64>() / paid.len().max(1) as f64);
+    figures.bound(
+        "slowed: the longest mean wait, of the shortest",
+        if alike { 1.0 } else { most / least },
+        1.0,
+        1.5,
+    );
+}
+
+/// Served, waited for more than 100 ms, refused: by gateway and 100 ms.
+fn by_node(all: &[Seen], figures: &mut Figures) {
+    let mut rows: BTreeMap<(usize, u64), [u32; 3]> = BTreeMap::new();
+    for s in all {
+        let row = rows.entry((s.gateway, s.at.as_millis() as u64 / 100)).or_default();
+        let served = s.status == Some(200);
+        row[0] += u32::from(served);
+        row[1] += u32::from(served && s.took > Duration::from_millis(100));
+        row[2] += u32::from(matches!(s.status, Some(429 | 503)));
+    }
+    let rows: Vec<Value> =
+        rows.into_iter().map(|((g, t), r)| json!([g, t * 100, r[0], r[1], r[2]])).collect();
+    figures.set("by gateway and 100 ms: served, waited, refused", rows);
+}
