--- a/crates/foyer/src/show.rs
+++ b/crates/foyer/src/show.rs
@@ -66,18 +66,25 @@
         }
         Query::Gateways => {
             let mut follows: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+            let mut missed: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
             let mut all = BTreeSet::new();
             for t in told {
                 if let Answer::Gateways(gateways) = &t.answer {
-                    all.extend(gateways.iter().map(|(name, _)| name.as_str()));
-                    let here = gateways.iter().filter(|(_, follows)| *follows);
-                    here.for_each(|(name, _)| follows.entry(name).or_default().push(&t.by));
+                    for (name, here, missed_by) in gateways {
+                        all.insert(name.as_str());
+                        if *here {
+                            follows.entry(name).or_default().push(&t.by);
+                        }
+                        missed.entry(name).or_default().extend(missed_by.iter().map(String::as_str));
+                    }
                 }
             }
             line(format!("by {}, {}", freshest(told).by, freshness(freshest(told))));
             for name in all {
                 let whom = follows.get(name).map_or("nobody who was reached".into(), |by| by.join(", "));
-                line(format!("  {name:28} follows {whom}"));
+                let by = missed.get(name).map_or(0, BTreeSet::len);
+                let missed = if by == 0 { String::new() } else { format!("; {by} gateways miss it") };
+                line(format!("  {name:28} follows {whom}{missed}"));
             }
         }
         Query::Trials => {
--- a/crates/prompter/src/followers.rs
+++ b/crates/prompter/src/followers.rs
@@ -4,7 +4,6 @@
 use crate::view::View;
 use callboard::Place;
 use promptbook::Word;
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -20,13 +19,13 @@
 pub async fn serve(
     view: Rc<View>,
     agreement: Agreement,
-    (name, ip): (String, IpAddr),
+    name: String,
     place: Option<Place>,
     reader: Reader,
     mut writer: Writer,
 ) {
     let (sender, mut answers) = mpsc::channel(QUEUE);
-    view.followers.borrow_mut().insert(name.clone(), (sender.clone(), ip));
+    view.followers.borrow_mut().insert(name.clone(), (sender.clone(), Vec::new()));
     let tell = async {
         let mut at = place;
         let mut changes = view.news();
@@ -83,7 +82,7 @@
     let touch = view.duty.borrow().touch;
     let touch_ms = touch.map_or(u64::MAX, |at| view.now().saturating_sub(at) / 1_000_000);
     let touch_ms = u32::try_from(touch_ms).unwrap_or(u32::MAX);
-    Down::Pulse { touch_ms, prompters: view.prompters(), neighbours: view.some_followers() }
+    Down::Pulse { touch_ms, prompters: view.prompters() }
 }
 
 /// A gateway that is not agreed on yet has no part of what is shared.
@@ -106,6 +105,12 @@
 async fn hear(view: &View, agreement: &Agreement, name: &str, mut reader: Reader) {
     while let Ok(Some(message)) = reader.read::<Up>().await {
         match message {
+            Up::Company { missing } => {
+                log::info!("company: {name} misses {}", missing.join(", "));
+                if let Some(follower) = view.followers.borrow_mut().get_mut(name) {
+                    follower.1 = missing;
+                }
+            }
             Up::Ask(ask) => {
                 let (is_holder, holder) = {
                     let duty = view.duty.borrow();
--- a/crates/prompter/src/inquiry.rs
+++ b/crates/prompter/src/inquiry.rs
@@ -43,7 +43,12 @@
         }
         Query::Gateways => {
             let followers = view.followers.borrow();
-            Answer::Gateways(book.gateways().iter().map(|g| (g.clone(), followers.contains_key(g))).collect())
+            let missed = |g: &String| {
+                let by = followers.iter().filter(|(_, (_, missing))| missing.contains(g));
+                by.map(|(name, _)| name.clone()).collect()
+            };
+            let told = |g: &String| (g.clone(), followers.contains_key(g), missed(g));
+            Answer::Gateways(book.gateways().iter().map(told).collect())
         }
         Query::Configuration => {
             let text = book.configuration().map(|c| String::from_utf8_lossy(&c.body).into_owned());
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -129,8 +129,8 @@
             reader.known();
             match first {
                 Ok(Ok(Some(First::Prompter { form: FORM, id }))) => links.hear(id, reader).await,
-                Ok(Ok(Some(First::Gateway { form: FORM, name, ip, place, .. }))) => {
-                    followers::serve(view, agreement, (name, ip), place, reader, writer).await;
+                Ok(Ok(Some(First::Gateway { form: FORM, name, place, .. }))) => {
+                    followers::serve(view, agreement, name, place, reader, writer).await;
                 }
                 Ok(Ok(Some(First::Shell { form: FORM }))) => {
                     inquiry::serve(view, agreement, reader, writer).await
--- a/crates/prompter/src/view.rs
+++ b/crates/prompter/src/view.rs
@@ -17,8 +17,6 @@
 use wings::message::{Change, Down, Peer, Scene};
 use wings::settings::Settings;
 
-/// Gateways that a pulse names.
-const NEIGHBOURS: usize = 4;
 /// Changes that a follower may be behind without a snapshot.
 const CHANGES: usize = 1024;
 
@@ -47,8 +45,8 @@
     boards: Value<u64>,
     pub duty: RefCell<Duty>,
     news: watch::Sender<()>,
-    /// Gateways that follow: where their loans go, and their machines.
-    pub followers: RefCell<HashMap<String, (mpsc::Sender<Down>, IpAddr)>>,
+    /// Gateways that follow: where their loans go, and whom they believe to be gone.
+    pub followers: RefCell<HashMap<String, Follower>>,
     /// Links to the other prompters, by name.
     pub links: RefCell<BTreeMap<String, mpsc::Sender<Peer>>>,
     /// Prompters that were ever heard of: names, and zones as far as they are known.
@@ -61,6 +59,8 @@
     pub current: Current,
 }
 
+/// A gateway that follows.
+type Follower = (mpsc::Sender<Down>, Vec<String>);
 /// Beats: those that say something new whole, of the others id and sequence.
 type Fresh = (Vec<Fact>, Vec<(String, u64)>);
 
@@ -246,14 +246,6 @@
         }
     }
 
-    /// A few gateways that follow, others each time.
-    pub fn some_followers(&self) -> Vec<IpAddr> {
-        let followers = self.followers.borrow();
-        let all: Vec<IpAddr> = followers.values().map(|(_, ip)| *ip).collect();
-        let first = (self.now() / 200_000_000) as usize;
-        (0..all.len().min(NEIGHBOURS)).map(|n| all[(first + n) % all.len()]).collect()
-    }
-
     // ---- The others ----
 
     /// Sends to another prompter, if there is a link and room on it: whatever is sent may be lost.
--- a/crates/proscenium/src/follow.rs
+++ b/crates/proscenium/src/follow.rs
@@ -1,5 +1,6 @@
 //! The link to a prompter: the one of the own zone if it can be had, else any other. What it tells is folded in.
 
+use crate::company::Company;
 use crate::playing::Playing;
 use callboard::{Follower, Take};
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,8 +34,7 @@
 const MOST_DOUBLED: u32 = 3;
 /// So many in a row that did not answer: this gateway is cut off, not they.
 const CUT_OFF: u32 = 2;
-/// Gateways that are remembered, and that are tried in turn.
-const MOST_NEIGHBOURS: usize = 16;
+/// Gateways that are tried in turn.
 const TRIED: usize = 4;
 
 pub struct Follow {
@@ -45,8 +45,10 @@
     /// Until when each is not tried while there are others, and how often in a row it came to that.
     shunned: BTreeMap<IpAddr, (Instant, u32)>,
     follower: Follower,
-    /// Gateways that follow the same prompters.
-    neighbours: BTreeSet<IpAddr>,
+    /// Gateways that know each other.
+    company: Option<Rc<Company>>,
+    /// What was last told of them.
+    missing: Vec<String>,
     /// Prompters in a row that did not answer at all.
     unheard: u32,
 }
@@ -62,9 +64,9 @@
 }
 
 impl Follow {
-    pub fn new(playing: Rc<Playing>, settings: Settings) -> Self {
-        let (known, shunned, follower, neighbours) = Default::default();
-        Follow { playing, settings, known, shunned, follower, neighbours, unheard: 0 }
+    pub fn new(playing: Rc<Playing>, settings: Settings, company: Option<Rc<Company>>) -> Self {
+        let (known, shunned, follower, missing) = Default::default();
+        Follow { playing, settings, known, shunned, follower, company, missing, unheard: 0 }
     }
 
     pub async fn run(mut self) {
@@ -107,9 +109,7 @@
     /// Cut off from prompters: a gateway that is not lets this one through to its own.
     async fn through_others(&mut self) {
         let Some(port) = self.settings.relays_port() else { return };
-        let own = self.settings.own.ip_address;
-        let mut others: Vec<IpAddr> = self.neighbours.iter().copied().filter(|ip| *ip != own).collect();
-        fastrand::shuffle(&mut others);
+        let others = self.company.as_ref().map(|c| c.others()).unwrap_or_default();
         for ip in others.into_iter().take(TRIED) {
             let end = self.follow(ip, SocketAddr::new(ip, port)).await;
             self.playing.unlinked();
@@ -149,7 +149,8 @@
         reader.known();
         let own = &self.settings.own;
         let (name, zone, place) = (own.node_name.clone(), own.zone.clone(), self.follower.place());
-        writer.write(&First::Gateway { form: FORM, name, ip: own.ip_address, zone, place }).await?;
+        writer.write(&First::Gateway { form: FORM, name, zone, place }).await?;
+        self.missing.clear();
         let (sender, mut asks) = mpsc::channel::<Up>(QUEUE);
         self.playing.linked(sender, direct.then_some(ip));
         log::info!("following {ip}");
@@ -187,10 +188,7 @@
                     }
                 },
                 Down::Lent(lent) => self.playing.rights.lent(&lent),
-                Down::Pulse { touch_ms, prompters, neighbours } => {
-                    if self.neighbours.len() < MOST_NEIGHBOURS {
-                        self.neighbours.extend(neighbours);
-                    }
+                Down::Pulse { touch_ms, prompters } => {
                     for (name, zone) in prompters {
                         if let Ok(ip) = name.parse() {
                             self.known.insert(ip, zone);
@@ -214,6 +212,11 @@
                 sweep = now + Duration::from_secs(1);
                 let at = self.playing.rights.now();
                 self.playing.fold(|fold| fold.sweep(at));
+                let missing = self.company.as_ref().map(|c| c.missing()).unwrap_or_default();
+                if missing != self.missing {
+                    self.missing.clone_from(&missing);
+                    writer.write(&Up::Company { missing }).await?;
+                }
             }
         }
     }
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -2,6 +2,7 @@
 //! the prompters tell of. `docs/operate/system.md` is its page.
 #![forbid(unsafe_code)]
 
+mod company;
 mod door;
 mod fold;
 mod follow;
@@ -12,6 +13,7 @@
 mod rights;
 mod wire;
 
+use company::Company;
 use door::Front;
 use follow::Follow;
 use granite_engine::Figures;
@@ -95,7 +97,11 @@
     driver.neighbours(Some((0, 1)));
     playing.drives(driver.clone());
     spawn_local(rights.run());
-    spawn_local(Follow::new(playing.clone(), settings.clone()).run());
+    let company = Company::open(&settings)?;
+    spawn_local(Follow::new(playing.clone(), settings.clone(), company.clone()).run());
+    if let Some(company) = company.clone() {
+        spawn_local(company.run());
+    }
     if let Some(port) = settings.relays_port() {
         let listener = listen(SocketAddr::new(settings.own.ip_address, port))?;
         spawn_local(relay::serve(playing.clone(), listener, settings.prompters_port()));
@@ -126,6 +132,9 @@
     });
     let stop = async move {
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+        if let Some(company) = company {
+            company.leave();
+        }
     };
     // Clients that connect meanwhile wait in the listener's queue: sooner there would be nothing to tell them. A word
     // from before a start will do: to wait for a majority's cost more than it saved.
--- a/crates/rig/src/house.rs
+++ b/crates/rig/src/house.rs
@@ -102,7 +102,9 @@
     let mut found = Vec::new();
     while found.len() < 4 {
         let any = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
-        if free(any.port()) && !found.contains(&any.port()) {
+        // Gateways let each other through, and probe each other, on the two behind the internal one.
+        let behind = found.len() < 3 || free(any.port() + 1) && free(any.port() + 2);
+        if any.port() < u16::MAX - 2 && free(any.port()) && behind && !found.contains(&any.port()) {
             found.push(any.port());
         }
     }
@@ -139,10 +141,10 @@
         for (n, ip) in ips.into_iter().enumerate() {
             let folder = house.folder.join(n.to_string());
             std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-            let data = folder.join("data");
+            let (data, last) = (folder.join("data"), inner + 2);
             let text = format!(
                 "[ownIdentity]\nnodeName = \"edge-{n}\"\nipAddress = \"{ip}\"\nzone = \"zone-{n}\"\n\
-                 initialStart = true\ndataDirectory = {:?}\n[networkTerms]\ninternalPortRange = [{inner}, {inner}]\n\
+                 initialStart = true\ndataDirectory = {:?}\n[networkTerms]\ninternalPortRange = [{inner}, {last}]\n\
                  seedNodes = [{seeds}]\n[networkTerms.listenAddresses]\nfrontHttp1 = \"{ip}:{front}\"\n\
                  readiness = \"{ip}:{readiness}\"\ncontrolPlane = \"{ip}:{control}\"\n[networkTerms.zones]\n\
                  zone-0 = \"r\"\nzone-1 = \"r\"\nzone-2 = \"r\"\n[platformTerms]\nheartbeatIntervalMs = {BEAT_MS}\n",
--- a/crates/wings/src/message.rs
+++ b/crates/wings/src/message.rs
@@ -6,7 +6,6 @@
 use greenroom::Fact;
 use promptbook::Configuration;
 use serde::{Deserialize, Serialize};
-use std::net::IpAddr;
 use std::sync::Arc;
 use understudy::{Id, Members, Message, Term};
 
@@ -19,7 +18,7 @@
     /// A prompter: what follows is [`Peer`].
     Prompter { form: u32, id: Id },
     /// A gateway: what follows is [`Up`], and [`Down`] the other way.
-    Gateway { form: u32, name: String, ip: IpAddr, zone: String, place: Option<Place> },
+    Gateway { form: u32, name: String, zone: String, place: Option<Place> },
     /// The shell: what follows is [`Query`], and [`Told`] the other way.
     Shell { form: u32 },
 }
@@ -61,8 +60,8 @@
     },
     /// With whether each is leaving.
     Backends(Vec<(Fact, bool)>),
-    /// With whether each follows this prompter.
-    Gateways(Vec<(String, bool)>),
+    /// With whether each follows this prompter, and which of those who do believe it to be gone.
+    Gateways(Vec<(String, bool, Vec<String>)>),
     /// As the operator sent it.
     Configuration(Option<String>),
     Trials(Vec<Trial>),
@@ -134,6 +133,10 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Up {
     Ask(Ask),
+    /// Gateways that it suspects or believes to be gone, whenever that changes.
+    Company {
+        missing: Vec<String>,
+    },
 }
 
 /// A prompter to a gateway that follows it.
@@ -149,12 +152,10 @@
         changes: Vec<Change>,
     },
     /// Each 200 ms: how long ago this prompter last knew of a majority, in ms, and which prompters there are, by
-    /// address, each with its zone, if that is known; and some gateways that follow the same one, through whom it can be
-    /// followed when it cannot be reached.
+    /// address, each with its zone, if that is known.
     Pulse {
         touch_ms: u32,
         prompters: Vec<(String, String)>,
-        neighbours: Vec<IpAddr>,
     },
     Lent(Lent),
 }
--- a/crates/wings/src/settings.rs
+++ b/crates/wings/src/settings.rs
@@ -179,6 +179,12 @@
         (first < last).then(|| first + 1)
     }
 
+    /// Where gateways probe each other, if the range has room for it.
+    pub fn company_port(&self) -> Option<u16> {
+        let (first, last) = self.net.internal_port_range;
+        (last >= first.saturating_add(2)).then(|| first + 2)
+    }
+
     /// The seeds' machines.
     pub fn seeds(&self) -> Vec<IpAddr> {
         self.net.seed_nodes.iter().map(SocketAddr::ip).collect()
