--- a/crates/rig/src/lives.rs
+++ b/crates/rig/src/lives.rs
@@ -20,7 +20,7 @@
     name: "lives",
     about: "servers that fail in every way, drains, clients that leave: one truthful answer each",
     seconds: 10,
-    test_seconds: 4,
+    test_seconds: 6,
     defects: &[
         ("lying-refusal", "servers say that they have not started what they have run"),
         ("foreign-answer", "servers answer with what was made for another"),
@@ -174,7 +174,7 @@
                         discovery.tell(rev, list(rev, false, &[(names[n], addresses[n], state)]));
                     }
                     lock(&ledger.drained)[n] = (state == "Terminating").then(Instant::now);
-                    let next = Instant::now() + Duration::from_millis(1300);
+                    let next = Instant::now() + Duration::from_millis(1800);
                     while Instant::now() < next {
                         if over.load(Ordering::Relaxed) {
                             return;
