--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod defect;
+pub mod growth;
 mod guest;
 mod node;
 mod rules;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -11,6 +11,7 @@
     options.optopt("s", "seed", "the first seed (0)", "N");
     options.optopt("n", "seeds", "how many (1)", "N");
     options.optopt("d", "defect", "plant this one", "NAME");
+    options.optflag("", "growth", "print what grows with the fleet and end");
     options.optflag("", "story", "print what happened also where no rule was broken");
     let told = match options.parse(std::env::args().skip(1)) {
         Ok(told) => told,
@@ -31,6 +32,10 @@
         Defect::ALL.iter().for_each(|d| println!("{}", d.name()));
         return ExitCode::SUCCESS;
     }
+    if told.opt_present("growth") {
+        rehearsal::growth::table().iter().for_each(|l| println!("{l}"));
+        return ExitCode::SUCCESS;
+    }
     let number = |name: &str, usual: u64| told.opt_get_default(name, usual);
     let (Ok(first), Ok(count)) = (number("seed", 0), number("seeds", 1)) else {
         eprintln!("rehearsal: a seed is a number");
