--- a/crates/proscenium/src/company.rs
+++ b/crates/proscenium/src/company.rs
@@ -12,8 +12,8 @@
 use tokio::time::{sleep, sleep_until, Instant};
 use wings::settings::Settings;
 
-/// Between two probes: who is gone is known after some seconds, and hundreds of gateways on narrow links do not notice it.
-const PERIOD: Time = 1_000_000_000;
+/// Between two probes: who is gone is known after some ten seconds, and hundreds of gateways on narrow links do not notice it.
+const PERIOD: Time = 2_000_000_000;
 const KEEP_DEAD: Time = 120_000_000_000;
 /// The view's clock begins here, so that nothing lies before it.
 const START: Time = 1_000_000_000;
