An order's fate is decided by a pure value; what was taken is known before it is checked

Change: promptbook::decide(book, body, read) -> Verdict, without I/O, which control.rs goes by and rehearsal can; Verdict::after for what came of a proposal.

--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -2,18 +2,22 @@
 //! every prompter folds from the same words in the same order, so that all hold the same. No I/O.
 #![forbid(unsafe_code)]
 
+mod order;
+mod taken;
+
+pub use order::{decide, Verdict, Versions};
+pub use taken::{mark, Mark, MARKS};
+
 use playbill::Version;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use taken::Taken;
 
 /// A place in the agreed log.
 pub type Place = u64;
 /// The form of what is kept and sent.
 const FORM: u32 = 1;
-/// So many earlier configurations are known again when they come once more.
-const KNOWN: usize = 64;
 /// So many that are leaving are remembered; ids are never used again, and the oldest have long ended.
 const LEAVING: usize = 4096;
 /// So many gateways are known. More are a fault of the platform's.
@@ -72,13 +76,11 @@
     pub body: Vec<u8>,
 }
 
-type Mark = [u8; 16];
-
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Book {
     form: u32,
     configuration: Option<Arc<Configuration>>,
-    known: VecDeque<(Version, Mark)>,
+    taken: Taken,
     leaving: BTreeMap<String, Place>,
     gateways: BTreeSet<String>,
     /// The latest end of each tenant's trial that has passed, and where that was agreed on. An earlier version, which knows of
@@ -114,8 +116,18 @@
     }
 
     /// Whether exactly this configuration has been taken, now or some time ago.
+    pub fn is_taken(&self, body: &[u8]) -> bool {
+        self.taken.knows(&mark(body)).is_some()
+    }
+
+    /// The same, of one under this version.
     pub fn has_taken(&self, version: Version, body: &[u8]) -> bool {
-        self.known.iter().any(|(v, m)| *v == version && *m == mark(body))
+        self.taken.knows(&mark(body)) == Some(version)
+    }
+
+    /// Whether one of this version may have been taken so long ago that nobody knows.
+    pub fn may_have_forgotten(&self, version: Version) -> bool {
+        self.taken.may_be_forgotten(version)
     }
 
     pub fn is_leaving(&self, instance: &str) -> bool {
@@ -152,10 +164,7 @@
                 }
                 let configuration = Configuration { version: *version, place, body: body.clone() };
                 self.configuration = Some(Arc::new(configuration));
-                self.known.push_back((*version, mark(body)));
-                if self.known.len() > KNOWN {
-                    self.known.pop_front();
-                }
+                self.taken.take(*version, mark(body));
                 Applied::Changed
             }
             Word::Leaving { instance } => {
@@ -196,13 +205,6 @@
     }
 }
 
-fn mark(body: &[u8]) -> Mark {
-    let whole = Sha256::digest(body);
-    let mut mark = Mark::default();
-    mark.copy_from_slice(&whole[..16]);
-    mark
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/prompter/src/control.rs
+++ b/crates/prompter/src/control.rs
@@ -13,7 +13,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use playbill::Checker;
-use promptbook::Word;
+use promptbook::{decide, Applied, Verdict, Versions, Word};
 use serde::Deserialize;
 use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
@@ -257,10 +257,6 @@
         if let Some(elsewhere) = self.elsewhere("/-/Configuration.Replace") {
             return elsewhere;
         }
-        let playbill = match self.checker.get_or_init(Checker::default).check(&body) {
-            Ok(playbill) => playbill,
-            Err(fault) => return no(StatusCode::BAD_REQUEST, &fault.to_string()),
-        };
         let until = Instant::now() + ANSWERED;
         let left = || until.saturating_duration_since(Instant::now());
         let Ok(_turn) = timeout(left(), self.turn.lock()).await else { return later() };
@@ -268,25 +264,29 @@
         if !self.agreement.newest(left()).await {
             return later();
         }
-        let (base, version) = (playbill.base_version, playbill.config_version);
-        let stands = {
-            let book = self.view.book.borrow();
-            if book.has_taken(version, &body) {
-                return json(StatusCode::OK, "{}");
+        let read = |body: &[u8]| match self.checker.get_or_init(Checker::default).check(body) {
+            Ok(c) => Ok(Versions { base: c.base_version, version: c.config_version }),
+            Err(fault) => Err(fault.to_string()),
+        };
+        let verdict = decide(&self.view.book.borrow(), &body, read);
+        let verdict = match verdict {
+            Verdict::Propose(word) => {
+                let applied = match self.agreement.propose(word.write(), left()).await {
+                    Done::Agreed(Outcome::Stands) => Some(Applied::Changed),
+                    Done::Agreed(Outcome::Other) => Some(Applied::Other),
+                    Done::Newest | Done::NotHolder => None,
+                };
+                Verdict::after(applied.as_ref(), self.view.book.borrow().version())
             }
-            book.version()
+            verdict => verdict,
         };
-        if version <= stands && base == stands {
-            return no(StatusCode::BAD_REQUEST, &format!("its version is not greater than {stands:08x}"));
-        }
-        if base != stands {
-            return no(StatusCode::PRECONDITION_FAILED, &format!("{stands:08x} stands"));
-        }
-        let word = Word::Configuration { base, version, body: body.to_vec() }.write();
-        match self.agreement.propose(word, left()).await {
-            Done::Agreed(Outcome::Stands) => json(StatusCode::OK, "{}"),
-            Done::Agreed(Outcome::Other) => no(StatusCode::PRECONDITION_FAILED, "another version stands"),
-            Done::Newest | Done::NotHolder => later(),
+        match verdict {
+            Verdict::Acknowledged => json(StatusCode::OK, "{}"),
+            Verdict::Invalid(why) => no(StatusCode::BAD_REQUEST, &why),
+            Verdict::Conflict { current } => {
+                no(StatusCode::PRECONDITION_FAILED, &format!("{current:08x} stands"))
+            }
+            Verdict::Unclear | Verdict::Propose(_) => later(),
         }
     }
 
