--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -156,7 +156,8 @@
     pub fn apply(&mut self, place: Place, word: &Word) -> Applied {
         match word {
             Word::Configuration { base, version, body } => {
-                if self.has_taken(*version, body) {
+                let mark = mark(body);
+                if self.taken.knows(&mark) == Some(*version) {
                     return Applied::Same;
                 }
                 if *base != self.version() || *version <= self.version() {
@@ -164,7 +165,7 @@
                 }
                 let configuration = Configuration { version: *version, place, body: body.clone() };
                 self.configuration = Some(Arc::new(configuration));
-                self.taken.take(*version, mark(body));
+                self.taken.take(*version, mark);
                 Applied::Changed
             }
             Word::Leaving { instance } => {
--- a/crates/prompter/src/control.rs
+++ b/crates/prompter/src/control.rs
@@ -3,9 +3,9 @@
 use crate::agreement::{Agreement, Done, Outcome};
 use crate::followers::pass_on;
 use crate::view::View;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use greenroom::Fact;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -13,26 +13,36 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use playbill::Checker;
-use promptbook::{decide, Applied, Verdict, Versions, Word};
+use promptbook::{decide, mark, Applied, Mark, Verdict, Versions, Word};
 use serde::Deserialize;
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Mutex;
-use tokio::task::spawn_local;
+use tokio::sync::{watch, Mutex};
+use tokio::task::{spawn_blocking, spawn_local};
 use tokio::time::{sleep, timeout, Instant};
 
-/// The largest body of a call.
-const LONGEST: usize = 8 << 20;
-/// How long a call may take to come.
-const COMES: Duration = Duration::from_secs(5);
+/// The largest body of a call, and the most bytes of bodies that are held at once: one more is told to come later.
+const LONGEST: usize = 12 << 20;
+const HELD: usize = 24 << 20;
+/// Larger ones are checked on another thread: 700 KB take 80 ms of a core, 8 MB 0.4 s, and this one has rounds to answer.
+const CHECKED_HERE: usize = 64 << 10;
+/// How long a call may rest while it comes, and how long it may take in all: 12 MiB at 3 Mbit/s.
+const RESTS: Duration = Duration::from_secs(5);
+const COMES: Duration = Duration::from_secs(35);
 /// A caller goes elsewhere after a second of silence.
 const ANSWERED: Duration = Duration::from_millis(850);
+/// So long is waited for what comes of a proposal, whoever still asks: a large one takes its time on a slow link.
+const PROPOSED: Duration = Duration::from_secs(15);
+/// The most orders under way at once.
+const ORDERS: usize = 32;
 /// Something that was passed on is passed on again after so long.
 const AGAIN: Duration = Duration::from_millis(150);
 /// How long a caller keeps its connection.
@@ -41,7 +51,7 @@
 const CALLERS: usize = 256;
 
 type Reply = Response<Full<Bytes>>;
-type Handler = for<'a> fn(&'a Control, &'a str, Bytes) -> Pin<Box<dyn Future<Output = Reply> + 'a>>;
+type Handler = for<'a> fn(&'a Rc<Control>, &'a str, Body) -> Pin<Box<dyn Future<Output = Reply> + 'a>>;
 
 /// A call: its method, its path, of which a trailing `/` stands for a name behind it, its handler.
 struct Call {
@@ -103,16 +113,65 @@
     view: Rc<View>,
     agreement: Agreement,
     /// Made with the first change that is to be checked here: its library takes some megabytes.
-    checker: OnceCell<Checker>,
-    /// One change of the configuration at a time.
-    turn: Mutex<()>,
+    checker: Arc<OnceLock<Checker>>,
+    orders: Orders,
     callers: Cell<usize>,
+    /// Bytes of bodies.
+    held: Rc<Cell<usize>>,
+}
+
+/// Orders under way.
+#[derive(Default)]
+struct Orders {
+    turn: Mutex<()>,
+    /// By the mark of their bytes.
+    under_way: RefCell<BTreeMap<Mark, watch::Receiver<Option<Verdict>>>>,
+}
+
+/// A call's body, counted among all that are held for as long as it is.
+struct Body {
+    bytes: Bytes,
+    held: Rc<Cell<usize>>,
+    counted: usize,
+}
+
+impl Body {
+    async fn collect(held: Rc<Cell<usize>>, mut body: Incoming) -> Result<Body, Reply> {
+        let mut whole = Body { bytes: Bytes::new(), held, counted: 0 };
+        let mut all = BytesMut::new();
+        loop {
+            let frame = match timeout(RESTS, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return Err(no(StatusCode::BAD_REQUEST, "it is cut short")),
+                Ok(None) => break,
+                Err(_) => return Err(no(StatusCode::REQUEST_TIMEOUT, "it did not come")),
+            };
+            let Ok(bytes) = frame.into_data() else { continue };
+            if all.len() + bytes.len() > LONGEST {
+                return Err(no(StatusCode::PAYLOAD_TOO_LARGE, "it is too long"));
+            }
+            if whole.held.get() + bytes.len() > HELD {
+                return Err(later());
+            }
+            whole.held.set(whole.held.get() + bytes.len());
+            whole.counted += bytes.len();
+            all.extend_from_slice(&bytes);
+        }
+        whole.bytes = all.freeze();
+        Ok(whole)
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.held.set(self.held.get() - self.counted);
+    }
 }
 
 impl Control {
     pub fn new(view: Rc<View>, agreement: Agreement) -> Rc<Self> {
-        let checker = OnceCell::new();
-        Rc::new(Control { view, agreement, checker, turn: Mutex::new(()), callers: Cell::new(0) })
+        let (checker, orders, callers, held) = Default::default();
+        Rc::new(Control { view, agreement, checker, orders, callers, held })
     }
 
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
@@ -137,13 +196,13 @@
             // Errors are the caller's. One that has been there for long is let go behind its next answer.
             if timeout(LASTS, http.as_mut()).await.is_err() {
                 http.as_mut().graceful_shutdown();
-                let _ = timeout(COMES, http).await;
+                let _ = timeout(RESTS, http).await;
             }
         }
         self.callers.set(self.callers.get() - 1);
     }
 
-    async fn call(&self, request: Request<Incoming>) -> Reply {
+    async fn call(self: &Rc<Self>, request: Request<Incoming>) -> Reply {
         let (head, body) = request.into_parts();
         let path = head.uri.path().to_string();
         let named = |c: &&Call| match c.path.strip_suffix('/') {
@@ -154,12 +213,9 @@
         if head.method != call.method {
             return no(StatusCode::METHOD_NOT_ALLOWED, "another method is wanted");
         }
-        let body = match timeout(COMES, Limited::new(body, LONGEST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return no(StatusCode::PAYLOAD_TOO_LARGE, "it is too long");
-            }
-            Ok(Err(_)) => return no(StatusCode::BAD_REQUEST, "it is cut short"),
+        let body = match timeout(COMES, Body::collect(self.held.clone(), body)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(reply)) => return reply,
             Err(_) => return no(StatusCode::REQUEST_TIMEOUT, "it did not come"),
         };
         (call.handler)(self, path.strip_prefix(call.path).unwrap_or_default(), body).await
@@ -167,8 +223,8 @@
 
     // ---- Backends ----
 
-    async fn heartbeat(&self, id: &str, body: Bytes) -> Reply {
-        let beat: Beat = match serde_json::from_slice(&body) {
+    async fn heartbeat(&self, id: &str, body: Body) -> Reply {
+        let beat: Beat = match serde_json::from_slice(&body.bytes) {
             Ok(beat) => beat,
             Err(e) => return no(StatusCode::BAD_REQUEST, &e.to_string()),
         };
@@ -253,33 +309,14 @@
         Some(reply)
     }
 
-    async fn replace(&self, body: Bytes) -> Reply {
+    /// An order that is under way already is not begun again: whoever sends it once more hears what becomes of the first.
+    async fn replace(self: &Rc<Self>, body: Body) -> Reply {
         if let Some(elsewhere) = self.elsewhere("/-/Configuration.Replace") {
             return elsewhere;
         }
-        let until = Instant::now() + ANSWERED;
-        let left = || until.saturating_duration_since(Instant::now());
-        let Ok(_turn) = timeout(left(), self.turn.lock()).await else { return later() };
-        // What stands is known only once a majority has said that nobody else holds the duty.
-        if !self.agreement.newest(left()).await {
-            return later();
-        }
-        let read = |body: &[u8]| match self.checker.get_or_init(Checker::default).check(body) {
-            Ok(c) => Ok(Versions { base: c.base_version, version: c.config_version }),
-            Err(fault) => Err(fault.to_string()),
-        };
-        let verdict = decide(&self.view.book.borrow(), &body, read);
-        let verdict = match verdict {
-            Verdict::Propose(word) => {
-                let applied = match self.agreement.propose(word.write(), left()).await {
-                    Done::Agreed(Outcome::Stands) => Some(Applied::Changed),
-                    Done::Agreed(Outcome::Other) => Some(Applied::Other),
-                    Done::Newest | Done::NotHolder => None,
-                };
-                Verdict::after(applied.as_ref(), self.view.book.borrow().version())
-            }
-            verdict => verdict,
-        };
+        let Some(mut verdict) = self.under_way(body) else { return later() };
+        let verdict = timeout(ANSWERED, verdict.wait_for(Option::is_some)).await;
+        let verdict = verdict.ok().and_then(Result::ok).and_then(|v| v.clone()).unwrap_or(Verdict::Unclear);
         match verdict {
             Verdict::Acknowledged => json(StatusCode::OK, "{}"),
             Verdict::Invalid(why) => no(StatusCode::BAD_REQUEST, &why),
@@ -290,6 +327,71 @@
         }
     }
 
+    /// What becomes of this order; none: too many are under way.
+    fn under_way(self: &Rc<Self>, body: Body) -> Option<watch::Receiver<Option<Verdict>>> {
+        let mark = mark(&body.bytes);
+        let mut orders = self.orders.under_way.borrow_mut();
+        if let Some(verdict) = orders.get(&mark) {
+            return Some(verdict.clone());
+        }
+        if orders.len() >= ORDERS {
+            return None;
+        }
+        let (tell, verdict) = watch::channel(None);
+        orders.insert(mark, verdict.clone());
+        let control = self.clone();
+        spawn_local(async move {
+            let verdict = control.settle(&body.bytes).await;
+            control.orders.under_way.borrow_mut().remove(&mark);
+            tell.send_replace(Some(verdict));
+        });
+        Some(verdict)
+    }
+
+    async fn settle(&self, body: &Bytes) -> Verdict {
+        // All that was agreed on when the order came is known once a majority has said that nobody else leads.
+        if !self.agreement.newest(ANSWERED).await {
+            return Verdict::Unclear;
+        }
+        // One proposal at a time, until it is known what came of it: of two on one base the second would only be carried
+        // around in vain.
+        let Ok(_turn) = timeout(ANSWERED, self.orders.turn.lock()).await else { return Verdict::Unclear };
+        let mut read = None;
+        if body.len() > CHECKED_HERE && !self.view.book.borrow().is_taken(body) {
+            let (checker, body) = (self.checker.clone(), body.clone());
+            read = spawn_blocking(move || check(&checker, &body)).await.ok();
+        }
+        let verdict =
+            decide(&self.view.book.borrow(), body, |body| read.unwrap_or_else(|| check(&self.checker, body)));
+        let Verdict::Propose(word) = verdict else { return verdict };
+        let applied = self.agreed(word).await;
+        Verdict::after(applied.as_ref(), self.view.book.borrow().version())
+    }
+
+    /// What came of this word; none: that is not known.
+    async fn agreed(&self, word: Word) -> Option<Applied> {
+        let term = self.view.duty.borrow().term;
+        let mut news = self.view.news();
+        let done = self.agreement.propose(word.write(), PROPOSED);
+        let mut done = std::pin::pin!(done);
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut done => return match done {
+                    Done::Agreed(Outcome::Stands) => Some(Applied::Changed),
+                    Done::Agreed(Outcome::Other) => Some(Applied::Other),
+                    Done::Newest | Done::NotHolder => None,
+                },
+                _ = news.changed() => {
+                    let duty = self.view.duty.borrow();
+                    if !duty.is_holder || duty.term != term {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
     async fn read(&self) -> Reply {
         if let Some(elsewhere) = self.elsewhere("/-/Configuration.Read") {
             return elsewhere;
@@ -304,6 +406,12 @@
     }
 }
 
+/// Whether a configuration is sound, and what it builds on.
+fn check(checker: &OnceLock<Checker>, body: &[u8]) -> Result<Versions, String> {
+    let read = checker.get_or_init(Checker::default).check(body);
+    read.map(|c| Versions { base: c.base_version, version: c.config_version }).map_err(|f| f.to_string())
+}
+
 fn json(status: StatusCode, body: impl Into<Bytes>) -> Reply {
     let mut reply = Response::new(Full::new(body.into()));
     *reply.status_mut() = status;
