What a prompter tells is proven by a round trip; configurations go to gateways as differences

Cause: a prompter that heard the leader counted as in contact, also where its log had a gap, it was catching up, nobody heard it, or it had just woken: it handed out an old configuration as the newest and took backends in. One that was cut off ended all backends after 3.5 beats and told that as the whole truth. A gateway heard no drain any more behind its 8,192nd. A configuration was one message: 700 KB at 2 Mbit/s take 2.8 s, silence ends a link after 0.7 s; and the board kept 1,024 of them whole.

Change: callboard::Contact (asks each 150 ms, answered by the leader alone with its majority's age and how far is agreed); who is out of contact sends operators, backends and gateways on. The cell counts no silence while it was deaf. promptbook::{Difference, Steps, Sender, Receiver}: the difference to what the gateway holds, checked by a mark, else the whole, in parts of 16 KiB, 64 KiB under way; silence is counted by bytes; only a gateway that holds the newest refuses for good. Form 3 of the messages.

--- a/crates/callboard/src/lib.rs
+++ b/crates/callboard/src/lib.rs
@@ -2,6 +2,10 @@
 //! still has it; else a snapshot, and follows from there. Bounded by a number of changes. No I/O.
 #![forbid(unsafe_code)]
 
+mod contact;
+
+pub use contact::Contact;
+
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
--- a/crates/greenroom/src/lib.rs
+++ b/crates/greenroom/src/lib.rs
@@ -119,6 +119,12 @@
         self.lives.remove(id).is_some()
     }
 
+    /// Nobody could be heard until now: what was silent so far says nothing, and who lives is not known whole.
+    pub fn was_deaf(&mut self, now: Time) {
+        self.born = now;
+        self.lives.values_mut().for_each(|l| l.heard = now);
+    }
+
     /// Those who have not been heard for too long: their lives are over.
     pub fn sweep(&mut self, now: Time) -> Vec<String> {
         let late = self.lives.iter().filter(|(_, l)| now.saturating_sub(l.heard) >= self.patience);
@@ -167,4 +173,17 @@
         assert_eq!(cell.sweep(14 * S), ["a"]);
         assert_eq!(cell.facts().count(), 1);
     }
+
+    #[test]
+    fn who_was_silent_while_nobody_could_be_heard_is_not_over() {
+        let mut cell = Cell::new(S, 0);
+        cell.beat(0, fact("a", "x", 1));
+        // Cut off, or standing still, for twenty seconds.
+        cell.was_deaf(20 * S);
+        assert_eq!(cell.sweep(20 * S), Vec::<String>::new());
+        assert!(!cell.is_whole(20 * S), "what others heard meanwhile is not known here");
+        assert_eq!(cell.sweep(23 * S), Vec::<String>::new());
+        assert_eq!(cell.sweep(24 * S), ["a"], "its time begins anew");
+        assert!(cell.is_whole(24 * S));
+    }
 }
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -2,10 +2,14 @@
 //! every prompter folds from the same words in the same order, so that all hold the same. No I/O.
 #![forbid(unsafe_code)]
 
+mod difference;
 mod order;
+mod parcel;
 mod taken;
 
+pub use difference::Difference;
 pub use order::{decide, Verdict, Versions};
+pub use parcel::{Head, Part, Received, Receiver, Sender, Steps, PART, WINDOW};
 pub use taken::{mark, Mark, MARKS};
 
 use playbill::Version;
--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -65,7 +65,7 @@
         let core = Core::new(view.me.clone(), stored, seed, view.now());
         let (place, state) = core.start();
         if place > 0 {
-            view.install(state);
+            view.install(place, state);
         }
         let mut applied = place;
         for output in core.known() {
@@ -223,7 +223,7 @@
                 Output::Apply { place, term, word } => self.apply(place, term, &word),
                 Output::Install { place, state } => {
                     self.applied = place;
-                    self.view.install(&state);
+                    self.view.install(place, &state);
                 }
                 Output::Newest { tag } => self.done(tag, Done::Newest),
                 Output::NotHolder { tag } => self.done(tag, Done::NotHolder),
--- a/crates/prompter/src/control.rs
+++ b/crates/prompter/src/control.rs
@@ -27,7 +27,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Mutex};
 use tokio::task::{spawn_blocking, spawn_local};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 /// The largest body of a call, and the most bytes of bodies that are held at once: one more is told to come later.
 const LONGEST: usize = 12 << 20;
@@ -45,6 +45,12 @@
 const ORDERS: usize = 32;
 /// Something that was passed on is passed on again after so long.
 const AGAIN: Duration = Duration::from_millis(150);
+/// A prompter that has not been in contact with a majority for so long takes no backends in.
+const TOUCH: Duration = Duration::from_millis(1500);
+/// Nor does it send operators on to the leader that it knows: another is about to be elected.
+const SENDS_ON: Duration = Duration::from_millis(800);
+/// The leader is asked for proof of contact so often.
+const CONTACT: Duration = Duration::from_millis(150);
 /// How long a caller keeps its connection.
 const LASTS: Duration = Duration::from_secs(60);
 /// The most callers at once.
@@ -265,8 +271,7 @@
 
     /// Whether a majority was known of of late.
     fn in_touch(&self) -> bool {
-        let touch = self.view.duty.borrow().touch;
-        touch.is_some_and(|at| self.view.now().saturating_sub(at) < 1_200_000_000)
+        self.view.untouched_for() < TOUCH
     }
 
     /// Has it agreed on that this backend leaves. Whether it was, in time to say so.
@@ -297,7 +302,7 @@
         if duty.is_holder {
             return None;
         }
-        let fresh = duty.touch.is_some_and(|at| self.view.now().saturating_sub(at) < 1_000_000_000);
+        let fresh = self.view.untouched_for() < SENDS_ON;
         let ip = duty.holder.as_ref().filter(|_| fresh).and_then(|h| h.name.parse::<IpAddr>().ok());
         let port = self.view.settings.net.listen_addresses.control_plane.map(|a| a.port());
         let location = ip.zip(port).map(|(ip, port)| format!("http://{}{path}", SocketAddr::new(ip, port)));
@@ -412,6 +417,18 @@
     read.map(|c| Versions { base: c.base_version, version: c.config_version }).map_err(|f| f.to_string())
 }
 
+/// Keeps proving that all that is agreed on is held here.
+pub async fn keep_contact(view: Rc<View>) {
+    let mut every = interval(CONTACT);
+    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        view.ask_contact();
+        // What it has proven as the leader counts on when it is one no more.
+        view.touch();
+    }
+}
+
 fn json(status: StatusCode, body: impl Into<Bytes>) -> Reply {
     let mut reply = Response::new(Full::new(body.into()));
     *reply.status_mut() = status;
--- a/crates/prompter/src/followers.rs
+++ b/crates/prompter/src/followers.rs
@@ -1,12 +1,14 @@
-//! Gateways that follow: a scene, then changes, a pulse, and their asks for rights.
+//! Gateways that follow: a scene, then changes, the configuration in parts, a pulse, and their asks for rights.
 
 use crate::agreement::Agreement;
 use crate::view::View;
 use callboard::Place;
-use promptbook::Word;
+use promptbook::{Sender, Word};
+use std::cell::RefCell;
+use std::future::ready;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 use tokio::time::{interval, MissedTickBehavior};
 use wings::frame::{Reader, Writer};
 use wings::message::{Down, Peer, Up};
@@ -17,17 +19,25 @@
 /// Gateways that one may miss.
 const MISSING: usize = 64;
 
-/// Serves one gateway until its connection ends.
+/// What a follower gets of the configuration, and that there may be room for more of it.
+struct Sending {
+    sender: RefCell<Sender>,
+    room: Notify,
+}
+
+/// Serves one gateway until its connection ends. It says how far it has followed this prompter, and which configuration it
+/// holds.
 pub async fn serve(
     view: Rc<View>,
     agreement: Agreement,
     name: String,
-    place: Option<Place>,
+    (place, holds): (Option<Place>, promptbook::Place),
     reader: Reader,
     mut writer: Writer,
 ) {
     let (sender, mut answers) = mpsc::channel(QUEUE);
     view.followers.borrow_mut().insert(name.clone(), (sender.clone(), Vec::new()));
+    let sending = Sending { sender: RefCell::new(Sender::new(holds)), room: Notify::new() };
     let tell = async {
         let mut at = place;
         let mut changes = view.news();
@@ -40,22 +50,30 @@
                 writer.write(&news).await?;
             }
             at = Some(next);
+            let part = view.part(&mut sending.sender.borrow_mut());
+            let more = part.is_some();
+            if let Some(part) = part {
+                writer.write(&Down::Configuration(part)).await?;
+            }
             tokio::select! {
-                _ = changes.changed() => {}
-                _ = pulse.tick() => {
-                    register(&view, &agreement, &name);
-                    writer.write(&beat(&view)).await?;
-                }
+                biased;
                 answer = answers.recv() => match answer {
                     None => return Ok::<(), std::io::Error>(()),
                     Some(answer) => writer.write(&answer).await?,
                 },
+                _ = pulse.tick() => {
+                    register(&view, &agreement, &name);
+                    writer.write(&beat(&view)).await?;
+                }
+                _ = changes.changed() => {}
+                () = sending.room.notified() => {}
+                () = ready(()), if more => {}
             }
         }
     };
     tokio::select! {
         _ = tell => {}
-        () = hear(&view, &agreement, &name, reader) => {}
+        () = hear(&view, &agreement, &name, &sending, reader) => {}
     }
     let mut followers = view.followers.borrow_mut();
     // It may have come again on another connection.
@@ -81,10 +99,9 @@
 }
 
 fn beat(view: &View) -> Down {
-    let touch = view.duty.borrow().touch;
-    let touch_ms = touch.map_or(u64::MAX, |at| view.now().saturating_sub(at) / 1_000_000);
-    let touch_ms = u32::try_from(touch_ms).unwrap_or(u32::MAX);
-    Down::Pulse { touch_ms, prompters: view.prompters() }
+    let touch_ms = u32::try_from(view.untouched_for().as_millis()).unwrap_or(u32::MAX);
+    let newest = view.book.borrow().configuration().map_or(0, |c| c.place);
+    Down::Pulse { touch_ms, newest, prompters: view.prompters() }
 }
 
 /// A gateway that is not agreed on yet has no part of what is shared.
@@ -104,7 +121,7 @@
     }
 }
 
-async fn hear(view: &View, agreement: &Agreement, name: &str, mut reader: Reader) {
+async fn hear(view: &View, agreement: &Agreement, name: &str, sending: &Sending, mut reader: Reader) {
     while let Ok(Some(message)) = reader.read::<Up>().await {
         match message {
             Up::Company { mut missing } => {
@@ -114,6 +131,15 @@
                     follower.1 = missing;
                 }
             }
+            Up::Got { place, bytes } => {
+                sending.sender.borrow_mut().got(place, bytes);
+                sending.room.notify_one();
+            }
+            Up::Lacks => {
+                log::info!("configuration: {name} is told the whole");
+                sending.sender.borrow_mut().lacks();
+                sending.room.notify_one();
+            }
             Up::Ask(ask) => {
                 let (is_holder, holder) = {
                     let duty = view.duty.borrow();
--- a/crates/prompter/src/inquiry.rs
+++ b/crates/prompter/src/inquiry.rs
@@ -56,7 +56,7 @@
         }
         Query::Trials => Answer::Trials(trials(view.now(), &terms, &book, &agreement.trials())),
     };
-    let touch_ms = duty.touch.map(|at| view.now().saturating_sub(at) / 1_000_000);
+    let touch_ms = view.touch().map(|at| view.now().saturating_sub(at) / 1_000_000);
     Told { by: view.me.name.clone(), zone: view.settings.own.zone.clone(), touch_ms, answer }
 }
 
--- a/crates/prompter/src/links.rs
+++ b/crates/prompter/src/links.rs
@@ -192,6 +192,8 @@
                 }
                 Peer::Over { instance } => view.over(&instance),
                 Peer::Propose { word } => self.agreement.tell(Input::Propose { tag: 0, word }),
+                Peer::Contact { number } => view.contact_asked(&from.name, number),
+                Peer::Contacted { number, age, agreed } => view.contacted(number, age, agreed),
                 Peer::Ask { gateway, ask } => {
                     if let Some(lent) = self.agreement.lend(&gateway, &ask) {
                         let term = view.duty.borrow().term;
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -73,6 +73,7 @@
     spawn_local(keep_cell(view.clone(), disk));
     spawn_local(meet(view.clone(), agreement.clone(), links, inner));
     spawn_local(trials::run(view.clone(), agreement.clone()));
+    spawn_local(control::keep_contact(view.clone()));
     let calls = Control::new(view.clone(), agreement.clone());
     let mut calls = spawn_local(calls.serve(outer));
     loop {
@@ -129,8 +130,8 @@
             reader.known();
             match first {
                 Ok(Ok(Some(First::Prompter { form: FORM, id }))) => links.hear(id, reader).await,
-                Ok(Ok(Some(First::Gateway { form: FORM, name, place, .. }))) => {
-                    followers::serve(view, agreement, name, place, reader, writer).await;
+                Ok(Ok(Some(First::Gateway { form: FORM, name, place, holds, .. }))) => {
+                    followers::serve(view, agreement, name, (place, holds), reader, writer).await;
                 }
                 Ok(Ok(Some(First::Shell { form: FORM }))) => {
                     inquiry::serve(view, agreement, reader, writer).await
--- a/crates/prompter/src/view.rs
+++ b/crates/prompter/src/view.rs
@@ -2,10 +2,10 @@
 //! one place each; tasks wait for news of it.
 
 use crate::trials::{wall, Current};
-use callboard::Board;
+use callboard::{Board, Contact};
 use curtain::Clocks;
 use greenroom::{Cell, Fact, Heard};
-use promptbook::{Applied, Book, Place, Word};
+use promptbook::{Applied, Book, Configuration, Part, Place, Sender, Steps, Word};
 use std::cell::{Cell as Value, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
@@ -20,6 +20,10 @@
 /// Changes that a follower may be behind without a snapshot.
 const CHANGES: usize = 1024;
 
+/// Without contact with a majority for so long, or looked at so late, the cell was deaf.
+const DEAF: Duration = Duration::from_millis(2500);
+const STILL: Time = 2_500_000_000;
+
 /// Who holds the duty, as the agreement told last.
 #[derive(Clone, Debug, Default)]
 pub struct Duty {
@@ -28,7 +32,7 @@
     pub term: u64,
     /// Until when its word alone counts.
     pub lease: Option<Time>,
-    /// When a majority was last known of.
+    /// When a majority answered it, if it leads; when it heard the leader, if not, which proves nothing: [`View::touch`].
     pub touch: Option<Time>,
     pub members: BTreeMap<String, u64>,
 }
@@ -40,10 +44,15 @@
     pub book: RefCell<Book>,
     /// Who drains or has ended is in the book, or here if it ended; both are told by the board.
     pub cell: RefCell<Cell>,
+    /// When it was last looked at for those who are silent.
+    swept: Value<Time>,
     board: RefCell<Board<Change>>,
     /// Lives of the board in this process.
     boards: Value<u64>,
     pub duty: RefCell<Duty>,
+    contact: RefCell<Contact>,
+    /// How followers come from one configuration to the next.
+    steps: RefCell<Steps>,
     news: watch::Sender<()>,
     /// Gateways that follow: where their loans go, and whom they believe to be gone.
     pub followers: RefCell<HashMap<String, Follower>>,
@@ -77,9 +86,12 @@
             begun,
             book: RefCell::new(Book::new()),
             cell: RefCell::new(Cell::new(beat, 0)),
+            swept: Value::new(0),
             board: RefCell::new(Board::new(seed, CHANGES)),
             boards: Value::new(seed),
             duty: RefCell::default(),
+            contact: RefCell::default(),
+            steps: RefCell::default(),
             news: watch::Sender::new(()),
             followers: RefCell::default(),
             links: RefCell::default(),
@@ -110,21 +122,67 @@
         self.news.send_replace(());
     }
 
+    // ---- Contact with a majority ----
+
+    /// All that was agreed on before then is held here, as far as can be proven: [`Contact`].
+    pub fn touch(&self) -> Option<Time> {
+        let (mut contact, led) = (self.contact.borrow_mut(), self.led());
+        if let Some(at) = led {
+            contact.prove(at);
+        }
+        contact.proven()
+    }
+
+    /// How long ago that was; very long, if it never was.
+    pub fn untouched_for(&self) -> Duration {
+        self.touch().map_or(Duration::MAX, |at| Duration::from_nanos(self.now().saturating_sub(at)))
+    }
+
+    /// When a majority answered this one, if it leads beyond doubt.
+    fn led(&self) -> Option<Time> {
+        let duty = self.duty.borrow();
+        // Before its own first entry is agreed on it may lack what was agreed on before.
+        duty.touch.filter(|_| duty.is_holder && duty.lease.is_some()).map(|at| at.min(self.now()))
+    }
+
+    /// Asks the leader for proof.
+    pub fn ask_contact(&self) {
+        let duty = self.duty.borrow();
+        if let Some(holder) = duty.holder.as_ref().filter(|_| !duty.is_holder) {
+            let number = self.contact.borrow_mut().ask(self.now());
+            self.tell(&holder.name, Peer::Contact { number });
+        }
+    }
+
+    /// Another's ask: answered by the leader alone.
+    pub fn contact_asked(&self, from: &str, number: u64) {
+        let Some(at) = self.led() else { return };
+        let (age, agreed) = (self.now().saturating_sub(at), self.contact.borrow().place());
+        self.tell(from, Peer::Contacted { number, age, agreed });
+    }
+
+    pub fn contacted(&self, number: u64, age: Time, agreed: Place) {
+        self.contact.borrow_mut().told(number, age, agreed);
+    }
+
     // ---- The book ----
 
     /// A word was agreed on.
     pub fn apply(&self, place: Place, word: &[u8]) -> Applied {
+        self.contact.borrow_mut().applied(place);
         let Some(word) = Word::read(word) else {
             log::error!("agreed: the word at {place} is none of ours; it changes nothing");
             return Applied::Same;
         };
         let mut book = self.book.borrow_mut();
+        let old = book.configuration().cloned();
         let applied = book.apply(place, &word);
         if applied == Applied::Changed {
             let change = match word {
                 Word::Configuration { version, .. } => {
                     log::info!("agreed: configuration {version:08x} at {place}");
-                    book.configuration().cloned().map(Change::Configuration)
+                    self.went(old.as_deref(), book.configuration().map(AsRef::as_ref));
+                    None
                 }
                 Word::Leaving { instance } => Some(Change::Leaving(instance)),
                 Word::Gateway { .. } => Some(Change::Gateways(book.gateways().iter().cloned().collect())),
@@ -150,13 +208,23 @@
         terms.due(&self.book.borrow(), now, &clocks, &voters)
     }
 
-    /// The book as a whole; followers get it as a scene.
-    pub fn install(&self, state: &[u8]) {
+    /// Followers go from one configuration to the next.
+    fn went(&self, old: Option<&Configuration>, new: Option<&Configuration>) {
+        if let Some((old, new)) = old.zip(new).filter(|(old, new)| old.place != new.place) {
+            self.steps.borrow_mut().went(old, new);
+        }
+    }
+
+    /// The book as a whole, as of this place of the log; followers get it as a scene.
+    pub fn install(&self, place: Place, state: &[u8]) {
         let Some(book) = Book::read(state) else {
             log::error!("agreed: a state that is none of ours; the old one stands");
             return;
         };
-        *self.book.borrow_mut() = book;
+        let old = self.book.replace(book);
+        let new = self.book.borrow().configuration().cloned();
+        self.went(old.configuration().map(AsRef::as_ref), new.as_deref());
+        self.contact.borrow_mut().applied(place);
         self.boards.set(self.boards.get().wrapping_add(1));
         *self.board.borrow_mut() = Board::new(self.boards.get(), CHANGES);
         self.changed();
@@ -166,7 +234,6 @@
         let book = self.book.borrow();
         let cell = self.cell.borrow();
         let scene = Scene {
-            configuration: book.configuration().cloned(),
             backends: cell.facts().cloned().collect(),
             whole: cell.is_whole(self.now()),
             // Of those who have ended nobody needs to hear, but a gateway may know of one from elsewhere.
@@ -176,6 +243,11 @@
         Down::Scene { place: self.board.borrow().end(), scene: Box::new(scene) }
     }
 
+    /// The next part of the newest configuration for this follower.
+    pub fn part(&self, to: &mut Sender) -> Option<Part> {
+        to.part(&self.steps.borrow(), self.book.borrow().configuration())
+    }
+
     /// What came since; none if a scene is wanted.
     pub fn since(&self, place: callboard::Place) -> Option<Vec<Change>> {
         self.board.borrow().since(place).map(|c| c.cloned().collect())
@@ -229,9 +301,15 @@
         }
     }
 
+    /// Ends the lives of those who are silent; looked at a few times a second. While this prompter was cut off from the majority, or
+    /// stood still, others may have heard them.
     pub fn sweep(&self) {
-        // While nobody may have been able to reach a prompter, silence says nothing.
-        let over = self.cell.borrow_mut().sweep(self.now());
+        let now = self.now();
+        let stood_still = now.saturating_sub(self.swept.replace(now)) > STILL;
+        if stood_still || self.untouched_for() >= DEAF {
+            return self.cell.borrow_mut().was_deaf(now);
+        }
+        let over = self.cell.borrow_mut().sweep(now);
         if !over.is_empty() {
             log::info!("backends: {} silent ones are over", over.len());
             self.board.borrow_mut().extend(over.into_iter().map(Change::Over));
--- a/crates/proscenium/src/fold.rs
+++ b/crates/proscenium/src/fold.rs
@@ -3,7 +3,7 @@
 
 use greenroom::Fact;
 use promptbook::Configuration;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use wings::message::{Change, Scene};
 
@@ -12,7 +12,7 @@
 
 /// A backend that a scene of a young prompter did not name, and that nobody has named since, is over after so long.
 const DOUBT: Time = 8_000_000_000;
-/// Ids of those who leave that are remembered.
+/// Ids of those who leave that are remembered, beside those of backends that are still known.
 const LEAVING: usize = 8192;
 
 /// What has changed.
@@ -33,10 +33,17 @@
     /// With when each was first in doubt.
     backends: BTreeMap<String, (Fact, Option<Time>)>,
     leaving: BTreeSet<String>,
+    /// The same, in the order in which they were heard of.
+    left: VecDeque<String>,
     gateways: Vec<String>,
 }
 
 impl Fold {
+    /// The newest that was told.
+    pub fn held(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
     pub fn gateways(&self) -> &[String] {
         &self.gateways
     }
@@ -44,7 +51,6 @@
     /// A prompter's whole word.
     pub fn scene(&mut self, now: Time, scene: Scene) -> Vec<News> {
         let mut news = Vec::new();
-        self.configuration(scene.configuration, &mut news);
         for id in scene.leaving {
             self.leaves(id, &mut news);
         }
@@ -67,7 +73,6 @@
     pub fn change(&mut self, change: Change) -> Vec<News> {
         let mut news = Vec::new();
         match change {
-            Change::Configuration(c) => self.configuration(Some(c), &mut news),
             Change::Backend(fact) => self.backend(fact, &mut news),
             Change::Over(id) => self.over(id, &mut news),
             Change::Leaving(id) => self.leaves(id, &mut news),
@@ -93,12 +98,13 @@
         news
     }
 
-    fn configuration(&mut self, new: Option<Arc<Configuration>>, news: &mut Vec<News>) {
-        let held = self.configuration.as_ref().map_or(0, |c| c.place);
-        if let Some(new) = new.filter(|c| c.place > held) {
-            self.configuration = Some(new.clone());
-            news.push(News::Configuration(new));
+    /// A configuration that was agreed on. An older one than that which is held changes nothing.
+    pub fn configuration(&mut self, new: Arc<Configuration>) -> Vec<News> {
+        if new.place <= self.configuration.as_ref().map_or(0, |c| c.place) {
+            return Vec::new();
         }
+        self.configuration = Some(new.clone());
+        vec![News::Configuration(new)]
     }
 
     fn backend(&mut self, fact: Fact, news: &mut Vec<News>) {
@@ -118,8 +124,19 @@
     }
 
     fn leaves(&mut self, id: String, news: &mut Vec<News>) {
-        if self.leaving.len() < LEAVING && self.leaving.insert(id.clone()) && self.backends.contains_key(&id)
-        {
+        if !self.leaving.insert(id.clone()) {
+            return;
+        }
+        self.left.push_back(id.clone());
+        if self.left.len() > LEAVING {
+            // The one heard of first that is not known any more: what is known may still get requests. Backends are bounded
+            // where they beat, so that this is, too.
+            let gone = self.left.iter().position(|id| !self.backends.contains_key(id));
+            if let Some(gone) = gone.and_then(|n| self.left.remove(n)) {
+                self.leaving.remove(&gone);
+            }
+        }
+        if self.backends.contains_key(&id) {
             news.push(News::Leaving(id));
         }
     }
@@ -152,18 +169,19 @@
         Arc::new(Configuration { version: place as u32, place, body: vec![] })
     }
 
-    fn scene(place: u64, backends: &[Fact], whole: bool) -> Scene {
-        let backends = backends.to_vec();
-        Scene { configuration: Some(configuration(place)), backends, whole, ..Scene::default() }
+    fn scene(backends: &[Fact], whole: bool) -> Scene {
+        Scene { backends: backends.to_vec(), whole, ..Scene::default() }
     }
 
     #[test]
     fn nothing_goes_back_whoever_tells() {
         let mut f = Fold::default();
-        assert_eq!(f.scene(0, scene(5, &[fact("a", 1, false)], true)).len(), 2);
+        assert_eq!(f.configuration(configuration(5)).len(), 1);
+        assert_eq!(f.scene(0, scene(&[fact("a", 1, false)], true)).len(), 1);
         assert_eq!(f.change(Change::Leaving("a".into())), [News::Leaving("a".into())]);
         // A slower prompter: an older configuration, and the backend still takes work there.
-        assert_eq!(f.scene(0, scene(4, &[fact("a", 3, false)], true)), []);
+        assert_eq!(f.configuration(configuration(4)), []);
+        assert_eq!(f.scene(0, scene(&[fact("a", 3, false)], true)), []);
         assert_eq!(f.change(Change::Backend(fact("a", 4, false))), []);
         assert_eq!(f.change(Change::Over("a".into())), [News::Over("a".into())]);
         assert_eq!(f.change(Change::Backend(fact("a", 5, false))), [], "also when it is told as new");
@@ -172,14 +190,36 @@
     #[test]
     fn a_young_prompter_ends_nobody_at_once() {
         let mut f = Fold::default();
-        f.scene(0, scene(1, &[fact("a", 1, false), fact("b", 1, false)], true));
-        assert_eq!(f.scene(10, scene(1, &[fact("b", 2, false)], false)), []);
+        f.scene(0, scene(&[fact("a", 1, false), fact("b", 1, false)], true));
+        assert_eq!(f.scene(10, scene(&[fact("b", 2, false)], false)), []);
         assert_eq!(f.sweep(10 + DOUBT - 1), []);
         let mut told = f.clone();
         told.change(Change::Backend(fact("a", 3, false)));
         assert_eq!(told.sweep(10 + DOUBT), [], "it was heard of since");
         assert_eq!(f.sweep(10 + DOUBT), [News::Over("a".into())]);
-        assert_eq!(f.scene(20, scene(1, &[], true)), [News::Over("b".into())]);
+        assert_eq!(f.scene(20, scene(&[], true)), [News::Over("b".into())]);
+    }
+
+    #[test]
+    fn a_gateway_that_lives_for_long_hears_every_drain_and_forgets_those_that_are_over() {
+        let mut f = Fold::default();
+        f.scene(0, scene(&[fact("old", 1, false), fact("new", 1, false)], true));
+        f.change(Change::Leaving("old".into()));
+        for n in 0..LEAVING + 10 {
+            f.change(Change::Leaving(format!("i-{n}")));
+        }
+        assert_eq!(f.leaving.len(), LEAVING);
+        assert_eq!(
+            f.change(Change::Leaving("new".into())),
+            [News::Leaving("new".into())],
+            "though all is full"
+        );
+        // The first is remembered for as long as it is there.
+        assert_eq!(f.change(Change::Backend(fact("old", 2, false))), []);
+        assert!(f.leaving.contains("old") && !f.leaving.contains("i-0"));
+        f.change(Change::Over("old".into()));
+        f.change(Change::Leaving("one more".into()));
+        assert!(!f.leaving.contains("old"));
     }
 
     #[test]
--- a/crates/proscenium/src/follow.rs
+++ b/crates/proscenium/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::company::Company;
 use crate::playing::Playing;
 use callboard::{Follower, Take};
+use promptbook::{Received, Receiver};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -15,10 +16,11 @@
 use wings::net::connect;
 use wings::settings::{self, Settings};
 
-/// A prompter says something each 200 ms.
+/// A prompter says something each 200 ms; a long word is no silence while its bytes come, for so long at the most.
 const SILENT: Duration = Duration::from_millis(700);
-/// A prompter that has not known of a majority for so long, in ms, is left.
-const STALE: u32 = 800;
+const LONG_WORD: Duration = Duration::from_secs(10);
+/// A prompter that cannot prove what it tells for so long, in ms, is left.
+const STALE: u32 = 1000;
 /// One that was stale, or not there, is not tried again so soon while there are others.
 const SHUNNED: Duration = Duration::from_millis(600);
 /// Nor one that refused the connection: it may be just starting.
@@ -149,15 +151,18 @@
         reader.known();
         let own = &self.settings.own;
         let (name, zone, place) = (own.node_name.clone(), own.zone.clone(), self.follower.place());
-        writer.write(&First::Gateway { form: FORM, name, zone, place }).await?;
+        let holds = self.playing.holds();
+        writer.write(&First::Gateway { form: FORM, name, zone, place, holds }).await?;
         self.missing.clear();
         let (sender, mut asks) = mpsc::channel::<Up>(QUEUE);
         self.playing.linked(sender, direct.then_some(ip));
         log::info!("following {ip}");
         let begun = Instant::now();
-        let mut silent = begun + SILENT;
+        let mut parts = Receiver::default();
+        let mut word = begun;
         let mut sweep = Instant::now();
         loop {
+            let silent = reader.heard().max(word) + SILENT;
             let message = tokio::select! {
                 message = timeout_at(silent, reader.read::<Down>()) => message,
                 ask = asks.recv() => {
@@ -167,10 +172,15 @@
                     continue;
                 }
             };
-            let Ok(message) = message else { return Ok(End::Lost) };
-            let Some(message) = message? else { return Ok(End::Lost) };
             let now = Instant::now();
-            silent = now + SILENT;
+            let Ok(message) = message else {
+                if now < reader.heard() + SILENT && now < word + LONG_WORD {
+                    continue;
+                }
+                return Ok(End::Lost);
+            };
+            let Some(message) = message? else { return Ok(End::Lost) };
+            word = now;
             match message {
                 Down::Scene { place, scene } => {
                     self.follower.begun(place);
@@ -188,7 +198,21 @@
                     }
                 },
                 Down::Lent(lent) => self.playing.rights.lent(&lent),
-                Down::Pulse { touch_ms, prompters } => {
+                Down::Configuration(part) => {
+                    let held = self.playing.configuration();
+                    let up = match parts.receive(held.as_deref(), part) {
+                        Received::More { place, bytes } => Up::Got { place, bytes },
+                        Received::Whole { configuration, bytes } => {
+                            let place = configuration.place;
+                            self.playing.fold(|fold| fold.configuration(configuration));
+                            Up::Got { place, bytes }
+                        }
+                        Received::Lacks => Up::Lacks,
+                        Received::Wrong => return Ok(End::Lost),
+                    };
+                    writer.write(&up).await?;
+                }
+                Down::Pulse { touch_ms, newest, prompters } => {
                     for (name, zone) in prompters {
                         if let Ok(ip) = name.parse() {
                             self.known.insert(ip, zone);
@@ -197,7 +221,7 @@
                     let mut others =
                         self.known.keys().filter(|other| **other != ip && !self.is_shunned(other, now));
                     if touch_ms <= STALE {
-                        self.playing.touched(now - Duration::from_millis(u64::from(touch_ms)));
+                        self.playing.touched(now - Duration::from_millis(u64::from(touch_ms)), newest);
                         let settled = direct || begun.elapsed() >= THROUGH;
                         if settled && !self.is_near(&ip) && others.any(|other| self.is_near(other)) {
                             return Ok(End::Nearer);
--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -8,10 +8,12 @@
 use granite_stage::list::{List, State, Target};
 use greenroom::Fact;
 use playbill::{Kind, Playbill, Route, Table};
+use promptbook::Configuration;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -56,8 +58,9 @@
     settings: RefCell<Settings>,
     driver: RefCell<Option<Rc<Driver>>>,
     me: String,
-    /// When a majority was last known of.
+    /// When a majority was last known of, and when all that it had agreed on on configurations was held here.
     touch: Cell<Option<Instant>>,
+    newest: Cell<Option<Instant>>,
     prompter: Cell<Option<IpAddr>>,
 }
 
@@ -99,6 +102,7 @@
             driver: RefCell::default(),
             me,
             touch: Cell::new(None),
+            newest: Cell::new(None),
             prompter: Cell::new(None),
         })
     }
@@ -118,7 +122,7 @@
 
     /// Whether what this gateway refuses for want of a route or a key may be refused for good.
     pub fn is_fresh(&self) -> bool {
-        self.touch.get().is_some_and(|at| at.elapsed() < FRESH)
+        self.newest.get().is_some_and(|at| at.elapsed() < FRESH)
     }
 
     /// Whether new clients do well to come here.
@@ -142,8 +146,22 @@
         self.prompter.get()
     }
 
-    pub fn touched(&self, at: Instant) {
+    /// The prompter holds all that was agreed on by then, and the newest configuration of that stands at `newest`.
+    pub fn touched(&self, at: Instant, newest: u64) {
         self.touch.set(self.touch.get().max(Some(at)));
+        if self.holds() >= newest {
+            self.newest.set(self.newest.get().max(Some(at)));
+        }
+    }
+
+    /// The configuration that it goes by.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.fold.borrow().held().cloned()
+    }
+
+    /// Where that stands in the agreed log; 0: there is none.
+    pub fn holds(&self) -> u64 {
+        self.fold.borrow().held().map_or(0, |c| c.place)
     }
 
     /// A service's place among the pools.
--- a/crates/rehearsal/src/growth.rs
+++ b/crates/rehearsal/src/growth.rs
@@ -74,13 +74,14 @@
 fn line((gateways, backends, tenants, routes): (usize, usize, usize, usize)) -> String {
     let names: BTreeSet<String> = (0..gateways).map(|g| format!("edge-long-bien-{g}")).collect();
     let scene = Scene {
-        configuration: Some(configuration(routes, tenants)),
         backends: (0..backends).map(fact).collect(),
         whole: true,
         leaving: (0..8).map(|n| format!("i-{n:08x}")).collect(),
         gateways: names.iter().cloned().collect(),
     };
-    let scene = bytes(&Down::Scene { place: callboard::Place::default(), scene: Box::new(scene) });
+    // The configuration comes behind it, in parts of its bytes.
+    let scene = bytes(&Down::Scene { place: callboard::Place::default(), scene: Box::new(scene) })
+        + configuration(routes, tenants).body.len();
     let from = callboard::Place::default();
     let change = bytes(&Down::Changes { from, changes: vec![Change::Backend(fact(3))] });
     let beats: Vec<(String, u64)> = (0..backends / 6).map(|n| (fact(n).id, 40)).collect();
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -3,9 +3,15 @@
 use futures_util::{SinkExt, StreamExt};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::cell::Cell;
 use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
@@ -18,24 +24,53 @@
     LengthDelimitedCodec::builder().max_frame_length(longest).new_codec()
 }
 
-pub struct Reader(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+pub struct Reader {
+    frames: FramedRead<Heard, LengthDelimitedCodec>,
+    heard: Rc<Cell<Instant>>,
+}
+
+/// Notes when bytes come: a long message on a slow link is no silence.
+struct Heard {
+    from: OwnedReadHalf,
+    at: Rc<Cell<Instant>>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.from).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.at.set(Instant::now());
+        }
+        polled
+    }
+}
 
 pub struct Writer(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
 
 /// The two ends of a connection. Its reader takes short messages only, until it is told that the other is known.
 pub fn split(stream: TcpStream) -> (Reader, Writer) {
     let (read, write) = stream.into_split();
+    let heard = Rc::new(Cell::new(Instant::now()));
+    let read = Heard { from: read, at: heard.clone() };
     // A link at rest holds no large buffers.
-    (
-        Reader(FramedRead::with_capacity(read, codec(STRANGER), 2048)),
-        Writer(FramedWrite::new(write, codec(LONGEST))),
-    )
+    let frames = FramedRead::with_capacity(read, codec(STRANGER), 2048);
+    (Reader { frames, heard }, Writer(FramedWrite::new(write, codec(LONGEST))))
 }
 
 impl Reader {
     /// The other side is one of ours: what it says may be long.
     pub fn known(&mut self) {
-        self.0.decoder_mut().set_max_frame_length(LONGEST);
+        self.frames.decoder_mut().set_max_frame_length(LONGEST);
+    }
+
+    /// When bytes came last.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
     }
 
     /// The next message; none at the connection's end.
@@ -43,7 +78,7 @@
     /// # Errors
     /// The connection's, or that what came is no message.
     pub async fn read<M: DeserializeOwned>(&mut self) -> io::Result<Option<M>> {
-        let Some(bytes) = self.0.next().await.transpose()? else { return Ok(None) };
+        let Some(bytes) = self.frames.next().await.transpose()? else { return Ok(None) };
         let message = rmp_serde::from_slice(&bytes);
         message.map(Some).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
     }
--- a/crates/wings/src/message.rs
+++ b/crates/wings/src/message.rs
@@ -4,13 +4,12 @@
 use boxoffice::{Ask, Lent};
 use callboard::Place;
 use greenroom::Fact;
-use promptbook::Configuration;
+use promptbook::{Part, Place as AgreedPlace};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 use understudy::{Id, Members, Message, Term};
 
 /// The form of all messages here.
-pub const FORM: u32 = 2;
+pub const FORM: u32 = 3;
 
 /// The first on a connection.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -18,7 +17,14 @@
     /// A prompter: what follows is [`Peer`].
     Prompter { form: u32, id: Id },
     /// A gateway: what follows is [`Up`], and [`Down`] the other way.
-    Gateway { form: u32, name: String, zone: String, place: Option<Place> },
+    Gateway {
+        form: u32,
+        name: String,
+        zone: String,
+        place: Option<Place>,
+        /// Where the configuration that it holds stands in the agreed log; 0: it holds none.
+        holds: AgreedPlace,
+    },
     /// The shell: what follows is [`Query`], and [`Told`] the other way.
     Shell { form: u32 },
 }
@@ -116,6 +122,17 @@
         #[serde(with = "serde_bytes")]
         word: Vec<u8>,
     },
+    /// To the holder: am I heard, and what is agreed on? ([`callboard::Contact`])
+    Contact {
+        number: u64,
+    },
+    /// The holder's answer: a majority was in contact with it so long ago, in ns, and all that was agreed on by then stands up
+    /// to this place.
+    Contacted {
+        number: u64,
+        age: u64,
+        agreed: AgreedPlace,
+    },
     /// To the holder: a gateway's ask.
     Ask {
         gateway: String,
@@ -137,6 +154,13 @@
     Company {
         missing: Vec<String>,
     },
+    /// So many bytes have come of what leads to the configuration of this place.
+    Got {
+        place: AgreedPlace,
+        bytes: u32,
+    },
+    /// It does not hold what a difference is to: the whole configuration is wanted.
+    Lacks,
 }
 
 /// A prompter to a gateway that follows it.
@@ -151,19 +175,21 @@
         from: Place,
         changes: Vec<Change>,
     },
-    /// Each 200 ms: how long ago this prompter last knew of a majority, in ms, and which prompters there are, by
-    /// address, each with its zone, if that is known.
+    /// The next part of a newer configuration.
+    Configuration(Part),
+    /// Each 200 ms: all that was agreed on by so many ms ago is known to this prompter, and of that the newest configuration
+    /// stands at this place (0: there is none); and which prompters there are, by address, each with its zone, if that is known.
     Pulse {
         touch_ms: u32,
+        newest: AgreedPlace,
         prompters: Vec<(String, String)>,
     },
     Lent(Lent),
 }
 
-/// All that a gateway follows.
+/// All that a gateway follows, but for the configuration, which comes in parts.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Scene {
-    pub configuration: Option<Arc<Configuration>>,
     pub backends: Vec<Fact>,
     /// Whether there are no backends but these: a prompter that has just begun does not know yet.
     pub whole: bool,
@@ -173,7 +199,6 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Change {
-    Configuration(Arc<Configuration>),
     Backend(Fact),
     /// Its life is over.
     Over(String),
