A disk that fills, stalls or fails ends no prompter, and what stands on it is bounded

The agreement waits 0.4 s for a save and goes on without the disk: Input::Disk has a leader name its successor, a voter promise nothing and go on hearing what is agreed on. The log is folded by bytes too, and what is not agreed on is bounded.

--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -1,6 +1,7 @@
-//! The one task that runs the agreement: inputs in, saves to the disk before anything that rests on them, outputs out.
+//! The one task that runs the agreement: inputs in, saves to the disk before anything that rests on them, outputs out. While the
+//! disk does not save, it goes on without: it takes in and tells what others have agreed on, and promises nothing.
 
-use crate::disk::Disk;
+use crate::disk::{Disk, Done as Saving, Fault, Standing, LONG, WAIT};
 use crate::view::{Duty, View};
 use boxoffice::{Ask, Keeper, Lent};
 use promptbook::Applied;
@@ -10,13 +11,20 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout};
-use understudy::{Core, Id, Input, Output, Place, Stored, Term};
+use understudy::{Core, Id, Input, Output, Place, Save, Stored, Term};
 use wings::message::Peer;
 
 /// Inputs taken in one turn, so that their saves share a sync.
 const TURN: usize = 64;
-/// The log is folded into the state when it has so many entries.
+/// A turn ends sooner when so many bytes are to be saved.
+const TURN_BYTES: usize = 1 << 20;
+/// The log is folded into the state when so many entries are agreed on, or so many bytes of them.
 const FOLD: usize = 64;
+const FOLD_BYTES: usize = 1 << 20;
+/// No more is proposed while so many bytes are not agreed on: of words that are long, and of others. What a disk is to hold is bounded by
+/// it.
+const OPEN_LONG: usize = 1 << 20;
+const OPEN_SHORT: usize = 512 << 10;
 
 /// What has come of something that was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +61,7 @@
 }
 
 impl Agreement {
-    /// Starts the task. It ends only with the process, or if the disk fails.
+    /// Starts the task. It ends only with the process.
     pub fn start(
         view: &Rc<View>,
         disk: Disk,
@@ -62,7 +70,9 @@
     ) -> (Agreement, impl std::future::Future<Output = String>) {
         let (inputs, queue) = mpsc::channel(4096);
         let agreement = Agreement { inputs, office: Rc::default(), view: view.clone() };
-        let core = Core::new(view.me.clone(), stored, seed, view.now());
+        let mut core = Core::new(view.me.clone(), stored, seed, view.now());
+        // What was read is to be saved once before anything rests on it.
+        core.handle(view.now(), Input::Disk { works: false }, &mut Vec::new());
         let (place, state) = core.start();
         if place > 0 {
             view.install(state);
@@ -82,6 +92,9 @@
             places: BTreeMap::new(),
             applied,
             tag: 0,
+            standing: Standing::begin(view.now()),
+            saving: None,
+            withheld: Vec::new(),
         };
         (agreement, run.run(queue))
     }
@@ -154,6 +167,11 @@
     places: BTreeMap<Place, (Term, u64)>,
     applied: Place,
     tag: u64,
+    standing: Standing,
+    /// What the disk is at while the task goes on without it.
+    saving: Option<Saving>,
+    /// Agreed on by this one alone, and not on its disk yet.
+    withheld: Vec<Output>,
 }
 
 type Queue = mpsc::Receiver<(Input, Option<oneshot::Sender<Done>>)>;
@@ -163,9 +181,10 @@
         let mut outputs = Vec::new();
         self.tell_duty();
         loop {
-            let due = self.view.instant(self.core.next_due());
+            let due = self.view.instant(self.core.next_due().min(self.standing.next_due()));
             tokio::select! {
                 biased;
+                saved = answer(&mut self.saving) => self.saved(saved, &mut outputs),
                 () = sleep_until(due) => self.core.handle(self.view.now(), Input::Tick, &mut outputs),
                 input = queue.recv() => match input {
                     None => return "nobody is left to ask".into(),
@@ -173,12 +192,15 @@
                 },
             }
             for _ in 1..TURN {
+                if bytes(&outputs) > TURN_BYTES {
+                    break;
+                }
                 let Ok(input) = queue.try_recv() else { break };
                 self.take(input, &mut outputs);
             }
-            if let Err(fault) = self.carry_out(&mut outputs).await {
-                return fault;
-            }
+            self.carry_out(&mut outputs).await;
+            self.fold(&mut outputs).await;
+            self.save_whole(&mut outputs).await;
             self.tell_duty();
         }
     }
@@ -194,11 +216,23 @@
         if let Some(done) = done {
             self.waiting.insert(tag, done);
         }
+        if matches!(&input, Input::Propose { word, .. } if self.is_too_much(word.len())) {
+            return self.done(tag, Done::NotHolder);
+        }
         self.core.handle(self.view.now(), input, outputs);
     }
 
+    /// Whether as much waits to be agreed on as may, for a word of so many bytes.
+    fn is_too_much(&self, bytes: usize) -> bool {
+        let is_long = |bytes: usize| bytes >= LONG;
+        let agreed = self.core.agreed();
+        let open =
+            self.core.sizes().filter(|(place, size)| *place > agreed && is_long(*size) == is_long(bytes));
+        open.map(|(_, size)| size).sum::<usize>() > if is_long(bytes) { OPEN_LONG } else { OPEN_SHORT }
+    }
+
     /// All saves first: that is sooner than asked for, and one sync does for all.
-    async fn carry_out(&mut self, outputs: &mut Vec<Output>) -> Result<(), String> {
+    async fn carry_out(&mut self, outputs: &mut Vec<Output>) {
         let mut saves = Vec::new();
         outputs.retain_mut(|o| match o {
             Output::Save(save) => {
@@ -207,12 +241,17 @@
             }
             _ => true,
         });
-        if !saves.is_empty() {
-            self.disk.save(saves, self.core.agreed()).await.map_err(|fault| format!("disk: {fault}"))?;
+        if !self.save(saves).await {
+            self.without_disk(outputs);
         }
+        self.perform(outputs);
+    }
+
+    fn perform(&mut self, outputs: &mut Vec<Output>) {
         for output in outputs.drain(..) {
             match output {
-                Output::Save(_) => {}
+                // Nothing rests on it: it comes with the whole.
+                Output::Save(_) => self.standing.missed(),
                 Output::Send(message) => {
                     let to = message.to.name.clone();
                     self.view.tell(&to, Peer::Agree(message));
@@ -229,16 +268,105 @@
                 Output::NotHolder { tag } => self.done(tag, Done::NotHolder),
             }
         }
-        if self.core.entries() > FOLD && self.applied > self.core.start().0 {
-            let state = self.view.book.borrow().write();
-            if let Some(save) = self.core.compact(self.applied, state) {
-                self.disk
-                    .save(vec![save], self.core.agreed())
-                    .await
-                    .map_err(|fault| format!("disk: {fault}"))?;
+    }
+
+    /// The log up to what is applied becomes the state, when it is long.
+    async fn fold(&mut self, outputs: &mut Vec<Output>) {
+        let applied = self.applied;
+        let sizes = || self.core.sizes().filter(|(place, _)| *place <= applied);
+        if sizes().count() <= FOLD && sizes().map(|(_, size)| size).sum::<usize>() <= FOLD_BYTES {
+            return;
+        }
+        let state = self.view.book.borrow().write();
+        let Some(save) = self.core.compact(applied, state) else { return };
+        if !self.save(vec![save]).await {
+            self.without_disk(outputs);
+            self.perform(outputs);
+        }
+    }
+
+    // ---- The disk ----
+
+    /// Whether it is on the disk now, or need not be since nothing rests on it. Waits for it no longer than the others wait for a leader.
+    async fn save(&mut self, saves: Vec<Save>) -> bool {
+        if saves.is_empty() {
+            return true;
+        }
+        if !self.standing.works() {
+            // What the agreement makes of it while it knows of no disk promises nothing.
+            self.standing.missed();
+            return true;
+        }
+        let mut saving = self.disk.save(saves, self.core.agreed());
+        match timeout(Duration::from_nanos(WAIT), &mut saving).await {
+            Ok(Ok(Ok(()))) => return true,
+            Ok(outcome) => {
+                let fault = outcome.unwrap_or(Err(Fault::Gone)).err().unwrap_or(Fault::Gone);
+                log::warn!("disk: {fault}; this one leads and votes no more until all is saved, and goes on with the rest");
+                self.standing.refused(self.view.now());
+            }
+            Err(_) => {
+                log::warn!(
+                    "disk: a save takes longer than {} ms; this one leads and votes no more until all is saved, and goes \
+                     on with the rest",
+                    WAIT / 1_000_000
+                );
+                self.saving = Some(saving);
+                self.standing.late(self.view.now());
+            }
+        }
+        false
+    }
+
+    /// A save did not come to the disk. What rests on it is not said; messages may be lost at any time.
+    fn without_disk(&mut self, outputs: &mut Vec<Output>) {
+        outputs.retain(|o| !matches!(o, Output::Send(_)));
+        if self.core.is_holder() && self.core.members().len() == 1 {
+            // Nobody else has it: it is agreed on when the disk has it.
+            let (withheld, others) = outputs.drain(..).partition(|o| matches!(o, Output::Apply { .. }));
+            self.withheld.extend::<Vec<_>>(withheld);
+            *outputs = others;
+        }
+        self.core.handle(self.view.now(), Input::Disk { works: false }, outputs);
+    }
+
+    /// Saves the whole, if it is time. When the disk has just done so, and there was more by then, the task waits for it.
+    async fn save_whole(&mut self, outputs: &mut Vec<Output>) {
+        let now = self.view.now();
+        if let Some(time) = self.standing.say(now) {
+            log::warn!("disk: nothing was saved for {} s; tried again and again", time / 1_000_000_000);
+        }
+        if self.saving.is_some() || !self.standing.is_due(now) {
+            return;
+        }
+        let mut saving = self.disk.whole(self.core.stored());
+        let waits = self.standing.saving();
+        if waits {
+            if let Ok(saved) = timeout(Duration::from_nanos(WAIT), &mut saving).await {
+                self.saved(saved.unwrap_or(Err(Fault::Gone)), outputs);
+                return self.perform(outputs);
+            }
+        }
+        self.saving = Some(saving);
+    }
+
+    /// The disk has answered while the task went on without it.
+    fn saved(&mut self, saved: Result<(), Fault>, outputs: &mut Vec<Output>) {
+        self.saving = None;
+        let now = self.view.now();
+        match saved {
+            Ok(()) => {
+                if let Some(time) = self.standing.done(now) {
+                    log::info!("disk: all is saved, after {} ms", time / 1_000_000);
+                    outputs.append(&mut self.withheld);
+                    self.core.handle(now, Input::Disk { works: true }, outputs);
+                }
+            }
+            Err(fault) => {
+                log::warn!("disk: {fault}; tried again");
+                self.standing.refused(now);
             }
         }
-        Ok(())
     }
 
     fn apply(&mut self, place: Place, term: Term, word: &[u8]) {
@@ -286,3 +414,25 @@
         }
     }
 }
+
+/// What the disk says, when it is at something.
+async fn answer(saving: &mut Option<Saving>) -> Result<(), Fault> {
+    match saving {
+        Some(saving) => saving.await.unwrap_or(Err(Fault::Gone)),
+        None => std::future::pending().await,
+    }
+}
+
+/// What is to be saved, in bytes.
+fn bytes(outputs: &[Output]) -> usize {
+    let entry = |e: &understudy::Entry| match &e.said {
+        understudy::Said::Word(word) => word.len(),
+        _ => 0,
+    };
+    let one = |output: &Output| match output {
+        Output::Save(Save::Entries { entries, .. }) => entries.iter().map(entry).sum(),
+        Output::Save(Save::Snapshot { snapshot, .. }) => snapshot.state.len(),
+        _ => 0,
+    };
+    outputs.iter().map(one).sum()
+}
--- /dev/null
+++ b/crates/prompter/src/disk/generation.rs
@@ -0,0 +1,376 @@
+//! One file of the store, `agreed-N`: all that the agreement has saved, but for the blobs that it names. Each save is one
+//! transaction of `redb`'s with one sync: after a crash it is there whole or not at all.
+
+use super::blobs::{Digest, Piece};
+use super::folder::{Data, Folder};
+use super::Fault;
+use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, Table, TableDefinition};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::{Arc, Mutex};
+use understudy::{Id, Members, Place, Term};
+
+/// The most that such a file takes, in bytes. It holds the entries behind the snapshot without long runs, which the leader bounds.
+pub const MOST: u64 = 4 << 20;
+/// Of the pages of the file, in bytes.
+const CACHE: usize = 256 << 10;
+const PREFIX: &str = "agreed-";
+/// The form of what is kept.
+const FORM: u32 = 2;
+const TABLE: TableDefinition<&[u8], &[u8]> = TableDefinition::new("agreed");
+
+/// Whose it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    form: u32,
+    /// The prompter's name, which is its address.
+    pub name: String,
+    /// The disk's id.
+    pub disk: u64,
+}
+
+impl Owner {
+    pub fn new(name: &str, disk: u64) -> Self {
+        Owner { form: FORM, name: name.into(), disk }
+    }
+}
+
+/// What an entry says, as it is kept.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Said {
+    Nothing,
+    Members(Members),
+    Word(Vec<Piece>),
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Entry {
+    pub term: Term,
+    pub said: Said,
+}
+
+/// A snapshot as it is kept.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub place: Place,
+    pub term: Term,
+    pub members: Members,
+    pub state: Vec<Piece>,
+}
+
+/// A save as it is kept, see [`understudy::Save`].
+pub enum Save {
+    Term(Term, Option<Id>),
+    Entries(Place, Vec<Entry>),
+    Snapshot(Snapshot, bool),
+}
+
+impl Save {
+    /// The blobs that it names.
+    pub fn blobs(&self) -> BTreeSet<Digest> {
+        match self {
+            Save::Term(..) => BTreeSet::new(),
+            Save::Entries(_, entries) => entries.iter().flat_map(Entry::blobs).collect(),
+            Save::Snapshot(snapshot, _) => digests(&snapshot.state),
+        }
+    }
+}
+
+/// What a file held.
+#[derive(Debug)]
+pub struct Held {
+    pub owner: Owner,
+    pub term: Term,
+    pub vote: Option<Id>,
+    pub snapshot: Snapshot,
+    pub entries: Vec<Entry>,
+    pub agreed: Place,
+}
+
+/// The file that is written to.
+#[derive(Debug)]
+pub struct Generation {
+    database: Database,
+    /// The blobs that it names: the snapshot's, and each entry's.
+    snapshot: BTreeSet<Digest>,
+    entries: BTreeMap<Place, BTreeSet<Digest>>,
+}
+
+pub fn name(number: u64) -> String {
+    format!("{PREFIX}{number:08}")
+}
+
+/// The numbers of those that are there, the latest first.
+///
+/// # Errors
+/// The disk refuses.
+pub fn numbers(folder: &dyn Folder) -> io::Result<Vec<u64>> {
+    let names = folder.list()?;
+    let number = |name: &str| name.strip_prefix(PREFIX)?.parse().ok();
+    let mut all: Vec<u64> = names.iter().filter_map(|(name, _)| number(name)).collect();
+    all.sort_unstable_by(|a, b| b.cmp(a));
+    Ok(all)
+}
+
+impl Generation {
+    /// A new file with all of this in it, synced. Nothing is kept of it if it fails.
+    ///
+    /// # Errors
+    /// What the disk says.
+    pub fn begin(
+        folder: &dyn Folder,
+        number: u64,
+        owner: &Owner,
+        saves: &[Save],
+        agreed: Place,
+    ) -> Result<Generation, Fault> {
+        let name = name(number);
+        let file = folder.open(&name, true).map_err(|e| Fault::Io(name.clone(), e))?;
+        let whole = guarded(&name, || {
+            let database = Database::builder().set_cache_size(CACHE).create_with_backend(Bounded(file))?;
+            let mut new = Generation { database, snapshot: BTreeSet::new(), entries: BTreeMap::new() };
+            new.write(Some(owner), saves, agreed)?;
+            Ok(new)
+        });
+        if whole.is_err() {
+            // Half of it takes room for nothing.
+            let _ = folder.remove(&name);
+        }
+        whole
+    }
+
+    /// All of it in one transaction, synced.
+    ///
+    /// # Errors
+    /// What the disk says; then nothing is known of what the file holds, and it is not to be written to again.
+    pub fn save(&mut self, saves: &[Save], agreed: Place) -> Result<(), Fault> {
+        guarded("agreed", || self.write(None, saves, agreed))
+    }
+
+    /// The blobs that it names.
+    pub fn blobs(&self) -> BTreeSet<Digest> {
+        self.entries.values().flatten().chain(&self.snapshot).copied().collect()
+    }
+
+    fn write(&mut self, owner: Option<&Owner>, saves: &[Save], agreed: Place) -> Result<(), redb::Error> {
+        let transaction = self.database.begin_write()?;
+        {
+            let mut table = transaction.open_table(TABLE)?;
+            if let Some(owner) = owner {
+                put(&mut table, b"owner", owner)?;
+            }
+            for save in saves {
+                match save {
+                    Save::Term(term, vote) => put(&mut table, b"term", &(term, vote))?,
+                    Save::Entries(from, entries) => {
+                        drop_entries(&mut table, *from, Place::MAX)?;
+                        self.entries.split_off(from);
+                        for (place, entry) in (*from..).zip(entries) {
+                            put(&mut table, &key(place), entry)?;
+                            self.entries.insert(place, entry.blobs());
+                        }
+                    }
+                    Save::Snapshot(snapshot, whole) => {
+                        let to = if *whole { Place::MAX } else { snapshot.place };
+                        drop_entries(&mut table, 0, to)?;
+                        put(&mut table, b"snapshot", snapshot)?;
+                        self.entries.retain(|place, _| *place > to);
+                        self.snapshot = digests(&snapshot.state);
+                    }
+                }
+            }
+            put(&mut table, b"agreed", &agreed)?;
+        }
+        Ok(transaction.commit()?)
+    }
+}
+
+impl Held {
+    /// What the file holds, which is not written to. None, if nothing was ever saved in it: its first save never came to an end.
+    ///
+    /// # Errors
+    /// It makes no sense; or the disk refuses.
+    pub fn read(folder: &dyn Folder, number: u64) -> Result<Option<Held>, Fault> {
+        let name = name(number);
+        let listed = folder.list().map_err(|e| Fault::Io(name.clone(), e))?;
+        let long = listed.iter().any(|(n, length)| *n == name && *length > MOST);
+        if long {
+            return Err(Fault::Damaged(format!("{name} is longer than any of ours")));
+        }
+        let bytes = folder.read(&name).map_err(|e| Fault::Io(name.clone(), e))?;
+        if bytes.is_empty() {
+            return Ok(None);
+        }
+        let damaged = |fault| match fault {
+            // It stands in memory: what is wrong is in it.
+            Fault::Store(name, e) => Fault::Damaged(format!("{name}: {e}")),
+            other => other,
+        };
+        let held = guarded(&name, || Held::of(bytes)).map_err(damaged)?;
+        held.map_or(Ok(None), |held| {
+            held.ok_or_else(|| Fault::Damaged(format!("{name}: an entry is missing"))).map(Some)
+        })
+    }
+
+    /// None: nothing was ever saved in it; `Some(None)`: it makes no sense.
+    fn of(bytes: Vec<u8>) -> Result<Option<Option<Held>>, redb::Error> {
+        let mut builder = Database::builder();
+        builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+        let database = builder.create_with_backend(Copy(Mutex::new(bytes)))?;
+        let table = match database.begin_read()?.open_table(TABLE) {
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            other => other?,
+        };
+        let owner: Option<Owner> = get(&table, b"owner")?;
+        let Some(owner) = owner.filter(|o| o.form == FORM) else { return Ok(Some(None)) };
+        let (term, vote) = get(&table, b"term")?.unwrap_or_default();
+        let snapshot: Snapshot = get(&table, b"snapshot")?.unwrap_or_default();
+        let agreed = get(&table, b"agreed")?.unwrap_or_default();
+        let mut held = Held { owner, term, vote, snapshot, entries: Vec::new(), agreed };
+        for pair in table.range(&key(0)[..]..=&key(Place::MAX)[..])? {
+            let (at, value) = pair?;
+            let wanted = key(held.snapshot.place + 1 + held.entries.len() as Place);
+            let entry = rmp_serde::from_slice(value.value());
+            let (true, Ok(entry)) = (at.value() == wanted, entry) else { return Ok(Some(None)) };
+            held.entries.push(entry);
+        }
+        Ok(Some(Some(held)))
+    }
+
+    /// The blobs that it names.
+    pub fn blobs(&self) -> BTreeSet<Digest> {
+        let entries = self.entries.iter().flat_map(Entry::blobs);
+        entries.chain(digests(&self.snapshot.state)).collect()
+    }
+}
+
+impl Entry {
+    fn blobs(&self) -> BTreeSet<Digest> {
+        match &self.said {
+            Said::Word(pieces) => digests(pieces),
+            _ => BTreeSet::new(),
+        }
+    }
+}
+
+fn digests(pieces: &[Piece]) -> BTreeSet<Digest> {
+    let digest = |piece: &Piece| match piece {
+        Piece::Blob(digest) => Some(*digest),
+        Piece::Here(_) => None,
+    };
+    pieces.iter().filter_map(digest).collect()
+}
+
+fn key(place: Place) -> [u8; 9] {
+    let mut key = [b'e'; 9];
+    key[1..].copy_from_slice(&place.to_be_bytes());
+    key
+}
+
+fn put<T: Serialize>(table: &mut Table<&[u8], &[u8]>, key: &[u8], value: &T) -> Result<(), redb::Error> {
+    let bytes = rmp_serde::to_vec(value).expect("it can be written");
+    table.insert(key, &bytes[..])?;
+    Ok(())
+}
+
+/// What stands under a key. What cannot be read is an error of the store's.
+fn get<T: serde::de::DeserializeOwned>(
+    table: &impl ReadableTable<&'static [u8], &'static [u8]>,
+    key: &[u8],
+) -> Result<Option<T>, redb::Error> {
+    let Some(value) = table.get(key)? else { return Ok(None) };
+    let read = rmp_serde::from_slice(value.value());
+    read.map(Some).map_err(|e| redb::Error::Corrupted(e.to_string()))
+}
+
+fn drop_entries(table: &mut Table<&[u8], &[u8]>, from: Place, to: Place) -> Result<(), redb::Error> {
+    table.retain_in(&key(from)[..]..=&key(to)[..], |_, _| false)?;
+    Ok(())
+}
+
+/// Whatever a store makes of a broken file is an outcome, not the end of a process.
+fn guarded<T>(name: &str, work: impl FnOnce() -> Result<T, redb::Error>) -> Result<T, Fault> {
+    match catch_unwind(AssertUnwindSafe(work)) {
+        Ok(done) => done.map_err(|e| Fault::Store(name.into(), Box::new(e))),
+        Err(_) => Err(Fault::Damaged(format!("{name}: the store gave up on it"))),
+    }
+}
+
+/// A file that takes [`MOST`] bytes and no more. A longer file is synced before anything is written there.
+#[derive(Debug)]
+struct Bounded(Arc<dyn Data>);
+
+impl StorageBackend for Bounded {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        if len > MOST {
+            return Err(io::Error::new(io::ErrorKind::FileTooLarge, "it would be longer than its bound"));
+        }
+        self.0.set_len(len)?;
+        self.0.sync()
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.0.sync()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+}
+
+/// A copy of a file: whatever the store does to it, the file stays as it is.
+#[derive(Debug)]
+struct Copy(Mutex<Vec<u8>>);
+
+impl Copy {
+    fn with<T>(&self, work: impl FnOnce(&mut Vec<u8>) -> Option<T>) -> io::Result<T> {
+        // It is whole even if a thread has ended over it.
+        let mut bytes = self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        work(&mut bytes).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+}
+
+impl StorageBackend for Copy {
+    fn len(&self) -> io::Result<u64> {
+        self.with(|bytes| Some(bytes.len() as u64))
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.with(|bytes| {
+            let from = usize::try_from(offset).ok()?;
+            out.copy_from_slice(bytes.get(from..from.checked_add(out.len())?)?);
+            Some(())
+        })
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.with(|bytes| {
+            // A broken file may ask for anything.
+            let len = usize::try_from(len).ok().filter(|len| *len as u64 <= 2 * MOST)?;
+            bytes.resize(len, 0);
+            Some(())
+        })
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.with(|bytes| {
+            let from = usize::try_from(offset).ok()?;
+            bytes.get_mut(from..from.checked_add(data.len())?)?.copy_from_slice(data);
+            Some(())
+        })
+    }
+}
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -51,9 +51,21 @@
     let control = settings.net.listen_addresses.control_plane.ok_or("no controlPlane address is given")?;
     let inner = listen(SocketAddr::new(settings.own.ip_address, settings.prompters_port()))?;
     let outer = listen(control)?;
-    let opened = settings.own.data_directory.as_ref().map_or_else(Disk::none, |folder| Disk::open(folder));
+    let name = settings.own.ip_address.to_string();
+    let open = async {
+        match &settings.own.data_directory {
+            Some(folder) => Disk::open(folder, &name).await,
+            None => Disk::none(),
+        }
+    };
+    let opened = tokio::select! {
+        opened = open => opened,
+        // The disk does not answer.
+        _ = term.recv() => return Ok(()),
+        _ = int.recv() => return Ok(()),
+    };
     let (disk, held) = opened.map_err(|fault| fault.to_string())?;
-    let me = Id { name: settings.own.ip_address.to_string(), disk: held.id };
+    let me = Id { name, disk: held.id };
     let stored = held.stored;
     let mut seed = [0; 8];
     getrandom::fill(&mut seed).map_err(|e| format!("no random numbers are to be had: {e}"))?;
--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -84,6 +84,8 @@
     stands_up: Time,
     /// What it promised by its silence before it was started may hold until then: it votes for nobody.
     silent_until: Time,
+    /// What is to be saved comes to the disk.
+    works: bool,
     rng: Rng,
 }
 
@@ -104,6 +106,7 @@
             heard: None,
             stands_up: 0,
             silent_until: if stored.term > 0 { now + PATIENCE } else { 0 },
+            works: true,
             rng: Rng::with_seed(seed),
         };
         core.sit_down(now);
@@ -140,6 +143,17 @@
         places.filter_map(word).collect()
     }
 
+    /// All that is to be on the disk.
+    pub fn stored(&self) -> Stored {
+        let (snapshot, entries) = (self.log.snapshot().clone(), self.log.entries().to_vec());
+        Stored { term: self.term, vote: self.vote.clone(), snapshot, entries, agreed: self.agreed }
+    }
+
+    /// The places and sizes in bytes of the entries that are kept.
+    pub fn sizes(&self) -> impl Iterator<Item = (Place, usize)> + '_ {
+        self.log.sizes()
+    }
+
     /// Entries that are kept.
     pub fn entries(&self) -> usize {
         self.log.len()
@@ -182,7 +196,7 @@
     pub fn next_due(&self) -> Time {
         match &self.role {
             Role::Holder(h) => h.next_pulse,
-            _ if !self.is_member() => Time::MAX,
+            _ if !self.is_member() || !self.works => Time::MAX,
             _ => self.stands_up,
         }
     }
@@ -195,7 +209,8 @@
             Input::Read { tag } => self.read(now, tag, out),
             Input::Knock { id, votes } => self.knock(now, &id, votes),
             Input::Found { members } => self.found(now, members, out),
-            Input::HandOver => self.hand_over(out),
+            Input::HandOver => self.hand_over(self.log.last().1, out),
+            Input::Disk { works } => self.disk(now, works, out),
             Input::Tick => self.tick(now, out),
         }
         self.advance(now, out);
@@ -219,7 +234,7 @@
             if now >= h.next_pulse {
                 self.pulse(now, out);
             }
-        } else if now >= self.stands_up && self.is_member() {
+        } else if now >= self.stands_up && self.is_member() && self.works {
             self.stand(now, true, false, out);
         }
     }
@@ -232,7 +247,7 @@
 
     fn found(&mut self, now: Time, members: Members, out: &mut Vec<Output>) {
         let blank = self.term == 0 && self.log.last().1 == 0;
-        if !blank || members.get(&self.id.name) != Some(&self.id.disk) {
+        if !blank || !self.works || members.get(&self.id.name) != Some(&self.id.disk) {
             return;
         }
         let snapshot = Snapshot { place: 1, term: 1, members, state: Vec::new() };
@@ -313,18 +328,33 @@
         self.sit_down(now);
     }
 
-    fn hand_over(&mut self, out: &mut Vec<Output>) {
-        let last = self.log.last().1;
+    /// The leader names the voter that is furthest, of those that have the log up to `least`.
+    fn hand_over(&mut self, least: Place, out: &mut Vec<Output>) {
         let Role::Holder(h) = &mut self.role else { return };
         let members = self.log.members();
-        let ready = h.peers.iter().filter(|(n, p)| p.matched == last && members.get(*n) == Some(&p.disk));
-        let Some((name, peer)) = ready.max_by_key(|(_, p)| p.heard) else { return };
+        let ready = h.peers.iter().filter(|(n, p)| p.matched >= least && members.get(*n) == Some(&p.disk));
+        let Some((name, peer)) = ready.max_by_key(|(_, p)| (p.matched, p.heard)) else { return };
         let to = Id { name: name.clone(), disk: peer.disk };
         h.named = true;
         let term = self.term;
         self.send(to, term, Body::Named, out);
     }
 
+    /// A leader whose disk does not save has its duty taken over by one that has all that is agreed on.
+    fn disk(&mut self, now: Time, works: bool, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.works, works) == works {
+            return;
+        }
+        if works {
+            return self.sit_down(now);
+        }
+        self.hand_over(self.agreed, out);
+        if matches!(self.role, Role::Follower) {
+            return;
+        }
+        self.step_down(now, out);
+    }
+
     // ---- Messages ----
 
     fn message(&mut self, now: Time, m: Message, out: &mut Vec<Output>) {
@@ -361,7 +391,7 @@
                 self.install(m.from, snapshot, round, out);
             }
             Body::Named => {
-                if self.is_member() {
+                if self.is_member() && self.works {
                     self.stand(now, false, true, out);
                 }
             }
@@ -395,6 +425,9 @@
         last: (Term, Place),
         out: &mut Vec<Output>,
     ) {
+        if !self.works {
+            return;
+        }
         let free = if trial {
             term > self.term
         } else {
@@ -444,10 +477,16 @@
         if let Some((from, entries)) = self.log.take(before.0, entries) {
             out.push(Output::Save(Save::Entries { from, entries }));
         }
-        self.send(from, self.term, Body::Took { round, up_to }, out);
+        self.took_up_to(from, round, up_to, out);
         self.agree(agreed.min(up_to), out);
     }
 
+    /// Says so, if it is on the disk; else just that it goes on behind that place.
+    fn took_up_to(&self, to: Id, round: u64, up_to: Place, out: &mut Vec<Output>) {
+        let body = if self.works { Body::Took { round, up_to } } else { Body::Missed { round, hint: up_to } };
+        self.send(to, self.term, body, out);
+    }
+
     fn install(&mut self, from: Id, snapshot: Snapshot, round: u64, out: &mut Vec<Output>) {
         let place = snapshot.place;
         if place > self.agreed {
@@ -458,7 +497,7 @@
             self.agreed = place;
             out.push(Output::Install { place, state });
         }
-        self.send(from, self.term, Body::Took { round, up_to: self.agreed.max(place) }, out);
+        self.took_up_to(from, round, self.agreed.max(place), out);
     }
 
     /// All up to there is agreed on.
--- a/crates/understudy/src/log.rs
+++ b/crates/understudy/src/log.rs
@@ -48,6 +48,15 @@
         self.entries.len()
     }
 
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// The entries' places and sizes in bytes.
+    pub fn sizes(&self) -> impl Iterator<Item = (Place, usize)> + '_ {
+        (self.start() + 1..).zip(self.entries.iter().map(size))
+    }
+
     /// The last entry's term and place.
     pub fn last(&self) -> (Term, Place) {
         let place = self.start() + self.entries.len() as Place;
--- a/crates/understudy/src/words.rs
+++ b/crates/understudy/src/words.rs
@@ -158,6 +158,12 @@
     },
     /// This process is to end: its duty, if it has it, is for another.
     HandOver,
+    /// Whether what is to be saved comes to the disk, as it does at first. While it does not, this one leads no more, stands for
+    /// nothing, votes for nobody and says of nothing that it has it; it goes on taking in what is agreed on. What it gave to
+    /// be saved meanwhile need not be: with `works` the disk holds [`crate::Core::stored`] as it is.
+    Disk {
+        works: bool,
+    },
     /// Time has passed.
     Tick,
 }
--- /dev/null
+++ b/crates/understudy/tests/disk.rs
@@ -0,0 +1,189 @@
+//! A voter whose disk does not save: it promises nothing, hands its duty on, and goes on hearing what is agreed on.
+
+use std::collections::VecDeque;
+use understudy::{Core, Id, Input, Members, Output, Place, Stored, Time};
+
+const MS: Time = 1_000_000;
+const STEP: Time = 5 * MS;
+
+/// Three voters, messages without delay, disks that save at once or not at all.
+struct Three {
+    now: Time,
+    cores: Vec<Core>,
+    /// The last that came to each disk.
+    disks: Vec<Stored>,
+    broken: Vec<bool>,
+    applied: Vec<Vec<(Place, Vec<u8>)>>,
+    /// Messages of these reach nobody.
+    cut: Vec<bool>,
+}
+
+fn id(n: usize) -> Id {
+    Id { name: n.to_string(), disk: n as u64 + 1 }
+}
+
+impl Three {
+    fn new() -> Self {
+        let members: Members = (0..3).map(|n| (id(n).name, id(n).disk)).collect();
+        let cores = (0..3).map(|n| Core::new(id(n), Stored::default(), n as u64, 0)).collect();
+        let (disks, applied) = (vec![Stored::default(); 3], vec![Vec::new(); 3]);
+        let mut three = Three { now: 0, cores, disks, broken: vec![false; 3], applied, cut: vec![false; 3] };
+        three.give(0, Input::Found { members });
+        three.run(2000 * MS);
+        three
+    }
+
+    fn give(&mut self, to: usize, input: Input) {
+        let mut queue = VecDeque::from([(to, input)]);
+        while let Some((n, input)) = queue.pop_front() {
+            let mut outputs = Vec::new();
+            self.cores[n].handle(self.now, input, &mut outputs);
+            let saves = outputs.iter().any(|o| matches!(o, Output::Save(_)));
+            if saves && !self.broken[n] {
+                self.disks[n] = self.cores[n].stored();
+            }
+            for output in outputs {
+                match output {
+                    Output::Send(m) => {
+                        let to: usize = m.to.name.parse().unwrap();
+                        if !self.cut[n] && !self.cut[to] {
+                            queue.push_back((to, Input::Message(m)));
+                        }
+                    }
+                    Output::Apply { place, word, .. } => self.applied[n].push((place, word)),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, time: Time) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            for n in 0..3 {
+                if self.cores[n].next_due() <= self.now {
+                    self.give(n, Input::Tick);
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> usize {
+        let leaders: Vec<usize> = (0..3).filter(|n| self.cores[*n].is_holder()).collect();
+        assert_eq!(leaders.len(), 1, "{leaders:?} lead");
+        leaders[0]
+    }
+
+    fn breaks(&mut self, n: usize) {
+        self.broken[n] = true;
+        self.give(n, Input::Disk { works: false });
+    }
+
+    fn mends(&mut self, n: usize) {
+        self.broken[n] = false;
+        self.disks[n] = self.cores[n].stored();
+        self.give(n, Input::Disk { works: true });
+    }
+
+    fn propose(&mut self, word: &[u8]) {
+        let leader = self.leader();
+        self.give(leader, Input::Propose { tag: 1, word: word.to_vec() });
+    }
+
+    fn has(&self, n: usize, word: &[u8]) -> bool {
+        self.applied[n].iter().any(|(_, w)| w == word)
+    }
+
+    fn kills_and_starts(&mut self, n: usize) {
+        self.cores[n] = Core::new(id(n), self.disks[n].clone(), 9, self.now);
+        self.applied[n].clear();
+        self.broken[n] = false;
+    }
+}
+
+#[test]
+fn a_leader_hands_its_duty_on_at_once_and_goes_on_hearing() {
+    let mut three = Three::new();
+    let old = three.leader();
+    three.breaks(old);
+    three.run(20 * MS);
+    let new = three.leader();
+    assert!(new != old, "named, without waiting for silence");
+    three.propose(b"a");
+    three.run(300 * MS);
+    assert!((0..3).all(|n| three.has(n, b"a")), "who does not save hears it all the same");
+    assert!(three.disks[old].entries.len() < three.disks[new].entries.len());
+    // Nothing rests on it meanwhile: nothing is agreed on by its word.
+    three.cut[3 - old - new] = true;
+    three.propose(b"b");
+    three.run(400 * MS);
+    assert!(!three.has(new, b"b") && !three.has(old, b"b"));
+    three.mends(old);
+    three.run(1500 * MS);
+    three.propose(b"c");
+    three.run(300 * MS);
+    assert!(three.has(new, b"c") && three.has(old, b"c"), "it votes again");
+}
+
+#[test]
+fn it_votes_for_nobody_and_stands_for_nothing() {
+    let mut three = Three::new();
+    let leader = three.leader();
+    let (one, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    three.breaks(one);
+    three.cut[leader] = true;
+    three.run(5000 * MS);
+    let leads = |three: &Three, n: usize| three.cores[n].is_holder();
+    assert!(!leads(&three, one) && !leads(&three, other), "the third needs a vote that can be kept");
+    three.mends(one);
+    three.run(3000 * MS);
+    assert!(leads(&three, one) || leads(&three, other));
+}
+
+#[test]
+fn what_it_said_while_it_did_not_save_is_kept_though_it_forgets() {
+    for seed in 0..3 {
+        let mut three = Three::new();
+        let leader = three.leader();
+        let (one, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        three.breaks(if seed == 0 { leader } else { one });
+        three.run(700 * MS);
+        three.propose(b"a");
+        three.run(300 * MS);
+        let broken = if seed == 0 { leader } else { one };
+        assert!(three.has(broken, b"a"));
+        three.kills_and_starts(broken);
+        assert!(!three.has(broken, b"a"), "it was not on its disk");
+        three.run(300 * MS);
+        assert!(three.has(broken, b"a"), "the others hold it");
+        // Whoever is lost now, a majority has it.
+        three.cut[if seed == 1 { leader } else { other }] = true;
+        three.run(4000 * MS);
+        three.propose_to_whom_leads(b"b", broken);
+        three.run(500 * MS);
+        assert!(three.has(broken, b"a") && three.has(broken, b"b"));
+    }
+}
+
+impl Three {
+    /// There may be a leader that is cut off beside the one that this one believes in.
+    fn propose_to_whom_leads(&mut self, word: &[u8], believes: usize) {
+        let leader: usize = self.cores[believes].holder().unwrap().name.parse().unwrap();
+        self.give(leader, Input::Propose { tag: 1, word: word.to_vec() });
+    }
+}
+
+#[test]
+fn a_message_that_was_lost_is_sent_again_to_who_does_not_save() {
+    let mut three = Three::new();
+    let leader = three.leader();
+    let one = (leader + 1) % 3;
+    three.breaks(one);
+    three.cut[one] = true;
+    three.propose(b"a");
+    three.run(200 * MS);
+    three.cut[one] = false;
+    three.run(300 * MS);
+    assert!(three.has(one, b"a"));
+}
