--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -1,6 +1,9 @@
 //! The one task that runs the agreement: inputs in, saves to the disk before anything that rests on them, outputs out. While the
 //! disk does not save, it goes on without: it takes in and tells what others have agreed on, and promises nothing.
 
+#[cfg(test)]
+mod tests;
+
 use crate::disk::{Disk, Done as Saving, Fault, Standing, LONG, WAIT};
 use crate::view::{Duty, View};
 use boxoffice::{Ask, Keeper, Lent};
--- /dev/null
+++ b/crates/prompter/src/agreement/tests.rs
@@ -0,0 +1,258 @@
+//! Three prompters' agreements in one process, each with a disk that a test may fill, stall, or take power from.
+
+use super::*;
+use crate::disk::folder::Folder;
+use crate::disk::keeping::Keeping;
+use crate::disk::stand_in::{Loss, Mood, StandIn};
+use std::future::Future;
+use std::path::PathBuf;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use understudy::Members;
+use wings::settings::Settings;
+
+/// Nothing takes so long.
+const LONG_ENOUGH: Duration = Duration::from_secs(20);
+/// An operator's call.
+const CALL: Duration = Duration::from_millis(850);
+
+struct One {
+    view: Rc<View>,
+    agreement: Agreement,
+    task: JoinHandle<String>,
+}
+
+struct Three {
+    disks: Vec<StandIn>,
+    ones: Vec<Option<One>>,
+    starts: u64,
+}
+
+fn name(n: usize) -> String {
+    format!("10.0.0.{}", n + 1)
+}
+
+fn settings(n: usize) -> Settings {
+    let text = format!(
+        "[ownIdentity]\nnodeName = \"e\"\nipAddress = \"{}\"\nzone = \"a\"\ninitialStart = true\n\
+         [ownIdentity.limits]\nmemoryMb = 260\nmaxFileDescriptors = 4100\n\
+         [networkTerms]\ninternalPortRange = [7660, 7675]\nseedNodes = []\n\
+         [networkTerms.listenAddresses]\ncontrolPlane = \"10.0.0.1:8407\"\n[contractTerms.bounds]\ngraceS = 6\n",
+        name(n)
+    );
+    Settings::read("f", &text).unwrap()
+}
+
+impl Three {
+    async fn new() -> Self {
+        let disks = (0..3).map(|_| StandIn::default()).collect();
+        let mut three = Three { disks, ones: vec![None, None, None], starts: 0 };
+        let mut members = Members::new();
+        for n in 0..3 {
+            members.insert(name(n), three.start(n).await);
+        }
+        // Its first save makes it a voter; before that it founds nothing.
+        while three.leader().is_none() {
+            three.one(0).agreement.tell(Input::Found { members: members.clone() });
+            three.news(0).await;
+        }
+        three
+    }
+
+    fn one(&self, n: usize) -> &One {
+        self.ones[n].as_ref().unwrap()
+    }
+
+    async fn start(&mut self, n: usize) -> u64 {
+        self.starts += 1;
+        let (folder, id) = (Arc::new(self.disks[n].clone()) as Arc<dyn Folder>, 100 * self.starts + n as u64);
+        let opens = move || Keeping::open(folder, &name(n), id);
+        let (disk, held) = Disk::begin(opens, PathBuf::new()).await.unwrap();
+        let view = View::new(settings(n), Id { name: name(n), disk: held.id }, self.starts);
+        let (agreement, task) = Agreement::start(&view, disk, held.stored, self.starts);
+        self.ones[n] = Some(One { view, agreement, task: spawn_local(task) });
+        (0..3).for_each(|other| self.connect(other));
+        held.id
+    }
+
+    /// What this one says reaches those that run.
+    fn connect(&self, n: usize) {
+        let Some(one) = &self.ones[n] else { return };
+        one.view.links.borrow_mut().clear();
+        for (to, other) in self.ones.iter().enumerate().filter(|(to, _)| *to != n) {
+            let Some(other) = other else { continue };
+            let (sender, mut queue) = mpsc::channel(512);
+            one.view.links.borrow_mut().insert(name(to), sender);
+            let agreement = other.agreement.clone();
+            spawn_local(async move {
+                while let Some(message) = queue.recv().await {
+                    if let Peer::Agree(message) = message {
+                        agreement.tell(Input::Message(message));
+                    }
+                }
+            });
+        }
+    }
+
+    /// Nothing that it says reaches anybody, nor the other way.
+    fn cut(&self, n: usize) {
+        for (other, one) in self.ones.iter().enumerate() {
+            if let Some(one) = one {
+                let mut links = one.view.links.borrow_mut();
+                links.retain(|to, _| other != n && *to != name(n));
+            }
+        }
+    }
+
+    fn stop(&mut self, n: usize) {
+        self.ones[n].take().unwrap().task.abort();
+        (0..3).for_each(|other| self.connect(other));
+    }
+
+    /// Something has happened at this one, or some time has passed.
+    async fn news(&self, n: usize) {
+        let _ = timeout(Duration::from_millis(20), self.one(n).view.news().changed()).await;
+    }
+
+    fn leader(&self) -> Option<usize> {
+        (0..3).find(|n| self.ones[*n].as_ref().is_some_and(|o| o.view.duty.borrow().is_holder))
+    }
+
+    async fn until(&self, what: &str, holds: impl Fn(&Three) -> bool) {
+        let wait = async {
+            while !holds(self) {
+                self.news((0..3).find(|n| self.ones[*n].is_some()).unwrap()).await;
+            }
+        };
+        timeout(LONG_ENOUGH, wait).await.unwrap_or_else(|_| panic!("never: {what}"));
+    }
+
+    fn version(&self, n: usize) -> u32 {
+        self.one(n).view.book.borrow().version()
+    }
+
+    /// Changes to this version, at whoever leads, until it is taken.
+    async fn change(&self, version: u32, bytes: usize) -> usize {
+        let body = vec![version as u8; bytes];
+        let word = promptbook::Word::Configuration { base: version - 1, version, body }.write();
+        let taken = async {
+            loop {
+                if let Some(leader) = self.leader() {
+                    let done = self.one(leader).agreement.propose(word.clone(), CALL).await;
+                    // It may have been taken without an answer.
+                    if done == Done::Agreed(Outcome::Stands) {
+                        return leader;
+                    }
+                }
+                self.news((0..3).find(|n| self.ones[*n].is_some()).unwrap()).await;
+            }
+        };
+        timeout(LONG_ENOUGH, taken).await.unwrap_or_else(|_| panic!("version {version} was never taken"))
+    }
+}
+
+async fn local<T>(work: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(work).await
+}
+
+/// The leader's disk takes nothing, or does not answer: another leads, changes are taken, this one hears of them; and it counts again
+/// once it holds all.
+async fn without_the_leaders_disk(mood: Mood) {
+    let mut three = Three::new().await;
+    let old = three.change(1, 9000).await;
+    three.disks[old].mood(mood);
+    let new = three.change(2, 9000).await;
+    assert!(new != old, "{mood:?}: nothing is agreed on under a leader that cannot save");
+    three.until("it hears of it", |t| t.version(old) == 2).await;
+    assert!(!three.one(old).task.is_finished());
+    assert_eq!(three.one(old).view.duty.borrow().holder.as_ref().map(|h| h.name.clone()), Some(name(new)));
+    three.disks[old].mood(Mood::Works);
+    // Its word is wanted now.
+    three.cut(3 - old - new);
+    three.change(3, 9000).await;
+    three.until("it has it", |t| t.version(old) == 3).await;
+    // All that was agreed on is on two disks, whoever lost power.
+    three.stop(new);
+    three.stop(old);
+    three.disks[old] = three.disks[old].after(Loss::All);
+    three.start(old).await;
+    (0..3).for_each(|n| three.connect(n));
+    three.until("both hold it", |t| t.version(old) == 3 && t.version(3 - old - new) == 3).await;
+}
+
+#[tokio::test]
+async fn a_full_disk_at_the_leader_hands_its_duty_on_and_ends_nothing() {
+    local(without_the_leaders_disk(Mood::Full)).await;
+}
+
+#[tokio::test]
+async fn a_disk_that_does_not_answer_at_the_leader_hands_its_duty_on() {
+    local(without_the_leaders_disk(Mood::Stalls)).await;
+}
+
+/// All disks are full at once, as with one log on all of them: nothing is taken, nothing ends, and it goes on when they work.
+#[tokio::test]
+async fn all_disks_full_at_once_end_nothing_and_lose_nothing() {
+    local(async {
+        let mut three = Three::new().await;
+        three.change(1, 9000).await;
+        three.disks.iter().for_each(|d| d.mood(Mood::Full));
+        let leader = three.leader().unwrap();
+        let word = promptbook::Word::Leaving { instance: "i-1".into() }.write();
+        let done = three.one(leader).agreement.propose(word, CALL).await;
+        assert_eq!(done, Done::NotHolder, "nothing is confirmed that is on no disk");
+        three.until("nobody leads", |t| t.leader().is_none()).await;
+        assert!((0..3).all(|n| !three.one(n).task.is_finished()));
+        // Power is lost while they are full, and they stay so for a while.
+        for n in 0..3 {
+            three.stop(n);
+            three.disks[n] = three.disks[n].after(Loss::All);
+            three.disks[n].mood(Mood::Full);
+        }
+        for n in 0..3 {
+            three.start(n).await;
+        }
+        for _ in 0..60 {
+            three.news(0).await;
+            assert_eq!(three.leader(), None, "a vote needs a disk");
+        }
+        three.disks.iter().for_each(|d| d.mood(Mood::Works));
+        three.change(2, 9000).await;
+    })
+    .await;
+}
+
+/// A member that was away for hundreds of changes, and is started anew: it has the state at once, and whoever leads then, leads with it.
+#[tokio::test]
+async fn a_member_that_returns_after_hundreds_of_changes_catches_up_and_leads_with_the_newest() {
+    local(async {
+        let mut three = Three::new().await;
+        for version in 1..=70 {
+            three.change(version, 5000).await;
+        }
+        let leader = three.leader().unwrap();
+        let (away, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        three.until("all have it", |t| t.version(away) == 70).await;
+        three.stop(away);
+        for version in 71..=470 {
+            three.change(version, 5000).await;
+        }
+        three.disks[away] = three.disks[away].after(Loss::All);
+        three.start(away).await;
+        assert!(three.version(away) >= 65, "what was saved: {}", three.version(away));
+        three.until("it has caught up", |t| t.version(away) == 470).await;
+        // The leader goes: of the two that are left one leads, with all.
+        three.cut(leader);
+        three
+            .until("another leads", |t| [away, other].iter().any(|n| t.one(*n).view.duty.borrow().is_holder))
+            .await;
+        three.stop(leader);
+        three.change(471, 5000).await;
+        three.until("both have it", |t| t.version(away) == 471 && t.version(other) == 471).await;
+        // What an earlier configuration was is known to both in the same way.
+        let (one, two) = (&three.one(away).view.book, &three.one(other).view.book);
+        assert_eq!(*one.borrow(), *two.borrow());
+    })
+    .await;
+}
--- a/crates/prompter/src/disk.rs
+++ b/crates/prompter/src/disk.rs
@@ -3,11 +3,11 @@
 
 mod blobs;
 mod cell;
-mod folder;
+pub(crate) mod folder;
 mod generation;
-mod keeping;
+pub(crate) mod keeping;
 #[cfg(test)]
-mod stand_in;
+pub(crate) mod stand_in;
 mod standing;
 #[cfg(test)]
 mod tests;
@@ -105,13 +105,21 @@
     /// # Errors
     /// There is no thread or no random number to be had.
     pub async fn open(folder: &Path, name: &str) -> Result<(Disk, Held), Fault> {
+        let (folder, name, earlier) = (folder.to_path_buf(), name.to_string(), folder.join(EARLIER));
+        Disk::begin(move || begin(&folder, &name), earlier).await
+    }
+
+    /// The thread, with what it begins with; and where a store of an earlier form may be.
+    pub(crate) async fn begin(
+        opens: impl FnOnce() -> Result<(Keeping, Held), Fault> + Send + 'static,
+        earlier: PathBuf,
+    ) -> Result<(Disk, Held), Fault> {
         let (sender, asked) = mpsc::channel();
         let (tell, held) = oneshot::channel();
         let cell: Arc<Mutex<Option<Vec<Fact>>>> = Arc::default();
         let thread = Thread { asked: sender, cell: cell.clone() };
-        let (folder, name) = (folder.to_path_buf(), name.to_string());
         let begun = std::thread::Builder::new().name("disk".into()).spawn(move || {
-            let mut keeping = match begin(&folder, &name) {
+            let mut keeping = match opens() {
                 Ok((keeping, held)) => {
                     // Whoever waited is gone when the process ends.
                     let _ = tell.send(Ok(held));
@@ -119,7 +127,7 @@
                 }
                 Err(fault) => return drop(tell.send(Err(fault))),
             };
-            let mut earlier = Some(folder.join(EARLIER)).filter(|e| e.exists());
+            let mut earlier = Some(earlier).filter(|e| e.exists());
             for asked in asked {
                 match asked {
                     Asked::Work(Work::Save(saves, agreed), done) => {
--- a/crates/prompter/src/disk/stand_in.rs
+++ b/crates/prompter/src/disk/stand_in.rs
@@ -6,7 +6,7 @@
 use fastrand::Rng;
 use std::collections::BTreeMap;
 use std::io;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
 #[derive(Clone, Debug)]
 enum Change {
@@ -33,6 +33,8 @@
     Full,
     /// Nothing at all.
     Dead,
+    /// Whoever writes waits until it does something else.
+    Stalls,
 }
 
 /// What becomes of what was not synced.
@@ -72,18 +74,24 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct StandIn(Arc<Mutex<State>>);
+pub struct StandIn(Arc<(Mutex<State>, Condvar)>);
 
 #[derive(Debug)]
 struct Open(StandIn, u64);
 
 impl StandIn {
     fn state(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap()
+        self.0 .0.lock().unwrap()
+    }
+
+    /// The same, once whoever writes gets an answer.
+    fn answers(&self) -> MutexGuard<'_, State> {
+        self.0 .1.wait_while(self.state(), |state| state.mood == Mood::Stalls).unwrap()
     }
 
     pub fn mood(&self, mood: Mood) {
         self.state().mood = mood;
+        self.0 .1.notify_all();
     }
 
     /// Power is lost at the operation behind so many that write.
@@ -115,7 +123,7 @@
         if matches!(loss, Loss::None) {
             (new.files, new.names) = (state.files.clone(), state.names.clone());
             (new.lasting, new.open) = (state.lasting.clone(), state.open.clone());
-            return StandIn(Arc::new(Mutex::new(new)));
+            return StandIn(Arc::new((Mutex::new(new), Condvar::new())));
         }
         let mut kept = |one_in: u64| matches!(loss, Loss::Lot(_)) && rng.u64(..one_in) > 0;
         new.names = state.lasting.clone();
@@ -141,7 +149,7 @@
             new.files.insert(*inode, File { seen: bytes.clone(), lasting: bytes, open: Vec::new() });
         }
         new.lasting = new.names.clone();
-        StandIn(Arc::new(Mutex::new(new)))
+        StandIn(Arc::new((Mutex::new(new), Condvar::new())))
     }
 }
 
@@ -233,7 +241,7 @@
     }
 
     fn open(&self, name: &str, new: bool) -> io::Result<Arc<dyn Data>> {
-        let mut state = self.state();
+        let mut state = self.answers();
         if !new {
             state.reads()?;
             return Ok(Arc::new(Open(self.clone(), state.inode(name)?)));
@@ -257,7 +265,7 @@
     }
 
     fn remove(&self, name: &str) -> io::Result<()> {
-        let mut state = self.state();
+        let mut state = self.answers();
         // It takes no room.
         if state.mood == Mood::Full {
             state.inode(name)?;
@@ -271,7 +279,7 @@
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        let mut state = self.state();
+        let mut state = self.answers();
         let dies = state.writes()?;
         let inode = state.inode(from)?;
         state.rename(to, Some(inode));
@@ -280,7 +288,7 @@
     }
 
     fn sync(&self) -> io::Result<()> {
-        let mut state = self.state();
+        let mut state = self.answers();
         state.counts.syncs += 1;
         // Power that is lost in the middle of it has synced nothing for sure.
         done(state.writes()?)?;
@@ -306,7 +314,7 @@
     }
 
     fn write(&self, at: u64, bytes: &[u8]) -> io::Result<()> {
-        let mut state = self.0.state();
+        let mut state = self.0.answers();
         let dies = state.writes()?;
         state.counts.writes += 1;
         state.counts.bytes += bytes.len() as u64;
@@ -315,14 +323,14 @@
     }
 
     fn set_len(&self, len: u64) -> io::Result<()> {
-        let mut state = self.0.state();
+        let mut state = self.0.answers();
         let dies = state.writes()?;
         state.change(self.1, Change::Len(len));
         done(dies)
     }
 
     fn sync(&self) -> io::Result<()> {
-        let mut state = self.0.state();
+        let mut state = self.0.answers();
         state.counts.syncs += 1;
         let dies = match state.writes() {
             Ok(dies) => dies,
