--- a/crates/prompter/src/disk/tests.rs
+++ b/crates/prompter/src/disk/tests.rs
@@ -379,6 +379,28 @@
     assert_eq!((held.id, held.stored), (79, Stored::default()));
 }
 
+/// A generation that something rests on comes to make no sense, and power is lost: the one before it, which is older, never comes back
+/// in its place.
+#[test]
+fn one_that_is_spoilt_later_is_a_lost_disk_and_not_the_one_before() {
+    let disk = StandIn::default();
+    for seed in 0..8 {
+        let (mut keeping, held) = open(&disk);
+        let mut follower = Follower::new(held, seed);
+        keeping.whole(&follower.core.stored()).unwrap();
+        for _ in 0..3 {
+            let saves = follower.step();
+            keeping.save(&saves, follower.core.agreed()).unwrap();
+        }
+        let after = disk.after(Loss::Lot(seed));
+        let last = after.names().into_iter().filter(|n| n.starts_with("agreed-")).max().unwrap();
+        after.spoil(&last, b"spoilt".to_vec());
+        let folder = Arc::new(after) as Arc<dyn Folder>;
+        let held = Keeping::open(folder, NAME, 78).unwrap().1;
+        assert_eq!((held.id, held.stored), (78, Stored::default()), "seed {seed}");
+    }
+}
+
 /// The lives that were kept are there again, whichever of the two files was being written.
 #[test]
 fn the_cell_is_kept_by_turns() {
