--- a/crates/prompter/src/control.rs
+++ b/crates/prompter/src/control.rs
@@ -30,11 +30,11 @@
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 /// The largest body of a call, and the most bytes of bodies that are held at once: one more is told to come later.
-const LONGEST: usize = 12 << 20;
+const LONGEST: usize = 8 << 20;
 const HELD: usize = 24 << 20;
 /// Larger ones are checked on another thread: 700 KB take 80 ms of a core, 8 MB 0.4 s, and this one has rounds to answer.
 const CHECKED_HERE: usize = 64 << 10;
-/// How long a call may rest while it comes, and how long it may take in all: 12 MiB at 3 Mbit/s.
+/// How long a call may rest while it comes, and how long it may take in all: 8 MiB at 2 Mbit/s.
 const RESTS: Duration = Duration::from_secs(5);
 const COMES: Duration = Duration::from_secs(35);
 /// A caller goes elsewhere after a second of silence.
