--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -78,7 +78,7 @@
         core.handle(view.now(), Input::Disk { works: false }, &mut Vec::new());
         let (place, state) = core.start();
         if place > 0 {
-            view.install(state);
+            view.install(place, state);
         }
         let mut applied = place;
         for output in core.known() {
@@ -265,7 +265,7 @@
                 Output::Apply { place, term, word } => self.apply(place, term, &word),
                 Output::Install { place, state } => {
                     self.applied = place;
-                    self.view.install(&state);
+                    self.view.install(place, &state);
                 }
                 Output::Newest { tag } => self.done(tag, Done::Newest),
                 Output::NotHolder { tag } => self.done(tag, Done::NotHolder),
