--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -88,6 +88,8 @@
     incoming: Option<Incoming>,
     /// This process is told to end.
     ends: bool,
+    /// What is to be saved comes to the disk.
+    works: bool,
     rng: Rng,
     #[cfg(feature = "defects")]
     defect: Option<Defect>,
@@ -112,6 +114,7 @@
             silent_until: if stored.term > 0 { now + PATIENCE } else { 0 },
             incoming: None,
             ends: false,
+            works: true,
             rng: Rng::with_seed(seed),
             #[cfg(feature = "defects")]
             defect: None,
@@ -150,6 +153,17 @@
         places.filter_map(word).collect()
     }
 
+    /// All that is to be on the disk.
+    pub fn stored(&self) -> Stored {
+        let (snapshot, entries) = ((**self.log.snapshot()).clone(), self.log.entries().to_vec());
+        Stored { term: self.term, vote: self.vote.clone(), snapshot, entries, agreed: self.agreed }
+    }
+
+    /// The places and sizes in bytes of the entries that are kept.
+    pub fn sizes(&self) -> impl Iterator<Item = (Place, usize)> + '_ {
+        self.log.sizes()
+    }
+
     /// Entries that are kept.
     pub fn entries(&self) -> usize {
         self.log.len()
@@ -203,7 +217,7 @@
     pub fn next_due(&self) -> Time {
         match &self.role {
             Role::Holder(h) => h.next_pulse,
-            _ if !self.votes() => Time::MAX,
+            _ if !self.votes() || !self.works => Time::MAX,
             _ => self.stands_up,
         }
     }
@@ -217,6 +231,7 @@
             Input::Knock { id, votes } => self.knock(now, &id, votes),
             Input::Found { members } => self.found(now, members, out),
             Input::HandOver => self.end(out),
+            Input::Disk { works } => self.disk(now, works, out),
             Input::Tick => self.tick(now, out),
         }
         self.advance(now, out);
@@ -239,11 +254,11 @@
             }
             if now >= h.next_pulse {
                 if self.ends && !h.named {
-                    self.hand_over(out);
+                    self.hand_over(self.log.last().1, out);
                 }
                 self.pulse(now, out);
             }
-        } else if now >= self.stands_up && self.votes() {
+        } else if now >= self.stands_up && self.votes() && self.works {
             self.stand(now, true, false, out);
         }
     }
@@ -256,7 +271,8 @@
 
     /// Its term may be another's already, who founded before; what it has promised there stands.
     fn found(&mut self, now: Time, members: Members, out: &mut Vec<Output>) {
-        if self.log.last().1 > 0 || members.get(&self.id.name) != Some(&self.id.disk) {
+        let blank = self.log.last().1 == 0;
+        if !blank || !self.works || members.get(&self.id.name) != Some(&self.id.disk) {
             return;
         }
         let snapshot = Snapshot { place: 1, term: 1, members, state: Vec::new() };
@@ -347,7 +363,7 @@
     fn end(&mut self, out: &mut Vec<Output>) {
         self.ends = true;
         match &self.role {
-            Role::Holder(h) if !h.named => self.hand_over(out),
+            Role::Holder(h) if !h.named => self.hand_over(self.log.last().1, out),
             Role::Holder(_) => {}
             _ => self.leave(out),
         }
@@ -360,18 +376,33 @@
         }
     }
 
-    fn hand_over(&mut self, out: &mut Vec<Output>) {
-        let last = self.log.last().1;
+    /// The leader names the voter that is furthest, of those that have the log up to `least`.
+    fn hand_over(&mut self, least: Place, out: &mut Vec<Output>) {
         let Role::Holder(h) = &mut self.role else { return };
         let voters = self.log.voters();
-        let ready = h.peers.iter().filter(|(id, p)| p.matched == last && voters.has(id));
-        let Some((to, _)) = ready.max_by_key(|(_, p)| p.heard) else { return };
+        let ready = h.peers.iter().filter(|(id, p)| p.matched >= least && voters.has(id));
+        let Some((to, _)) = ready.max_by_key(|(_, p)| (p.matched, p.heard)) else { return };
         let to = to.clone();
         h.named = true;
         let term = self.term;
         self.send(to, term, Body::Named, out);
     }
 
+    /// A leader whose disk does not save has its duty taken over by one that has all that is agreed on.
+    fn disk(&mut self, now: Time, works: bool, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.works, works) == works {
+            return;
+        }
+        if works {
+            return self.sit_down(now);
+        }
+        self.hand_over(self.agreed, out);
+        if matches!(self.role, Role::Follower) {
+            return;
+        }
+        self.step_down(now, out);
+    }
+
     // ---- Messages ----
 
     fn message(&mut self, now: Time, m: Message, out: &mut Vec<Output>) {
@@ -408,7 +439,7 @@
                 self.part(m.from, whole, (size, at, bytes), round, out);
             }
             Body::Named => {
-                if self.votes() {
+                if self.votes() && self.works {
                     self.stand(now, false, true, out);
                 }
             }
@@ -457,6 +488,9 @@
         last: (Term, Place),
         out: &mut Vec<Output>,
     ) {
+        if !self.works {
+            return;
+        }
         let free = if trial {
             term > self.term
         } else {
@@ -506,7 +540,7 @@
         if let Some((from, entries)) = self.log.take(before.0, entries) {
             out.push(Output::Save(Save::Entries { from, entries }));
         }
-        self.send(from, self.term, Body::Took { round, up_to }, out);
+        self.took_up_to(from, round, up_to, out);
         self.leave(out);
         self.agree(agreed.min(up_to), out);
     }
@@ -526,7 +560,7 @@
         };
         if here {
             let up_to = if self.agreed >= place { self.agreed } else { place };
-            return self.send(from, self.term, Body::Took { round, up_to }, out);
+            return self.took_up_to(from, round, up_to, out);
         }
         if let Whole::Word { before, .. } = &whole {
             if !self.log.has(before.0, before.1) {
@@ -547,6 +581,17 @@
         }
     }
 
+    /// Says so, if it is on the disk; else just that it goes on behind that place.
+    fn took_up_to(&self, to: Id, round: u64, up_to: Place, out: &mut Vec<Output>) {
+        // A sign of life says nothing of the log.
+        let body = if self.works || up_to == 0 {
+            Body::Took { round, up_to }
+        } else {
+            Body::Missed { round, hint: up_to }
+        };
+        self.send(to, self.term, body, out);
+    }
+
     fn install(&mut self, from: Id, snapshot: Snapshot, round: u64, out: &mut Vec<Output>) {
         let place = snapshot.place;
         if place > self.agreed {
@@ -557,7 +602,7 @@
             self.agreed = place;
             out.push(Output::Install { place, state });
         }
-        self.send(from, self.term, Body::Took { round, up_to: self.agreed.max(place) }, out);
+        self.took_up_to(from, round, self.agreed.max(place), out);
     }
 
     /// All up to there is agreed on.
@@ -702,7 +747,7 @@
             return self.pulse(now, out);
         }
         if !voters.has(&self.id) {
-            self.hand_over(out);
+            self.hand_over(self.log.last().1, out);
             return self.step_down(now, out);
         }
         let (voters, next) = (voters.clone(), self.log.last().1 + 1);
--- a/crates/understudy/src/log.rs
+++ b/crates/understudy/src/log.rs
@@ -44,13 +44,17 @@
         self.snapshot.place
     }
 
-    #[cfg(feature = "defects")]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     pub fn entries(&self) -> &[Entry] {
         &self.entries
     }
 
-    pub fn len(&self) -> usize {
-        self.entries.len()
+    /// The entries' places and sizes in bytes.
+    pub fn sizes(&self) -> impl Iterator<Item = (Place, usize)> + '_ {
+        (self.start() + 1..).zip(self.entries.iter().map(size))
     }
 
     /// The last entry's term and place.
--- a/crates/understudy/src/members.rs
+++ b/crates/understudy/src/members.rs
@@ -119,7 +119,7 @@
             new.insert(name, disk);
         }
     }
-    if new.len() % 2 == 0 {
+    if new.len().is_multiple_of(2) {
         match lost.iter().rposition(|(h, _)| *h == Health::Gone) {
             Some(at) if new.len() > 2 => {
                 new.remove(&lost.remove(at).1.name);
--- a/crates/understudy/src/sending.rs
+++ b/crates/understudy/src/sending.rs
@@ -111,9 +111,9 @@
         self.next = self.next.max(self.matched + 1);
     }
 
-    /// Its log is not ours where we took it to be; it may be up to there.
+    /// Its log is not ours where we took it to be, or not on its disk; it may be up to there.
     pub fn missed(&mut self, hint: Place, last: Place) {
-        if self.transfer.as_ref().is_some_and(|t| t.snapshot.is_some()) {
+        if self.transfer.as_ref().is_some_and(|t| t.snapshot.is_some() && hint < t.whole.place()) {
             return;
         }
         self.transfer = None;
--- a/crates/understudy/tests/common/net.rs
+++ b/crates/understudy/tests/common/net.rs
@@ -192,10 +192,10 @@
                     self.take(n, Input::Tick);
                 }
             }
-            if self.now % (500 * MS) == 0 {
+            if self.now.is_multiple_of(500 * MS) {
                 self.knocks();
             }
-            if self.every > 0 && self.now % self.every == 0 {
+            if self.every > 0 && self.now.is_multiple_of(self.every) {
                 self.propose();
             }
         }
