A prompter without contact sends a leaving backend on at once; a frozen leader's calls are tested

Cause: Deregister at a prompter that is cut off was answered after 0.85 s of its caller's second; a gateway beyond the 4,096th was proposed anew with each pulse, five entries of the log a second for each, for nothing.

Change: without contact, what is not known to be leaving is answered 503 at once; nothing is proposed that would change nothing (Book::wants_gateway).

--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -146,6 +146,11 @@
         &self.gateways
     }
 
+    /// Whether a word on this gateway would change anything.
+    pub fn wants_gateway(&self, name: &str) -> bool {
+        self.gateways.len() < GATEWAYS && !self.gateways.contains(name)
+    }
+
     /// Whether this end of the tenant's trial has passed.
     pub fn is_over(&self, tenant: &str, ends: u64) -> bool {
         self.over.get(tenant).is_some_and(|(end, _)| *end == ends)
@@ -185,12 +190,9 @@
                 }
                 Applied::Changed
             }
-            Word::Gateway { name } if self.gateways.len() < GATEWAYS => {
-                if self.gateways.insert(name.clone()) {
-                    Applied::Changed
-                } else {
-                    Applied::Same
-                }
+            Word::Gateway { name } if self.wants_gateway(name) => {
+                self.gateways.insert(name.clone());
+                Applied::Changed
             }
             Word::Gateway { .. } => Applied::Same,
             Word::TrialOver { tenant, ends } => {
--- a/crates/prompter/src/control.rs
+++ b/crates/prompter/src/control.rs
@@ -276,6 +276,10 @@
 
     /// Has it agreed on that this backend leaves. Whether it was, in time to say so.
     async fn leaving(&self, id: &str) -> bool {
+        // Who is cut off has nobody to agree with: the next gateway is called at once.
+        if !self.in_touch() {
+            return self.view.book.borrow().is_leaving(id);
+        }
         let word = Word::Leaving { instance: id.into() }.write();
         let until = Instant::now() + ANSWERED;
         let mut again = Instant::now();
--- a/crates/prompter/src/followers.rs
+++ b/crates/prompter/src/followers.rs
@@ -106,7 +106,7 @@
 
 /// A gateway that is not agreed on yet has no part of what is shared.
 fn register(view: &View, agreement: &Agreement, name: &str) {
-    if !view.book.borrow().gateways().contains(name) {
+    if view.book.borrow().wants_gateway(name) {
         pass_on(view, agreement, Word::Gateway { name: name.into() }.write());
     }
 }
--- a/crates/prompter/tests/orders.rs
+++ b/crates/prompter/tests/orders.rs
@@ -93,6 +93,24 @@
         panic!("no clear answer in {PATIENCE:?}");
     }
 
+    /// Who leads: whoever acknowledges again what was taken, and sends nobody on.
+    fn leader(&self, taken: &[u8]) -> usize {
+        let until = Instant::now() + PATIENCE;
+        let leads = |n: &usize| post(self.address(*n), taken).is_some_and(|a| a.status == 200);
+        while Instant::now() < until {
+            if let Some(n) = (0..self.ips.len()).find(leads) {
+                return n;
+            }
+        }
+        panic!("nobody leads for {PATIENCE:?}");
+    }
+
+    /// Stops a process, or has it go on.
+    fn signal(&self, n: usize, name: &str) {
+        let id = self.programs[n].as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
     fn read(&self) -> Vec<u8> {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
@@ -116,7 +134,8 @@
 
 fn connect(at: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect_timeout(&at, Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    // A caller goes elsewhere after a second of silence.
+    stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
     Some(stream)
 }
 
@@ -141,6 +160,14 @@
     })
 }
 
+/// Sends a call, whose answer is read later.
+fn send(at: SocketAddr, method: &str, path: &str, body: &[u8]) -> TcpStream {
+    let mut stream = connect(at).unwrap();
+    stream.write_all(head(method, path, body.len()).as_bytes()).unwrap();
+    stream.write_all(body).unwrap();
+    stream
+}
+
 fn call(at: SocketAddr, method: &str, path: &str, body: &[u8]) -> Option<Answer> {
     let mut stream = connect(at)?;
     stream.write_all(head(method, path, body.len()).as_bytes()).ok()?;
@@ -252,3 +279,33 @@
     assert_eq!(core.order(0, &taken), 200);
     assert_eq!(core.read(), new);
 }
+
+#[test]
+fn what_lay_in_a_leader_that_stood_still_is_not_confirmed_on_an_old_base() {
+    let core = Core::open(3);
+    let first = configuration(0, 3, "first", 3);
+    assert_eq!(core.order(0, &first), 200);
+    let old = core.leader(&first);
+    let at = core.address(old);
+    core.signal(old, "-STOP");
+    // Two operators with one number on one base: one order lies in the leader's sockets, the other goes to the rest. It is sent
+    // to the old leader, too, as after a lost answer.
+    let (one, other) = (configuration(3, 5, "one", 3), configuration(3, 5, "other", 3));
+    let replace = "/-/Configuration.Replace";
+    let mut lies = send(at, "POST", replace, &one);
+    let mut again = send(at, "POST", replace, &other);
+    let mut reads = send(at, "GET", "/-/Configuration.Read", &[]);
+    assert_eq!(core.order(old + 1, &other), 200);
+    core.signal(old, "-CONT");
+    let patient = |stream: &mut TcpStream| {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        answer(stream).map_or(503, |a| a.status)
+    };
+    let statuses = [patient(&mut lies), patient(&mut again), patient(&mut reads)];
+    assert!([307, 412, 503].contains(&statuses[0]), "{statuses:?}");
+    assert!([200, 307, 503].contains(&statuses[1]), "taken, or unclear: {statuses:?}");
+    assert!([307, 503].contains(&statuses[2]), "it leads no more: {statuses:?}");
+    assert_eq!(core.order(old, &other), 200);
+    assert_eq!(core.order(old, &one), 412);
+    assert_eq!(core.read(), other);
+}
