--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -111,8 +111,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::time::Duration;
     use tokio::io::AsyncWriteExt;
     use tokio::net::TcpListener;
+    use tokio::time::timeout;
 
     async fn pair() -> (TcpStream, TcpStream) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -138,6 +140,24 @@
         assert!(reader.read::<String>().await.is_err(), "nothing is set aside for what it claims");
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_long_message_on_a_slow_link_is_heard_while_its_bytes_come() {
+        let (one, mut two) = pair().await;
+        let (mut reader, _one) = split(one);
+        reader.known();
+        let begun = reader.heard();
+        let message = rmp_serde::to_vec(&"x".repeat(5000)).unwrap();
+        two.write_all(&(message.len() as u32).to_be_bytes()).await.unwrap();
+        for piece in message.chunks(1000) {
+            tokio::time::advance(Duration::from_millis(400)).await;
+            two.write_all(piece).await.unwrap();
+            // The whole does not come within this; its bytes do.
+            let _ = timeout(Duration::from_millis(1), reader.read::<String>()).await;
+            assert!(reader.heard() > begun && reader.heard().elapsed() < Duration::from_millis(100));
+        }
+        assert!(begun.elapsed() > Duration::from_millis(2000), "longer than a silence that ends a link");
+    }
+
     #[tokio::test]
     async fn what_is_no_message_of_ours_ends_the_connection() {
         let (one, mut two) = pair().await;
