What a follower is told, tested over real sockets; 32 KiB under way to a gateway

Rights wait behind what is under way: at 2 Mbit/s 64 KiB are 0.26 s, and a gateway that hears nothing of its rights for 0.3 s is alone. 32 KiB are 0.13 s.

--- a/crates/promptbook/src/parcel.rs
+++ b/crates/promptbook/src/parcel.rs
@@ -12,8 +12,9 @@
 
 /// Bytes of one part.
 pub const PART: usize = 16 << 10;
-/// Bytes that a follower has yet to say it has got: 0.26 s at 2 Mbit/s.
-pub const WINDOW: usize = 4 * PART;
+/// Bytes that a follower has yet to say it has got: 0.13 s at 2 Mbit/s, well within the time after which a gateway that hears
+/// nothing of its rights is alone.
+pub const WINDOW: usize = 2 * PART;
 /// Differences that are kept, in bytes and in number: whoever is further behind gets the whole.
 const KEPT: usize = 256 << 10;
 const STEPS: usize = 256;
--- /dev/null
+++ b/crates/prompter/tests/wire/followers.rs
@@ -0,0 +1,101 @@
+//! What a gateway that follows is told, over real sockets: the whole configuration once, then differences; and that a prompter
+//! which has lost the others cannot prove what it tells.
+
+use crate::core::{configuration, Core, PATIENCE};
+use promptbook::{Configuration, Place, Received, Receiver};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use wings::frame::{self, Reader, Writer};
+use wings::message::{Down, First, Up, FORM};
+
+struct Gateway {
+    reader: Reader,
+    writer: Writer,
+    receiver: Receiver,
+    held: Option<Arc<Configuration>>,
+    /// Bytes of parts, and how many heads of wholes came.
+    bytes: usize,
+    wholes: usize,
+    /// How old the prompter's word is, as it says, and where the newest stands.
+    pulse: (u32, Place),
+}
+
+impl Gateway {
+    async fn follow(core: &Core, n: usize, held: Option<Arc<Configuration>>) -> Gateway {
+        let at: SocketAddr = format!("{}:{}", core.ips[n], core.inner).parse().unwrap();
+        let (mut reader, mut writer) = frame::split(TcpStream::connect(at).await.unwrap());
+        reader.known();
+        let holds = held.as_ref().map_or(0, |c| c.place);
+        let (name, zone) = ("edge-1".to_string(), "zone-0".to_string());
+        writer.write(&First::Gateway { form: FORM, name, zone, place: None, holds }).await.unwrap();
+        let receiver = Receiver::default();
+        Gateway { reader, writer, receiver, held, bytes: 0, wholes: 0, pulse: (0, 0) }
+    }
+
+    /// Hears what comes until this holds.
+    async fn until(&mut self, holds: impl Fn(&Gateway) -> bool) {
+        while !holds(self) {
+            match timeout(PATIENCE, self.reader.read::<Down>()).await.unwrap().unwrap().unwrap() {
+                Down::Configuration(part) => {
+                    self.bytes += part.bytes.len();
+                    self.wholes += usize::from(part.head.as_ref().is_some_and(|h| h.from.is_none()));
+                    let up = match self.receiver.receive(self.held.as_deref(), part) {
+                        Received::More { place, bytes } => Up::Got { place, bytes },
+                        Received::Whole { configuration, bytes } => {
+                            let place = configuration.place;
+                            self.held = Some(configuration);
+                            Up::Got { place, bytes }
+                        }
+                        Received::Lacks => Up::Lacks,
+                        Received::Wrong => panic!("wrong"),
+                    };
+                    self.writer.write(&up).await.unwrap();
+                }
+                Down::Pulse { touch_ms, newest, .. } => self.pulse = (touch_ms, newest),
+                _ => {}
+            }
+        }
+    }
+
+    async fn until_it_holds(&mut self, body: &[u8]) {
+        self.until(|g| g.held.as_ref().is_some_and(|c| c.body == body)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_gateway_is_told_what_it_lacks_and_hears_when_that_is_not_proven_any_more() {
+    let mut core = Core::open(3);
+    let bodies: Vec<Vec<u8>> = [(0, 3), (3, 4), (4, 5)]
+        .into_iter()
+        .map(|(base, version)| configuration(base, version, "op", 300))
+        .collect();
+    assert_eq!(core.order(0, &bodies[0]), 200);
+    let mut one = Gateway::follow(&core, 0, None).await;
+    one.until_it_holds(&bodies[0]).await;
+    assert_eq!((one.bytes, one.wholes), (bodies[0].len(), 1));
+    assert_eq!(core.order(0, &bodies[1]), 200);
+    one.until_it_holds(&bodies[1]).await;
+    assert!(one.bytes < bodies[0].len() + 300, "{} of {}", one.bytes, bodies[0].len());
+
+    // At another prompter it goes on from what it holds; with other bytes under that place it is told the whole.
+    let held = one.held.clone();
+    let mut two = Gateway::follow(&core, 1, held.clone()).await;
+    let place = held.as_ref().unwrap().place;
+    two.until(|g| g.pulse.1 == place).await;
+    assert_eq!(two.bytes, 0, "it lacks nothing");
+    let other = Configuration { version: 4, place, body: b"spoilt".to_vec() };
+    let mut three = Gateway::follow(&core, 2, Some(Arc::new(other))).await;
+    three.until(|g| g.pulse.1 == place).await;
+    assert_eq!(core.order(0, &bodies[2]), 200);
+    two.until_it_holds(&bodies[2]).await;
+    three.until_it_holds(&bodies[2]).await;
+    assert_eq!((two.wholes, three.wholes), (0, 1));
+
+    // In contact, the word is young; alone, the prompter says itself that it is old.
+    one.until(|g| g.pulse.0 < 1000).await;
+    core.kill(1);
+    core.kill(2);
+    one.until(|g| g.pulse.0 > 1000).await;
+}
--- /dev/null
+++ b/crates/prompter/tests/wire/main.rs
@@ -0,0 +1,5 @@
+//! Prompters as processes, over real sockets.
+
+mod core;
+mod followers;
+mod orders;
