Disk: a configuration of up to 64 KiB is a value of the store, in one sync; names of files last by the folder's sync

Cause: a file that was made without a sync of its folder may be kept or lost by itself, so a blob took three syncs; at 30 times as slow as 5 ms that is longer than the agreement waits. Change: up to 64 KiB a run of bytes is a value in the store, in parts that fit a page, in the same transaction; longer ones are files, the folder synced behind them. What was put by an earlier process needs no writing anew: nothing names what was not synced.

--- a/crates/prompter/src/agreement.rs
+++ b/crates/prompter/src/agreement.rs
@@ -20,10 +20,10 @@
 /// Inputs taken in one turn, so that their saves share a sync.
 const TURN: usize = 64;
 /// A turn ends sooner when so many bytes are to be saved.
-const TURN_BYTES: usize = 1 << 20;
+const TURN_BYTES: usize = 512 << 10;
 /// The log is folded into the state when so many entries are agreed on, or so many bytes of them.
 const FOLD: usize = 64;
-const FOLD_BYTES: usize = 1 << 20;
+const FOLD_BYTES: usize = 512 << 10;
 /// No more is proposed while so many bytes are not agreed on: of words that are long, and of others. What a disk is to hold is bounded by
 /// it.
 const OPEN_LONG: usize = 1 << 20;
--- a/crates/prompter/src/disk/blobs.rs
+++ b/crates/prompter/src/disk/blobs.rs
@@ -1,5 +1,5 @@
-//! Long runs of bytes, most of them configurations: each in a file of its own that is named by its digest, written once, however
-//! many entries and snapshots name it.
+//! Long runs of bytes, most of them configurations: each is written once, under its digest, however many entries and snapshots
+//! name it. The longer ones are files of their own, which takes two syncs more; the others are values in the store.
 
 use super::folder::Folder;
 use super::Fault;
@@ -11,7 +11,9 @@
 
 /// Shorter runs stand where they are.
 pub const LONG: usize = 4 << 10;
-/// All blobs together, in bytes: five configurations of the longest that is taken. One more is refused.
+/// From this length on, in bytes, a run is a file.
+pub const LONGER: usize = 64 << 10;
+/// All files together, in bytes: five configurations of the longest that is taken. One more is refused.
 pub const MOST: u64 = 40 << 20;
 const PREFIX: &str = "blob-";
 
@@ -21,14 +23,21 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Piece {
     Here(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// A value in the store.
+    Value(Digest),
     Blob(Digest),
 }
 
+/// Values for the store, or of it.
+pub type Values = BTreeMap<Digest, Vec<u8>>;
+
 /// The blobs of one folder.
 #[derive(Debug, Default)]
 pub struct Blobs {
     /// Whole and synced, with their lengths.
     known: BTreeMap<Digest, u64>,
+    /// Of them those whose names are not sure to last.
+    fresh: Vec<Digest>,
 }
 
 impl Blobs {
@@ -37,19 +46,44 @@
         self.known.values().sum()
     }
 
-    /// Takes bytes apart; what is long is on the disk, synced, when this returns.
+    /// Takes bytes apart. What is to be a value is put among them; a file is on the disk when this returns, and lasts after
+    /// [`Blobs::last`].
     ///
     /// # Errors
     /// The disk refuses, or there would be too many.
-    pub fn put(&mut self, folder: &dyn Folder, bytes: &[u8]) -> Result<Vec<Piece>, Fault> {
-        cut(bytes).into_iter().filter(|b| !b.is_empty()).map(|b| self.put_one(folder, b)).collect()
+    pub fn put(
+        &mut self,
+        folder: &dyn Folder,
+        bytes: &[u8],
+        values: &mut Values,
+    ) -> Result<Vec<Piece>, Fault> {
+        cut(bytes).into_iter().filter(|b| !b.is_empty()).map(|b| self.put_one(folder, b, values)).collect()
     }
 
-    fn put_one(&mut self, folder: &dyn Folder, bytes: &[u8]) -> Result<Piece, Fault> {
+    /// Whatever was put lasts from here on.
+    ///
+    /// # Errors
+    /// The disk refuses; then what is new is written again when it is next put.
+    pub fn last(&mut self, folder: &dyn Folder) -> Result<(), Fault> {
+        let fresh = std::mem::take(&mut self.fresh);
+        if fresh.is_empty() {
+            return Ok(());
+        }
+        folder.sync().map_err(|e| {
+            self.known.retain(|digest, _| !fresh.contains(digest));
+            Fault::Io("the folder".into(), e)
+        })
+    }
+
+    fn put_one(&mut self, folder: &dyn Folder, bytes: &[u8], values: &mut Values) -> Result<Piece, Fault> {
         if bytes.len() < LONG {
             return Ok(Piece::Here(bytes.to_vec()));
         }
         let digest: Digest = Sha256::digest(bytes).into();
+        if bytes.len() < LONGER {
+            values.entry(digest).or_insert_with(|| bytes.to_vec());
+            return Ok(Piece::Value(digest));
+        }
         if self.known.contains_key(&digest) {
             return Ok(Piece::Blob(digest));
         }
@@ -68,44 +102,33 @@
             return Err(fault(e));
         }
         self.known.insert(digest, bytes.len() as u64);
+        self.fresh.push(digest);
         Ok(Piece::Blob(digest))
     }
 
-    /// Puts together what was taken apart.
+    /// Puts together what was taken apart. What an earlier process has put, and something names, was made to last by it.
     ///
     /// # Errors
     /// A blob is missing or is not what its name says; or the disk refuses.
-    pub fn get(folder: &dyn Folder, pieces: &[Piece]) -> Result<Vec<u8>, Fault> {
+    pub fn get(&mut self, folder: &dyn Folder, pieces: &[Piece], values: &Values) -> Result<Vec<u8>, Fault> {
         let mut all = Vec::new();
         for piece in pieces {
             match piece {
                 Piece::Here(bytes) => all.extend_from_slice(bytes),
-                Piece::Blob(digest) => all.extend(read(folder, digest)?),
+                Piece::Value(digest) => match values.get(digest) {
+                    Some(bytes) if Digest::from(Sha256::digest(bytes)) == *digest => all.extend(bytes),
+                    _ => return Err(Fault::Damaged("a value is not what its name says".into())),
+                },
+                Piece::Blob(digest) => {
+                    let bytes = read(folder, digest)?;
+                    self.known.insert(*digest, bytes.len() as u64);
+                    all.extend(bytes);
+                }
             }
         }
         Ok(all)
     }
 
-    /// A blob of an earlier process: it may stand in the system's memory alone. Its own bytes are written over it, which harms
-    /// nothing at any moment, and synced.
-    ///
-    /// # Errors
-    /// It is not what its name says; or the disk refuses.
-    pub fn renew(&mut self, folder: &dyn Folder, digest: &Digest) -> Result<(), Fault> {
-        if self.known.contains_key(digest) {
-            return Ok(());
-        }
-        let bytes = read(folder, digest)?;
-        let file = folder.open(&name(digest), false);
-        let done = file.and_then(|file| {
-            file.write(0, &bytes)?;
-            file.sync()
-        });
-        done.map_err(|e| Fault::Io(name(digest), e))?;
-        self.known.insert(*digest, bytes.len() as u64);
-        Ok(())
-    }
-
     /// Removes all others. One that cannot be removed, or comes back after a loss of power, goes another time.
     pub fn keep_only(&mut self, wanted: &BTreeSet<Digest>, folder: &dyn Folder) {
         self.known.retain(|digest, _| {
--- a/crates/prompter/src/disk/cell.rs
+++ b/crates/prompter/src/disk/cell.rs
@@ -19,6 +19,8 @@
     next: usize,
     /// Written, not synced yet.
     open: Option<Arc<dyn Data>>,
+    /// Times it was synced by this process.
+    synced: usize,
 }
 
 impl Kept {
@@ -33,7 +35,7 @@
         let mut found: Vec<_> = NAMES.iter().map(one).enumerate().collect();
         found.sort_by_key(|(_, one)| one.as_ref().map_or(0, |o| o.0));
         match found.pop() {
-            Some((at, Some((written, facts)))) => (Kept { written, next: 1 - at, open: None }, facts),
+            Some((at, Some((written, facts)))) => (Kept { written, next: 1 - at, ..Kept::default() }, facts),
             _ => (Kept::default(), Vec::new()),
         }
     }
@@ -60,10 +62,14 @@
     ///
     /// # Errors
     /// The disk refuses.
-    pub fn sync(&mut self) -> io::Result<()> {
-        if let Some(file) = self.open.take() {
-            file.sync()?;
-            self.next = 1 - self.next;
+    pub fn sync(&mut self, folder: &dyn Folder) -> io::Result<()> {
+        let Some(file) = self.open.take() else { return Ok(()) };
+        file.sync()?;
+        self.next = 1 - self.next;
+        self.synced += 1;
+        // Their names are new at the first time each.
+        if self.synced <= NAMES.len() {
+            folder.sync()?;
         }
         Ok(())
     }
--- a/crates/prompter/src/disk/generation.rs
+++ b/crates/prompter/src/disk/generation.rs
@@ -1,7 +1,7 @@
 //! One file of the store, `agreed-N`: all that the agreement has saved, but for the blobs that it names. Each save is one
 //! transaction of `redb`'s with one sync: after a crash it is there whole or not at all.
 
-use super::blobs::{Digest, Piece};
+use super::blobs::{Digest, Piece, Values};
 use super::folder::{Data, Folder};
 use super::Fault;
 use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, Table, TableDefinition};
@@ -12,14 +12,18 @@
 use std::sync::{Arc, Mutex};
 use understudy::{Id, Members, Place, Term};
 
-/// The most that such a file takes, in bytes. It holds the entries behind the snapshot without long runs, which the leader bounds.
-pub const MOST: u64 = 4 << 20;
+/// The most that such a file takes, in bytes: the entries behind the snapshot and the values that they name, which the leader
+/// bounds to half of it.
+pub const MOST: u64 = 5 << 20;
 /// Of the pages of the file, in bytes.
 const CACHE: usize = 256 << 10;
 const PREFIX: &str = "agreed-";
 /// The form of what is kept.
 const FORM: u32 = 2;
 const TABLE: TableDefinition<&[u8], &[u8]> = TableDefinition::new("agreed");
+/// Under a digest and a number, [`PART`] bytes of a value, which fit into one page: a longer value would take a power of two.
+const VALUES: TableDefinition<&[u8], &[u8]> = TableDefinition::new("values");
+const PART: usize = 3900;
 
 /// Whose it is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +91,7 @@
     pub snapshot: Snapshot,
     pub entries: Vec<Entry>,
     pub agreed: Place,
+    pub values: Values,
 }
 
 /// The file that is written to.
@@ -96,6 +101,8 @@
     /// The blobs that it names: the snapshot's, and each entry's.
     snapshot: BTreeSet<Digest>,
     entries: BTreeMap<Place, BTreeSet<Digest>>,
+    /// The values in it.
+    values: BTreeSet<Digest>,
 }
 
 pub fn name(number: u64) -> String {
@@ -124,14 +131,16 @@
         number: u64,
         owner: &Owner,
         saves: &[Save],
+        values: &Values,
         agreed: Place,
     ) -> Result<Generation, Fault> {
         let name = name(number);
         let file = folder.open(&name, true).map_err(|e| Fault::Io(name.clone(), e))?;
         let whole = guarded(&name, || {
             let database = Database::builder().set_cache_size(CACHE).create_with_backend(Bounded(file))?;
-            let mut new = Generation { database, snapshot: BTreeSet::new(), entries: BTreeMap::new() };
-            new.write(Some(owner), saves, agreed)?;
+            let (snapshot, entries, kept) = (BTreeSet::new(), BTreeMap::new(), BTreeSet::new());
+            let mut new = Generation { database, snapshot, entries, values: kept };
+            new.write(Some(owner), saves, values, agreed)?;
             Ok(new)
         });
         if whole.is_err() {
@@ -145,16 +154,22 @@
     ///
     /// # Errors
     /// What the disk says; then nothing is known of what the file holds, and it is not to be written to again.
-    pub fn save(&mut self, saves: &[Save], agreed: Place) -> Result<(), Fault> {
-        guarded("agreed", || self.write(None, saves, agreed))
+    pub fn save(&mut self, saves: &[Save], values: &Values, agreed: Place) -> Result<(), Fault> {
+        guarded("agreed", || self.write(None, saves, values, agreed))
     }
 
-    /// The blobs that it names.
+    /// The blobs and values that it names.
     pub fn blobs(&self) -> BTreeSet<Digest> {
         self.entries.values().flatten().chain(&self.snapshot).copied().collect()
     }
 
-    fn write(&mut self, owner: Option<&Owner>, saves: &[Save], agreed: Place) -> Result<(), redb::Error> {
+    fn write(
+        &mut self,
+        owner: Option<&Owner>,
+        saves: &[Save],
+        values: &Values,
+        agreed: Place,
+    ) -> Result<(), redb::Error> {
         let transaction = self.database.begin_write()?;
         {
             let mut table = transaction.open_table(TABLE)?;
@@ -182,6 +197,20 @@
                 }
             }
             put(&mut table, b"agreed", &agreed)?;
+            let mut table = transaction.open_table(VALUES)?;
+            let named = self.blobs();
+            for (digest, value) in values.iter().filter(|(digest, _)| named.contains(*digest)) {
+                if self.values.insert(*digest) {
+                    for (n, part) in value.chunks(PART).enumerate() {
+                        table.insert(&part_key(digest, n as u32)[..], part)?;
+                    }
+                }
+            }
+            for digest in self.values.difference(&named) {
+                let all = part_key(digest, 0)..=part_key(digest, u32::MAX);
+                table.retain_in(&all.start()[..]..=&all.end()[..], |_, _| false)?;
+            }
+            self.values.retain(|digest| named.contains(digest));
         }
         Ok(transaction.commit()?)
     }
@@ -228,7 +257,8 @@
         let (term, vote) = get(&table, b"term")?.unwrap_or_default();
         let snapshot: Snapshot = get(&table, b"snapshot")?.unwrap_or_default();
         let agreed = get(&table, b"agreed")?.unwrap_or_default();
-        let mut held = Held { owner, term, vote, snapshot, entries: Vec::new(), agreed };
+        let mut held =
+            Held { owner, term, vote, snapshot, entries: Vec::new(), agreed, values: Values::new() };
         for pair in table.range(&key(0)[..]..=&key(Place::MAX)[..])? {
             let (at, value) = pair?;
             let wanted = key(held.snapshot.place + 1 + held.entries.len() as Place);
@@ -236,10 +266,15 @@
             let (true, Ok(entry)) = (at.value() == wanted, entry) else { return Ok(Some(None)) };
             held.entries.push(entry);
         }
+        for pair in database.begin_read()?.open_table(VALUES)?.iter()? {
+            let (key, part) = pair?;
+            let Some(digest) = key.value().first_chunk::<32>() else { return Ok(Some(None)) };
+            held.values.entry(*digest).or_default().extend_from_slice(part.value());
+        }
         Ok(Some(Some(held)))
     }
 
-    /// The blobs that it names.
+    /// The blobs and values that it names.
     pub fn blobs(&self) -> BTreeSet<Digest> {
         let entries = self.entries.iter().flat_map(Entry::blobs);
         entries.chain(digests(&self.snapshot.state)).collect()
@@ -257,7 +292,7 @@
 
 fn digests(pieces: &[Piece]) -> BTreeSet<Digest> {
     let digest = |piece: &Piece| match piece {
-        Piece::Blob(digest) => Some(*digest),
+        Piece::Value(digest) | Piece::Blob(digest) => Some(*digest),
         Piece::Here(_) => None,
     };
     pieces.iter().filter_map(digest).collect()
@@ -269,6 +304,13 @@
     key
 }
 
+fn part_key(digest: &Digest, number: u32) -> [u8; 36] {
+    let mut key = [0; 36];
+    key[..32].copy_from_slice(digest);
+    key[32..].copy_from_slice(&number.to_be_bytes());
+    key
+}
+
 fn put<T: Serialize>(table: &mut Table<&[u8], &[u8]>, key: &[u8], value: &T) -> Result<(), redb::Error> {
     let bytes = rmp_serde::to_vec(value).expect("it can be written");
     table.insert(key, &bytes[..])?;
--- a/crates/prompter/src/disk/keeping.rs
+++ b/crates/prompter/src/disk/keeping.rs
@@ -1,7 +1,7 @@
 //! What is kept in the folder, and in which order it is written: blobs before what names them; a new generation whole and synced,
 //! and every other one gone for good, before anything rests on it.
 
-use super::blobs::{self, Blobs, Digest};
+use super::blobs::{self, Blobs, Digest, Values};
 use super::cell::{self, Kept};
 use super::folder::Folder;
 use super::generation::{self, Entry, Generation, Owner, Said, Snapshot};
@@ -44,11 +44,11 @@
     pub fn open(folder: Arc<dyn Folder>, name: &str, new: u64) -> Result<(Keeping, Held), Fault> {
         let (cell, facts) = Kept::read(&*folder);
         let numbers = generation::numbers(&*folder).map_err(|e| Fault::Io("the folder".into(), e))?;
-        let (mut found, mut damaged) = (None, None);
+        let (mut found, mut damaged, mut blobs) = (None, None, Blobs::default());
         // Of two that are whole the later one holds all of the earlier. One that makes no sense beside an earlier one was never
         // whole, for whatever rests on a generation is said after all others are gone.
         for number in &numbers {
-            match read(&*folder, *number, name) {
+            match read(&*folder, *number, name, &mut blobs) {
                 Ok(None) => log::info!("disk: {} was never whole", generation::name(*number)),
                 Ok(Some(held)) => {
                     found = Some((*number, held));
@@ -77,7 +77,7 @@
             generation: None,
             number,
             damaged: damaged.filter(|d| *d == number),
-            blobs: Blobs::default(),
+            blobs,
             named,
             cell,
             saves: 0,
@@ -91,8 +91,8 @@
     /// What the disk says. Then nothing more is saved but the whole.
     pub fn save(&mut self, saves: &[Save], agreed: Place) -> Result<(), Fault> {
         let mut generation = self.generation.take().ok_or(Fault::Given)?;
-        let kept = self.take_apart(saves)?;
-        generation.save(&kept, agreed)?;
+        let (kept, values) = self.take_apart(saves)?;
+        generation.save(&kept, &values, agreed)?;
         self.named = generation.blobs();
         self.blobs.keep_only(&self.named, &*self.folder);
         self.generation = Some(generation);
@@ -120,15 +120,9 @@
             folder.remove(&generation::name(number)).map_err(io)?;
         }
         self.blobs.sweep(&self.named, &*folder).map_err(io)?;
-        for digest in &self.named {
-            // One that was damaged since is written anew, if it is still wanted.
-            if let Err(fault @ Fault::Io(..)) = self.blobs.renew(&*folder, digest) {
-                return Err(fault);
-            }
-        }
-        let kept = self.take_apart(&saves)?;
+        let (kept, values) = self.take_apart(&saves)?;
         let number = self.number + 1;
-        let generation = Generation::begin(&*folder, number, &self.owner, &kept, stored.agreed)?;
+        let generation = Generation::begin(&*folder, number, &self.owner, &kept, &values, stored.agreed)?;
         folder.sync().map_err(io)?;
         // It is whole and holds all that there was, and nothing rests on it yet: either may be found after a crash.
         self.number = number;
@@ -159,24 +153,25 @@
         if self.generation.is_none() {
             return;
         }
-        if let Err(e) = self.cell.sync() {
+        if let Err(e) = self.cell.sync(&*self.folder) {
             log::warn!("disk: the cell is not kept: {e}");
         }
     }
 
-    /// What is to be kept, its blobs on the disk.
-    fn take_apart(&mut self, saves: &[Save]) -> Result<Vec<generation::Save>, Fault> {
-        let mut kept = Vec::new();
+    /// What is to be kept, its blobs on the disk, and the values that it names.
+    fn take_apart(&mut self, saves: &[Save]) -> Result<(Vec<generation::Save>, Values), Fault> {
+        let (mut kept, mut values) = (Vec::new(), Values::new());
         for save in saves {
-            let save = self.take_one_apart(save)?;
+            let save = self.take_one_apart(save, &mut values)?;
             // The save may fail and be found all the same.
             self.named.extend(save.blobs());
             kept.push(save);
         }
-        Ok(kept)
+        self.blobs.last(&*self.folder)?;
+        Ok((kept, values))
     }
 
-    fn take_one_apart(&mut self, save: &Save) -> Result<generation::Save, Fault> {
+    fn take_one_apart(&mut self, save: &Save, values: &mut Values) -> Result<generation::Save, Fault> {
         let folder = &*self.folder;
         Ok(match save {
             Save::Term { term, vote } => generation::Save::Term(*term, vote.clone()),
@@ -186,14 +181,14 @@
                     let said = match &entry.said {
                         understudy::Said::Nothing => Said::Nothing,
                         understudy::Said::Members(members) => Said::Members(members.clone()),
-                        understudy::Said::Word(word) => Said::Word(self.blobs.put(folder, word)?),
+                        understudy::Said::Word(word) => Said::Word(self.blobs.put(folder, word, values)?),
                     };
                     kept.push(Entry { term: entry.term, said });
                 }
                 generation::Save::Entries(*from, kept)
             }
             Save::Snapshot { snapshot: s, whole } => {
-                let state = self.blobs.put(folder, &s.state)?;
+                let state = self.blobs.put(folder, &s.state, values)?;
                 let snapshot = Snapshot { place: s.place, term: s.term, members: s.members.clone(), state };
                 generation::Save::Snapshot(snapshot, *whole)
             }
@@ -215,7 +210,12 @@
 }
 
 /// What a generation holds, with its blobs. None, if nothing was ever saved in it.
-fn read(folder: &dyn Folder, number: u64, name: &str) -> Result<Option<(generation::Held, Stored)>, Fault> {
+fn read(
+    folder: &dyn Folder,
+    number: u64,
+    name: &str,
+    blobs: &mut Blobs,
+) -> Result<Option<(generation::Held, Stored)>, Fault> {
     let Some(held) = generation::Held::read(folder, number)? else { return Ok(None) };
     if held.owner.name != name {
         let file = generation::name(number);
@@ -226,12 +226,12 @@
         let said = match &entry.said {
             Said::Nothing => understudy::Said::Nothing,
             Said::Members(members) => understudy::Said::Members(members.clone()),
-            Said::Word(pieces) => understudy::Said::Word(Blobs::get(folder, pieces)?),
+            Said::Word(pieces) => understudy::Said::Word(blobs.get(folder, pieces, &held.values)?),
         };
         entries.push(understudy::Entry { term: entry.term, said });
     }
     let s = &held.snapshot;
-    let state = Blobs::get(folder, &s.state)?;
+    let state = blobs.get(folder, &s.state, &held.values)?;
     let snapshot = understudy::Snapshot { place: s.place, term: s.term, members: s.members.clone(), state };
     let stored = Stored { term: held.term, vote: held.vote.clone(), snapshot, entries, agreed: held.agreed };
     Ok(Some((held, stored)))
