--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -2,10 +2,14 @@
 //! every prompter folds from the same words in the same order, so that all hold the same. No I/O.
 #![forbid(unsafe_code)]
 
+mod difference;
 mod order;
+mod parcel;
 mod taken;
 
+pub use difference::Difference;
 pub use order::{decide, Verdict, Versions};
+pub use parcel::{Head, Part, Received, Receiver, Sender, Steps, PART, WINDOW};
 pub use taken::{mark, Mark, MARKS};
 
 use playbill::Version;
@@ -156,7 +160,8 @@
     pub fn apply(&mut self, place: Place, word: &Word) -> Applied {
         match word {
             Word::Configuration { base, version, body } => {
-                if self.has_taken(*version, body) {
+                let mark = mark(body);
+                if self.taken.knows(&mark) == Some(*version) {
                     return Applied::Same;
                 }
                 if *base != self.version() || *version <= self.version() {
@@ -164,7 +169,7 @@
                 }
                 let configuration = Configuration { version: *version, place, body: body.clone() };
                 self.configuration = Some(Arc::new(configuration));
-                self.taken.take(*version, mark(body));
+                self.taken.take(*version, mark);
                 Applied::Changed
             }
             Word::Leaving { instance } => {
