A request that may run once is never classed as one that may run again

Cause: a gateway told sorts of requests apart by kind, aim, time-out and attempts, kept each for good, and gave every sort beyond the 64th the last one's class. After 63 new time-outs or aims, an unsafe route had the class of a safe one where that one came last: it would be sent again after a reset or a silence (TWICE), and a safe one was never.

Change: sorts are a value of their own. A place keeps its kind and its attempts for good, since requests in hand are judged by it; where all are taken, one that no route in force is of is taken over by a sort that is bound alike; where there is none, the nearest place counts that allows no more, and the first, which allows one attempt at an unsafe request, if there is none.

--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -11,6 +11,7 @@
 mod ready;
 mod relay;
 mod rights;
+mod sorts;
 mod wire;
 
 use company::Company;
--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -2,12 +2,13 @@
 
 use crate::fold::{Fold, News};
 use crate::rights::Rights;
+use crate::sorts::{Sort, Sorts};
 use curtain::Terms;
-use granite_interface::{Class, Effect, Group, Plan, Scope, Settings};
+use granite_interface::{Effect, Plan, Scope, Settings};
 use granite_stage::driver::Driver;
 use granite_stage::list::{List, State, Target};
 use greenroom::Fact;
-use playbill::{Kind, Playbill, Route, Table};
+use playbill::{Playbill, Route, Table};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -19,8 +20,6 @@
 
 /// Services that are told apart; more share the last place.
 pub const POOLS: usize = 32;
-/// Kinds of requests that are told apart by what routes say of them; more share the last place.
-const CLASSES: usize = 64;
 /// Ranks of requests: the highest has this weight, each lower one less by one.
 const RANKS: usize = 8;
 /// How long backends are slow at the longest that is reckoned with, and how slow.
@@ -36,20 +35,11 @@
 const UNIT_MS: f64 = 100.0;
 pub const MOST_UNITS: f64 = 16.0;
 
-/// What tells requests apart.
-#[derive(Clone, Copy, PartialEq)]
-struct Sort {
-    kind: Kind,
-    aim_ms: f64,
-    timeout_ms: f64,
-    attempts: u32,
-}
-
 pub struct Playing {
     pub rights: Rc<Rights>,
     fold: RefCell<Fold>,
     table: RefCell<Option<Rc<Table>>>,
-    sorts: RefCell<Vec<Sort>>,
+    sorts: RefCell<Sorts>,
     /// Told to the module beside the classes: the most attempts of each.
     pub attempts: crate::house::Attempts,
     services: RefCell<HashMap<String, usize>>,
@@ -69,13 +59,13 @@
         });
         // Who is slowed, in queues of their own, of the least weight.
         let plans = plans.chain([Plan::new("slowed", 0.0, 0.0)]);
-        let first = Sort { kind: Kind::Unsafe, aim_ms: 1000.0, timeout_ms: 10_000.0, attempts: 1 };
+        let sorts = Sorts::new();
         let settings = Settings {
             zone,
             // Until it is known: a guess errs on the side of small rooms.
             gateways: 8,
             pools: POOLS,
-            classes: vec![class(&first)],
+            classes: sorts.all().iter().map(Sort::class).collect(),
             plans: plans.collect(),
             cancelling: true,
             retry_after: true,
@@ -92,8 +82,8 @@
             rights,
             fold: RefCell::default(),
             table: RefCell::default(),
-            sorts: RefCell::new(vec![first]),
-            attempts: Rc::new(RefCell::new(vec![1])),
+            attempts: Rc::new(RefCell::new(sorts.all().iter().map(|s| s.attempts).collect())),
+            sorts: RefCell::new(sorts),
             services: RefCell::default(),
             settings: RefCell::new(settings),
             driver: RefCell::default(),
@@ -155,9 +145,7 @@
 
     /// A route's place among the classes.
     pub fn class(&self, route: &Route) -> usize {
-        let sort = sort(route);
-        let sorts = self.sorts.borrow();
-        sorts.iter().position(|s| *s == sort).unwrap_or(sorts.len() - 1)
+        self.sorts.borrow().place(&Sort::of(route))
     }
 
     /// A rank's place among the plans.
@@ -217,15 +205,10 @@
 
     fn configure(&self, playbill: Playbill) {
         let mut sorts = self.sorts.borrow_mut();
-        for route in &playbill.routes {
-            let sort = sort(route);
-            if sorts.len() < CLASSES && !sorts.contains(&sort) {
-                sorts.push(sort);
-            }
-        }
+        sorts.configure(&playbill.routes);
         self.rights.limits(&Terms::of(&playbill).limits);
-        *self.attempts.borrow_mut() = sorts.iter().map(|s| s.attempts).collect();
-        self.settings.borrow_mut().classes = sorts.iter().map(class).collect();
+        *self.attempts.borrow_mut() = sorts.all().iter().map(|s| s.attempts).collect();
+        self.settings.borrow_mut().classes = sorts.all().iter().map(Sort::class).collect();
         drop(sorts);
         self.reconfigure();
         *self.table.borrow_mut() = Some(Rc::new(Table::new(playbill)));
@@ -252,26 +235,6 @@
     }
 }
 
-fn sort(route: &Route) -> Sort {
-    Sort {
-        kind: route.route_kind,
-        aim_ms: route.target_latency_ms,
-        timeout_ms: route.timeout_ms,
-        attempts: route.max_attempts.max(1),
-    }
-}
-
-fn class(sort: &Sort) -> Class {
-    let nanos = |ms: f64| (ms.clamp(1.0, 3.6e6) * 1e6) as u64;
-    let effect = match sort.kind {
-        Kind::Safe => Effect::Safe,
-        Kind::Unsafe => Effect::Unsafe,
-    };
-    let timeout = if sort.timeout_ms > 0.0 { sort.timeout_ms } else { 60_000.0 };
-    let aim = if sort.aim_ms > 0.0 { sort.aim_ms } else { timeout / 4.0 };
-    Class { late_worth: 0.5, ..Class::new("", nanos(aim), nanos(timeout), effect, Group::All) }
-}
-
 /// `now`: on the driver's clock, by which it tells how long backends have run.
 fn target(fact: &Fact, now: u64) -> Target {
     let cold = COLD.saturating_sub(Duration::from_millis(u64::from(fact.cold_ms)));
--- /dev/null
+++ b/crates/proscenium/src/pools.rs
@@ -0,0 +1,39 @@
+//! Services in the decision module's pools: which backends a request may go to. A service beyond the last place has none: its
+//! requests are refused at once, and its backends take nobody else's. No I/O.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::HashMap;
+
+/// Pools of the module. The last one is nobody's: it stays empty.
+pub const POOLS: usize = 32;
+const NOBODYS: usize = POOLS - 1;
+
+/// Services, in the order in which they were first heard of.
+#[derive(Clone, Debug, Default)]
+pub struct Pools(HashMap<String, usize>);
+
+impl Pools {
+    fn place(&mut self, service: &str) -> Option<usize> {
+        if let Some(known) = self.0.get(service) {
+            return Some(*known);
+        }
+        let next = self.0.len();
+        if service.is_empty() || next >= NOBODYS {
+            return None;
+        }
+        self.0.insert(service.to_string(), next);
+        Some(next)
+    }
+
+    /// Where a request for this service goes.
+    pub fn asked(&mut self, service: &str) -> usize {
+        self.place(service).unwrap_or(NOBODYS)
+    }
+
+    /// The pools that a backend of this service is in, a bit each.
+    pub fn served(&mut self, service: &str) -> u32 {
+        self.place(service).map_or(0, |place| 1 << place)
+    }
+}
--- /dev/null
+++ b/crates/proscenium/src/sorts/tests.rs
@@ -0,0 +1,71 @@
+//! Hundreds of changed time-outs, and more sorts at once than there are places for.
+
+use super::*;
+
+fn route(kind: Kind, timeout_ms: f64, attempts: u32) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        route_kind: kind,
+        timeout_ms,
+        target_latency_ms: 400.0,
+        priority: 0,
+        max_attempts: attempts,
+        public: false,
+        target_service: Some("s".into()),
+        weighted_targets: Vec::new(),
+    }
+}
+
+/// What a request of this route may do at the most, by the place that it gets.
+fn allowed(sorts: &Sorts, route: &Route) -> (Effect, u32) {
+    let sort = sorts.all()[sorts.place(&Sort::of(route))];
+    (sort.class().effect, sort.attempts)
+}
+
+#[test]
+fn a_request_that_may_run_once_is_never_taken_for_one_that_may_run_again() {
+    let mut sorts = Sorts::new();
+    for n in 0..1000 {
+        let (safe, once) =
+            (route(Kind::Safe, 1000.0 + n as f64, 2), route(Kind::Unsafe, 2000.0 + n as f64, 1));
+        sorts.configure(&[safe.clone(), once.clone()]);
+        assert_eq!(allowed(&sorts, &once), (Effect::Unsafe, 1), "change {n}");
+        assert_eq!(allowed(&sorts, &safe), (Effect::Safe, 2), "change {n}");
+        let place = sorts.place(&Sort::of(&safe));
+        assert_eq!(sorts.all()[place], Sort::of(&safe), "it has a place of its own, also behind {n} changes");
+    }
+    assert_eq!(sorts.all().len(), CLASSES);
+}
+
+#[test]
+fn a_place_keeps_what_a_rule_rests_on_for_requests_that_are_in_hand() {
+    let mut sorts = Sorts::new();
+    let mut before: Vec<(Kind, u32)> = Vec::new();
+    for n in 0..500u32 {
+        let kind = if n % 3 == 0 { Kind::Unsafe } else { Kind::Safe };
+        sorts.configure(&[route(kind, f64::from(n) + 1.0, 1 + n % 4)]);
+        let now: Vec<(Kind, u32)> = sorts.all().iter().map(Sort::bound).collect();
+        assert_eq!(now[..before.len()], before[..], "change {n}");
+        before = now;
+    }
+}
+
+#[test]
+fn where_there_is_no_room_the_nearest_place_allows_no_more_than_the_route() {
+    let mut sorts = Sorts::new();
+    let safe: Vec<Route> = (0..200).map(|n| route(Kind::Safe, 1000.0 + 10.0 * f64::from(n), 2)).collect();
+    sorts.configure(&safe);
+    for r in &safe {
+        assert_eq!(allowed(&sorts, r), (Effect::Safe, 2));
+    }
+    // The longest known, not just any.
+    let last = sorts.all()[sorts.place(&Sort::of(&safe[199]))];
+    assert!(last.timeout_ms >= 1600.0, "{last:?}");
+    for (kind, attempts) in [(Kind::Unsafe, 1), (Kind::Unsafe, 3), (Kind::Safe, 1)] {
+        let r = route(kind, 1500.0, attempts);
+        sorts.configure(&[safe.clone(), vec![r.clone()]].concat());
+        assert_eq!(allowed(&sorts, &r), (Effect::Unsafe, 1), "no place is bound like it but the first");
+    }
+}
