A service beyond the 31st is refused, not served by another's backends

Cause: a gateway gave services places among 32 pools for good, and all beyond the 31st the last one: their backends were in one pool, so that a request could go to a backend of another service (ROUTE). Beats of strangers take places too.

Change: the last pool is nobody's and stays empty; a service without a place is refused at once with when to come back, and its backends are in no pool. That more than 31 services cannot be served stays open (290 are wanted in two years).

--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod house;
 mod playing;
+mod pools;
 mod ready;
 mod relay;
 mod rights;
@@ -92,7 +93,7 @@
         }),
         backends: backends.clone(),
         zones,
-        pools: Box::new(move |t| if t.model.is_empty() { 0 } else { 1 << pools.pool(&t.model) }),
+        pools: Box::new(move |t| pools.pools(&t.model)),
     })?;
     // Until it has a place among the gateways it keeps to no part of the backends.
     driver.neighbours(Some((0, 1)));
--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -1,6 +1,7 @@
 //! What is playing: the configuration in force and the backends, as requests need them. Fed by the link to a prompter.
 
 use crate::fold::{Fold, News};
+use crate::pools::{Pools, POOLS};
 use crate::rights::Rights;
 use crate::sorts::{Sort, Sorts};
 use curtain::Terms;
@@ -10,7 +11,6 @@
 use greenroom::Fact;
 use playbill::{Playbill, Route, Table};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,8 +18,6 @@
 use tokio::time::Instant;
 use wings::message::Up;
 
-/// Services that are told apart; more share the last place.
-pub const POOLS: usize = 32;
 /// Ranks of requests: the highest has this weight, each lower one less by one.
 const RANKS: usize = 8;
 /// How long backends are slow at the longest that is reckoned with, and how slow.
@@ -42,7 +40,7 @@
     sorts: RefCell<Sorts>,
     /// Told to the module beside the classes: the most attempts of each.
     pub attempts: crate::house::Attempts,
-    services: RefCell<HashMap<String, usize>>,
+    pools: RefCell<Pools>,
     settings: RefCell<Settings>,
     driver: RefCell<Option<Rc<Driver>>>,
     me: String,
@@ -84,7 +82,7 @@
             table: RefCell::default(),
             attempts: Rc::new(RefCell::new(sorts.all().iter().map(|s| s.attempts).collect())),
             sorts: RefCell::new(sorts),
-            services: RefCell::default(),
+            pools: RefCell::default(),
             settings: RefCell::new(settings),
             driver: RefCell::default(),
             me,
@@ -136,11 +134,14 @@
         self.touch.set(self.touch.get().max(Some(at)));
     }
 
-    /// A service's place among the pools.
+    /// The pool that a request for this service goes to.
     pub fn pool(&self, service: &str) -> usize {
-        let mut services = self.services.borrow_mut();
-        let next = services.len().min(POOLS - 1);
-        *services.entry(service.to_string()).or_insert(next)
+        self.pools.borrow_mut().asked(service)
+    }
+
+    /// The pools of this service's backends, a bit each.
+    pub fn pools(&self, service: &str) -> u32 {
+        self.pools.borrow_mut().served(service)
     }
 
     /// A route's place among the classes.
