--- a/crates/rehearsal/src/growth.rs
+++ b/crates/rehearsal/src/growth.rs
@@ -1,20 +1,33 @@
-//! What grows with the fleet: bytes of each piece of news, and what the keeper of rights computes, for fleets of four sizes.
+//! What grows with the fleet: bytes of each piece of news, and the processor time and memory of what decides, each by the one
+//! size that it grows with, up to the operators' size (`docs/CAPACITY.md`).
+
+mod pieces;
 
 use boxoffice::{Ask, Desk, Keeper, Limit, Verdict};
 use greenroom::Fact;
 use promptbook::Configuration;
+use rustix::time::{clock_gettime, ClockId};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Instant;
 use wings::message::{Change, Down, Peer, Scene, Up};
 
 const MS: u64 = 1_000_000;
-/// Gateways, backends, tenants, routes: the two small sites, the two grown ones, and a fleet beyond them.
-const FLEETS: [(usize, usize, usize, usize); 5] =
-    [(12, 27, 8, 8), (63, 209, 71, 8), (85, 231, 82, 8), (85, 231, 82, 2000), (300, 800, 300, 2000)];
+/// Gateways, backends, tenants, routes: the two small sites, the two grown ones, a fleet beyond them, the operators' size.
+const FLEETS: [(usize, usize, usize, usize); 6] = [
+    (12, 27, 8, 8),
+    (63, 209, 71, 8),
+    (85, 231, 82, 8),
+    (85, 231, 82, 2000),
+    (300, 800, 300, 2000),
+    (1000, 9200, 38_000, 14_000),
+];
 /// Tenants whose requests one gateway sees at a time.
 const SEEN: usize = 12;
+/// Desks that are played; of more gateways the rest ask like these.
+const DESKS: usize = 30;
+/// Asks of which the keeper's time is measured, at most.
+const ASKS: usize = 6000;
 /// A gateway's link on the grown deployments, and a prompter's, in bits a second.
 const LINK: f64 = 2e6;
 const PROMPTERS_LINK: f64 = 100e6;
@@ -24,6 +37,12 @@
     rmp_serde::to_vec(message).map_or(0, |bytes| bytes.len() + 4)
 }
 
+/// This thread's processor time, in seconds: the machine may be busy with other things.
+fn spent() -> f64 {
+    let t = clock_gettime(ClockId::ThreadCPUTime);
+    t.tv_sec as f64 + t.tv_nsec as f64 / 1e9
+}
+
 fn fact(n: usize) -> Fact {
     Fact {
         id: format!("i-{n:08x}"),
@@ -37,29 +56,49 @@
     }
 }
 
+fn tenant(n: usize) -> String {
+    format!("huka{n:03}")
+}
+
+/// As an operator words it; each 48 routes have a host of their own.
 fn configuration(routes: usize, tenants: usize) -> Arc<Configuration> {
     let route = |n| {
         format!(
-            "{{\"name\":\"r-{n:07}\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/lohu{n}/\",\"routeKind\":\"safe\",\
-             \"timeoutMs\":2500,\"targetLatencyMs\":400,\"priority\":2,\"targetService\":\"huvo00a\",\"maxAttempts\":2}}"
+            "{{\"name\":\"r-{n:07}\",\"host\":\"ficu{:03}.example\",\"pathPrefix\":\"/lohu{n}/\",\"routeKind\":\"safe\",\
+             \"timeoutMs\":2500,\"targetLatencyMs\":400,\"priority\":2,\"targetService\":\"huvo{:03}a\",\
+             \"maxAttempts\":2}}",
+            n / 48,
+            n % pieces::SERVICES
         )
     };
     let tenant = |n| {
         format!(
-            "{{\"name\":\"huka{n:03}\",\"apiKeys\":[\"2b9wu3fexd9dnn2ctnfz\",\"s989anu6wsjnbanfqasn\"],\
-             \"priority\":1,\"ratePerS\":146,\"burstSize\":146}}"
+            "{{\"name\":\"{}\",\"apiKeys\":[\"{n:05}9wu3fexd9dnn2ctn\",\"{n:05}9anu6wsjnbanfqa\"],\
+             \"priority\":1,\"ratePerS\":146,\"burstSize\":146}}",
+            tenant(n)
         )
     };
+    let service =
+        |n| format!("{{\"name\":\"huvo{n:03}a\",\"healthPath\":\"/health\",\"maxConnections\":140}}");
     let list = |all: Vec<String>| all.join(",");
     let body = format!(
-        "{{\"configVersion\":\"00000007\",\"routes\":[{}],\"services\":[],\"tenants\":[{}]}}",
+        "{{\"configVersion\":\"00000007\",\"routes\":[{}],\"services\":[{}],\"tenants\":[{}]}}",
         list((0..routes).map(route).collect()),
+        list((0..routes.min(pieces::SERVICES)).map(service).collect()),
         list((0..tenants).map(tenant).collect())
     );
     Arc::new(Configuration { version: 7, place: 9, body: body.into_bytes() })
 }
 
-/// A table, a line each fleet.
+fn gateways(count: usize) -> BTreeSet<String> {
+    (0..count).map(|g| format!("edge-long-bien-{g}")).collect()
+}
+
+fn limits(tenants: usize) -> BTreeMap<String, Limit> {
+    (0..tenants).map(|t| (tenant(t), Limit::new(146.0, 146.0))).collect()
+}
+
+/// Tables, a line each fleet or size.
 pub fn table() -> Vec<String> {
     let mut lines = vec![
         "| gateways, backends, tenants, routes | scene, B | changed backend, B | rights a gateway, B/s | keeper a second, ms \
@@ -67,12 +106,15 @@
             .to_string(),
         "| --- | --- | --- | --- | --- | --- | --- |".to_string(),
     ];
+    let memory = pieces::memory();
     lines.extend(FLEETS.into_iter().map(line));
+    lines.extend(pieces::tables());
+    lines.extend(memory);
     lines
 }
 
 fn line((gateways, backends, tenants, routes): (usize, usize, usize, usize)) -> String {
-    let names: BTreeSet<String> = (0..gateways).map(|g| format!("edge-long-bien-{g}")).collect();
+    let names = self::gateways(gateways);
     let scene = Scene {
         configuration: Some(configuration(routes, tenants)),
         backends: (0..backends).map(fact).collect(),
@@ -83,13 +125,13 @@
     let scene = bytes(&Down::Scene { place: callboard::Place::default(), scene: Box::new(scene) });
     let from = callboard::Place::default();
     let change = bytes(&Down::Changes { from, changes: vec![Change::Backend(fact(3))] });
-    let beats: Vec<(String, u64)> = (0..backends / 6).map(|n| (fact(n).id, 40)).collect();
-    // A backend's beat comes each 1.5 s, to one of six prompters, which tell the others each 400 ms.
+    let prompters = pieces::prompters(gateways);
+    let beats: Vec<(String, u64)> = (0..backends / prompters).map(|n| (fact(n).id, 40)).collect();
+    // A backend's beat comes each 1.5 s, to one of the prompters, which tell the others each 400 ms.
     let beats = bytes(&Peer::Beats { facts: Vec::new(), again: beats }) as f64 / 1.5;
     let (rights, keeper) = rights(&names, tenants);
     // Its own link, or the prompter's, which sends to its part of them.
-    let prompters = if gateways > 100 { 8.0 } else { 6.0 };
-    let theirs = scene as f64 * 8.0 * gateways as f64 / 2.0 / prompters / PROMPTERS_LINK;
+    let theirs = scene as f64 * 8.0 * gateways as f64 / 2.0 / prompters as f64 / PROMPTERS_LINK;
     let all = (scene as f64 * 8.0 / LINK).max(theirs);
     format!(
         "| {gateways}, {backends}, {tenants}, {routes} | {scene} | {change} | {rights:.0} | {keeper:.1} | {beats:.0} | {all:.2} |"
@@ -98,42 +140,55 @@
 
 /// A second of all gateways' asks, each with twelve tenants at work: bytes a gateway both ways, and the keeper's time in ms.
 fn rights(names: &BTreeSet<String>, tenants: usize) -> (f64, f64) {
-    let limits: BTreeMap<String, Limit> =
-        (0..tenants).map(|t| (format!("huka{t:03}"), Limit::new(146.0, 146.0))).collect();
+    let limits = limits(tenants);
     let mut keeper = Keeper::begin(0, 1, &limits, &BTreeSet::new(), names);
     let mut desks: Vec<(usize, &String, Desk)> =
-        names.iter().enumerate().map(|(n, g)| (n, g, Desk::new(0))).collect();
-    let (mut sent, mut spent) = (0, 0.0);
+        names.iter().enumerate().take(DESKS).map(|(n, g)| (n, g, Desk::new(0))).collect();
+    let (mut sent, mut asks, mut all, mut back) = (0, 0, 0, 0.0);
     for (_, _, desk) in &mut desks {
         desk.limits(0, &limits);
         desk.gateways(names.len() as u32);
     }
+    let mut last = Ask::default();
     for tick in 0..20u64 {
         let now = tick * 100 * MS;
         for (n, name, desk) in &mut desks {
             for t in 0..SEEN.min(tenants) {
-                let tenant = format!("huka{:03}", (*n * 7 + t) % tenants);
+                let tenant = tenant((*n * 7 + t) % tenants);
                 if matches!(desk.spend(now, &tenant, 0.99, None), Verdict::Wait { .. }) {
                     desk.left(&tenant);
                 }
             }
             let Some(ask) = desk.ask(now) else { continue };
-            let (told, back) = asked(&mut keeper, now, name, &ask, desk);
+            let (told, spent) = asked(&mut keeper, now, name, &ask, Some(desk));
+            last = ask;
+            all += usize::from(tick >= 10);
             if tick >= 10 {
-                sent += told;
-                spent += back;
+                (sent, asks, back) = (sent + told, asks + 1, back + spent);
+            }
+        }
+        for name in names.iter().skip(DESKS) {
+            if asks < ASKS || tick < 10 && asks == 0 && all < ASKS {
+                let (_, spent) = asked(&mut keeper, now, name, &last, None);
+                if tick >= 10 {
+                    (asks, back) = (asks + 1, back + spent);
+                }
             }
         }
     }
-    (sent as f64 / names.len() as f64, spent * 1e3)
+    // Ten a second each.
+    let a_second = back / asks.max(1) as f64 * 10.0 * names.len() as f64;
+    (sent as f64 / desks.len() as f64, a_second * 1e3)
 }
 
-fn asked(keeper: &mut Keeper, now: u64, name: &str, ask: &Ask, desk: &mut Desk) -> (usize, f64) {
-    let began = Instant::now();
+fn asked(keeper: &mut Keeper, now: u64, name: &str, ask: &Ask, desk: Option<&mut Desk>) -> (usize, f64) {
+    let began = spent();
     let lent = keeper.ask(now, name, ask);
-    let spent = began.elapsed().as_secs_f64();
+    let spent = spent() - began;
     let Some(lent) = lent else { return (0, spent) };
-    desk.lent(now, &lent);
+    if let Some(desk) = desk {
+        desk.lent(now, &lent);
+    }
     (bytes(&Up::Ask(ask.clone())) + bytes(&Down::Lent(lent)), spent)
 }
 
@@ -144,8 +199,7 @@
     /// What a gateway is told of rights does not grow with the fleet.
     #[test]
     fn rights_cost_a_gateway_the_same_in_any_fleet() {
-        let names = |n: usize| (0..n).map(|g| format!("edge-long-bien-{g}")).collect::<BTreeSet<String>>();
-        let (few, many) = (rights(&names(12), 40).0, rights(&names(120), 40).0);
+        let (few, many) = (rights(&gateways(12), 40).0, rights(&gateways(120), 40).0);
         assert!(few > 1000.0 && many < 1.2 * few, "{few} and {many} B/s");
     }
 }
--- /dev/null
+++ b/crates/rehearsal/src/growth/pieces.rs
@@ -0,0 +1,446 @@
+//! Each piece by the one size that it grows with, the others small: a slope is the difference of two lines.
+
+use super::{bytes, configuration, fact, gateways, limits, spent, tenant, MS};
+use boxoffice::{Ask, Desk, Keeper, Verdict, Want};
+use curtain::Terms;
+use greenroom::{Cell, Heard};
+use playbill::{Checker, Playbill, Table};
+use promptbook::{Book, Word};
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use understudy::{Body, Entry, Id, Members, Message, Said};
+use wings::message::{Change, Down, Peer, Scene};
+
+/// Of the operators' size.
+pub(super) const SERVICES: usize = 290;
+/// What a gateway of the operators' size takes a second, nearly each of another tenant.
+const REQUESTS: usize = 150;
+const TENANTS: [usize; 4] = [100, 1000, 8000, 38_000];
+const GATEWAYS: [usize; 4] = [30, 100, 300, 1000];
+const BACKENDS: [usize; 4] = [231, 800, 2300, 9200];
+const PROMPTERS: [usize; 4] = [3, 8, 19, 28];
+/// Routes and tenants of a configuration.
+const CONFIGURATIONS: [(usize, usize); 7] =
+    [(8, 82), (100, 82), (1000, 82), (14_000, 82), (8, 1000), (8, 38_000), (14_000, 38_000)];
+/// A measurement goes on for so long, in seconds of processor time.
+const LONG: f64 = 0.06;
+
+/// So many prompters stand before a fleet of this size: two a zone.
+pub(super) fn prompters(gateways: usize) -> usize {
+    match gateways {
+        0..=100 => 6,
+        101..=500 => 8,
+        _ => 28,
+    }
+}
+
+/// Microseconds of processor time that `act` takes, by itself: the mean of as many as fit.
+fn micros(mut act: impl FnMut()) -> f64 {
+    let (began, mut times) = (spent(), 0u32);
+    loop {
+        act();
+        times += 1;
+        let took = spent() - began;
+        if took >= LONG {
+            return took * 1e6 / f64::from(times);
+        }
+    }
+}
+
+/// Megabytes by this line of what the system tells of this process: resident now, or at the peak.
+fn megabytes(name: &str) -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_default();
+    line.split_whitespace().next().and_then(|kb| kb.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+}
+
+fn head(title: &str, columns: &[&str]) -> Vec<String> {
+    let rule = vec!["---"; columns.len()].join(" | ");
+    vec![String::new(), format!("**{title}**"), String::new()]
+        .into_iter()
+        .chain([format!("| {} |", columns.join(" | ")), format!("| {rule} |")])
+        .collect()
+}
+
+/// What each piece holds. To be asked for first of all: memory that was given back would be taken again, and not be seen. What
+/// is measured is kept until the end for the same reason.
+pub(super) fn memory() -> Vec<String> {
+    let mut lines = head("Memory", &["what", "size", "MB more"]);
+    let bodies = CONFIGURATIONS.map(|(routes, tenants)| (routes, tenants, configuration(routes, tenants)));
+    let limits = TENANTS.map(|tenants| (tenants, limits(tenants)));
+    let names = gateways(GATEWAYS[3]);
+    let facts: Vec<_> = (0..8192).map(fact).collect();
+    let mut kept: Vec<Box<dyn std::any::Any>> = Vec::new();
+    let mut held = |what: &str, size: String, line: &str, make: &dyn Fn() -> Box<dyn std::any::Any>| {
+        let before = megabytes(line);
+        kept.push(make());
+        lines.push(format!("| {what} | {size} | {:.1} |", megabytes(line) - before));
+    };
+    const NOW: &str = "VmRSS:";
+    held("a gateway that is told", "-".into(), NOW, &|| Box::new(Desk::new(0)));
+    for (routes, tenants, configuration) in &bodies {
+        let size = format!("{routes} routes, {tenants} tenants");
+        held("a gateway's table and its desk", size, NOW, &|| {
+            let playbill = Playbill::read(&configuration.body).expect("it is sound");
+            let mut desk = Desk::new(0);
+            desk.limits(0, &Terms::of(&playbill).limits);
+            Box::new((Table::new(playbill), desk))
+        });
+    }
+    for (tenants, limits) in &limits {
+        let size = format!("{tenants} tenants, {} gateways", names.len());
+        held("the keeper", size, NOW, &|| Box::new(Keeper::begin(0, 1, limits, &BTreeSet::new(), &names)));
+    }
+    held("backends", format!("{}", facts.len()), NOW, &|| {
+        let mut cell = Cell::new(1500 * MS, 0);
+        for f in &facts {
+            cell.beat(0, f.clone());
+        }
+        Box::new(cell)
+    });
+    for all in [100, 1000] {
+        held("1,024 changes, each the list of gateways", format!("{all} gateways"), NOW, &|| {
+            let mut board = callboard::Board::new(1, 1024);
+            let list: Vec<String> = names.iter().take(all).cloned().collect();
+            (0..1024).for_each(|_| board.append(Change::Gateways(list.clone())));
+            Box::new(board)
+        });
+    }
+    held("the schema's library", "-".into(), NOW, &|| Box::new(Checker::default()));
+    let checker = Checker::default();
+    for (routes, tenants, configuration) in &bodies {
+        let size = format!("{routes} routes, {tenants} tenants");
+        // Of one that is not the largest so far nothing is seen.
+        held("a configuration checked, at the peak", size, "VmHWM:", &|| {
+            Box::new(checker.check(&configuration.body).is_ok())
+        });
+    }
+    lines
+}
+
+pub(super) fn tables() -> Vec<String> {
+    let mut lines = vec![String::new(), "Times are processor time of the one thread that does it.".into()];
+    lines.extend(configurations());
+    lines.extend(books());
+    lines.extend(keepers());
+    lines.extend(desks());
+    lines.extend(changes());
+    lines.extend(cells());
+    lines.extend(core());
+    lines
+}
+
+/// A configuration: what it costs whoever takes it, holds it and goes by it.
+fn configurations() -> Vec<String> {
+    let columns = [
+        "routes, tenants",
+        "body, B",
+        "checked, ms",
+        "read and made a table, ms",
+        "limits of a desk, ms",
+        "a route found, us: 48 a host, all of one host",
+    ];
+    let mut lines = head("A configuration", &columns);
+    let checker = Checker::default();
+    for (routes, tenants) in CONFIGURATIONS {
+        let body = &configuration(routes, tenants).body;
+        let checked = micros(|| drop(black_box(checker.check(body))));
+        let read = micros(|| drop(black_box(Table::new(Playbill::read(body).expect("it is sound")))));
+        let terms = Terms::of(&Playbill::read(body).expect("it is sound"));
+        let mut desk = Desk::new(0);
+        desk.limits(0, &terms.limits);
+        let limited = micros(|| desk.limits(0, &terms.limits));
+        drop((desk, terms));
+        let own = found(&Table::new(Playbill::read(body).expect("it is sound")), routes, 48);
+        let text = String::from_utf8_lossy(body);
+        let one: String = (0..routes / 48 + 1).fold(text.into_owned(), |text, n| {
+            if n == 0 {
+                text
+            } else {
+                text.replace(&format!("ficu{n:03}.example"), "ficu000.example")
+            }
+        });
+        let one = Table::new(Playbill::read(one.as_bytes()).expect("it is sound"));
+        let all = found(&one, routes, routes);
+        lines.push(format!(
+            "| {routes}, {tenants} | {} | {:.2} | {:.2} | {:.2} | {own:.2}, {all:.2} |",
+            body.len(),
+            checked / 1e3,
+            read / 1e3,
+            limited / 1e3,
+        ));
+    }
+    lines
+}
+
+/// Microseconds to find a route, the mean over all of them.
+fn found(table: &Table, routes: usize, host: usize) -> f64 {
+    let asked: Vec<(String, String)> = (0..routes)
+        .step_by(routes / 97 + 1)
+        .map(|n| (format!("ficu{:03}.example", n / host), format!("/lohu{n}/x")))
+        .collect();
+    let all = micros(|| {
+        for (host, path) in &asked {
+            assert!(black_box(table.route(host, path)).is_some(), "{host}{path}");
+        }
+    });
+    all / asked.len() as f64
+}
+
+/// The book that is agreed on: bytes on the disk and in a message of the agreement, time to write and read it.
+fn books() -> Vec<String> {
+    let columns = [
+        "routes, tenants, gateways, leaving",
+        "an entry with the configuration, B",
+        "the book, B",
+        "written, ms",
+        "read, ms",
+    ];
+    let mut lines = head("The book", &columns);
+    let sizes = [
+        (8, 82, 85, 0),
+        (8, 82, 85, 4096),
+        (8, 82, 1000, 0),
+        (1000, 82, 85, 0),
+        (14_000, 82, 85, 0),
+        (8, 38_000, 85, 0),
+        (14_000, 38_000, 1000, 4096),
+    ];
+    for (routes, tenants, all, leaving) in sizes {
+        let body = configuration(routes, tenants).body.clone();
+        let word = Word::Configuration { base: 0, version: 7, body };
+        let entry = Entry { term: 3, said: Said::Word(word.write()) };
+        let mut book = Book::new();
+        book.apply(1, &word);
+        gateways(all).into_iter().enumerate().for_each(|(n, name)| {
+            book.apply(2 + n as u64, &Word::Gateway { name });
+        });
+        for n in 0..leaving {
+            book.apply(2000 + n as u64, &Word::Leaving { instance: fact(n).id });
+        }
+        let written = book.write();
+        lines.push(format!(
+            "| {routes}, {tenants}, {all}, {leaving} | {} | {} | {:.2} | {:.2} |",
+            bytes(&entry),
+            written.len(),
+            micros(|| drop(black_box(book.write()))) / 1e3,
+            micros(|| drop(black_box(Book::read(&written)))) / 1e3,
+        ));
+    }
+    lines
+}
+
+/// A keeper's ask of as many wants as a gateway of the operators' size has in a tenth of a second.
+fn keepers() -> Vec<String> {
+    let columns = ["gateways, tenants", "an ask, us", "all asks, ten a second a gateway, cores"];
+    let mut lines = head("The keeper of rights", &columns);
+    let sizes =
+        GATEWAYS.map(|g| (g, 1000)).into_iter().chain(TENANTS.map(|t| (100, t))).chain([(1000, 38_000)]);
+    for (all, tenants) in sizes {
+        let (names, limits) = (gateways(all), limits(tenants));
+        let mut keeper = Keeper::begin(0, 1, &limits, &BTreeSet::new(), &names);
+        let (mut now, mut number) = (0, 0usize);
+        let one = micros(|| {
+            number += 1;
+            now += 100 * MS / all as u64;
+            let want =
+                |n| Want { tenant: tenant((number * 7 + n * 13) % tenants), units: 1, asked: 1, back: 0 };
+            let wants = (0..REQUESTS / 10).map(want).collect();
+            let ask = Ask { number: number as u64, wants, queues: Vec::new() };
+            let name = format!("edge-long-bien-{}", number % all);
+            black_box(keeper.ask(now, &name, &ask));
+        });
+        lines.push(format!("| {all}, {tenants} | {one:.1} | {:.3} |", one * 10.0 * all as f64 / 1e6));
+    }
+    lines
+}
+
+/// A gateway's own part: a second of its requests, nearly each of another tenant, and of its asks.
+fn desks() -> Vec<String> {
+    let columns = [
+        "tenants",
+        "an ask made, us",
+        "an answer taken, us",
+        "when is next, us",
+        "a request, us",
+        "bytes an ask, both ways",
+        "150 requests a second: asks at once for each, of a core",
+    ];
+    let mut lines = head("A gateway's desk", &columns);
+    for tenants in TENANTS {
+        let limits = limits(tenants);
+        let mut keeper = Keeper::begin(0, 1, &limits, &BTreeSet::new(), &gateways(1));
+        let mut desk = Desk::new(0);
+        desk.limits(0, &limits);
+        desk.gateways(1);
+        let (mut made, mut taken, mut polled, mut asked, mut told, mut asks) = (0.0, 0.0, 0.0, 0.0, 0, 0u32);
+        let mut now = 0;
+        for n in 0..4 * REQUESTS {
+            now += 1_000_000_000 / REQUESTS as u64;
+            let name = tenant(n * 13 % tenants);
+            let began = spent();
+            let waits = matches!(desk.spend(now, &name, 0.99, None), Verdict::Wait { .. });
+            let spoke = spent();
+            black_box(desk.next_poll(now));
+            let looked = spent();
+            (asked, polled) = (asked + spoke - began, polled + looked - spoke);
+            if waits {
+                desk.left(&name);
+            }
+            let before = spent();
+            let Some(ask) = desk.ask(now) else { continue };
+            made += spent() - before;
+            let Some(lent) = keeper.ask(now, "edge-long-bien-0", &ask) else { continue };
+            told += bytes(&wings::message::Up::Ask(ask)) + bytes(&Down::Lent(lent.clone()));
+            let before = spent();
+            desk.lent(now, &lent);
+            taken += spent() - before;
+            asks += 1;
+        }
+        let requests = f64::from(4 * REQUESTS as u32);
+        let (made, taken) = (made * 1e6 / f64::from(asks.max(1)), taken * 1e6 / f64::from(asks.max(1)));
+        let (polled, asked) = (polled * 1e6 / requests, asked * 1e6 / requests);
+        // It looks when it is next due at each wake-up: one for the request, one for the answer.
+        let a_second = REQUESTS as f64 * (made + taken + 2.0 * polled + asked) / 1e6;
+        lines.push(format!(
+            "| {tenants} | {made:.1} | {taken:.1} | {polled:.1} | {asked:.1} | {:.0} | {:.2}% |",
+            f64::from(told as u32) / f64::from(asks.max(1)),
+            a_second * 100.0
+        ));
+    }
+    lines
+}
+
+/// What a prompter tells one follower: bytes, and the time to put it into a frame.
+fn changes() -> Vec<String> {
+    let mut lines = head("What one follower is told", &["what", "size", "bytes", "made, us"]);
+    let from = callboard::Place::default();
+    let mut told = |what: &str, size: String, down: &Down| {
+        lines.push(format!(
+            "| {what} | {size} | {} | {:.1} |",
+            bytes(down),
+            micros(|| {
+                black_box(bytes(down));
+            })
+        ));
+    };
+    let changed = |change| Down::Changes { from, changes: vec![change] };
+    told("a changed backend", "-".into(), &changed(Change::Backend(fact(3))));
+    for all in GATEWAYS {
+        let names = gateways(all).into_iter().collect();
+        told("one more gateway", format!("{all} gateways"), &changed(Change::Gateways(names)));
+    }
+    for count in PROMPTERS {
+        let prompters = (0..count).map(|n| (format!("10.{n}.0.5"), "long-bien".into())).collect();
+        told("a pulse", format!("{count} prompters"), &Down::Pulse { touch_ms: 80, prompters });
+    }
+    for (routes, tenants) in CONFIGURATIONS {
+        let change = Change::Configuration(configuration(routes, tenants));
+        told("a configuration", format!("{routes} routes, {tenants} tenants"), &changed(change));
+    }
+    for (all, backends, leaving) in [(85, 231, 8), (300, 800, 4096), (1000, 9200, 4096)] {
+        let scene = Scene {
+            configuration: None,
+            backends: (0..backends).map(fact).collect(),
+            whole: true,
+            leaving: (0..leaving).map(|n| fact(n).id).collect(),
+            gateways: gateways(all).into_iter().collect(),
+        };
+        let size = format!("{all} gateways, {backends} backends, {leaving} leaving");
+        told(
+            "a scene, but for the configuration",
+            size,
+            &Down::Scene { place: from, scene: Box::new(scene) },
+        );
+    }
+    lines
+}
+
+/// A prompter's backends.
+fn cells() -> Vec<String> {
+    let columns = [
+        "backends",
+        "taken in",
+        "a new one, us",
+        "a beat, us",
+        "another prompter's beat, us",
+        "a sweep, us",
+        "all of them, B",
+    ];
+    let mut lines = head("Backends at a prompter", &columns);
+    for count in BACKENDS {
+        let (mut cell, mut known, began) = (Cell::new(1500 * MS, 0), 0, spent());
+        for n in 0..count {
+            known += usize::from(cell.beat(0, fact(n)) == Heard::New);
+        }
+        let new = (spent() - began) * 1e6 / count as f64;
+        let facts: Vec<_> = (0..count).map(fact).collect();
+        let mut n = 0;
+        let beat = micros(|| {
+            n = (n + 1) % known;
+            black_box(cell.beat(MS, facts[n].clone()));
+        });
+        let again = micros(|| {
+            n = (n + 1) % known;
+            black_box(cell.again(MS, &facts[n].id, 41));
+        });
+        let swept = micros(|| drop(black_box(cell.sweep(2 * MS))));
+        let all = bytes(&Peer::Beats { facts: cell.facts().cloned().collect(), again: Vec::new() });
+        lines.push(format!("| {count} | {known} | {new:.1} | {beat:.2} | {again:.2} | {swept:.0} | {all} |"));
+    }
+    lines
+}
+
+/// What prompters say to each other while nothing happens, each to each.
+fn core() -> Vec<String> {
+    let columns = [
+        "prompters",
+        "a round and its answer, B",
+        "the leader's rounds, B/s out",
+        "a greeting, B",
+        "greetings, B/s out",
+        "of 9,200 backends: beats a prompter tells all others, B/s out",
+        "of 9,200 backends: a prompter that comes is told, B",
+    ];
+    let mut lines = head("Prompters among themselves", &columns);
+    for count in PROMPTERS {
+        let id = |n: usize| Id { name: format!("10.{n}.0.5"), disk: 0x7a5b_1c2d_3e4f_5061 };
+        let said = |body| Peer::Agree(Message { from: id(1), to: id(2), term: 3, body });
+        let append = Body::Append { before: (4000, 3), entries: Vec::new(), agreed: 4000, round: 90_000 };
+        let round = bytes(&said(append)) + bytes(&said(Body::Took { round: 90_000, up_to: 4000 }));
+        let known: Vec<(String, String)> = (0..count).map(|n| (id(n).name, "long-bien".into())).collect();
+        let hello = Peer::Hello {
+            id: id(1),
+            zone: "long-bien".into(),
+            first: false,
+            votes: true,
+            known,
+            wall: 1_796_000_000_000,
+        };
+        let again = (0..9200 / count).map(|n| (fact(n).id, 40)).collect();
+        let beats = bytes(&Peer::Beats { facts: Vec::new(), again }) as f64 / 1.5;
+        let all = bytes(&Peer::Beats { facts: (0..9200).map(fact).collect(), again: Vec::new() });
+        let others = (count - 1) as f64;
+        // Ten rounds, two greetings a second.
+        lines.push(format!(
+            "| {count} | {round} | {:.0} | {} | {:.0} | {:.0} | {} |",
+            10.0 * others
+                * bytes(&said(Body::Append {
+                    before: (4000, 3),
+                    entries: Vec::new(),
+                    agreed: 4000,
+                    round: 1
+                })) as f64,
+            bytes(&hello),
+            2.0 * others * bytes(&hello) as f64,
+            others * beats,
+            all * (count - 1)
+        ));
+    }
+    let members: Members = (0..9).map(|n| (format!("10.{n}.0.5"), 7)).collect();
+    lines.push(format!(
+        "\nNine voters as an entry: {} B.",
+        bytes(&Entry { term: 3, said: Said::Members(members) })
+    ));
+    lines
+}
--- a/crates/rig/src/house.rs
+++ b/crates/rig/src/house.rs
@@ -127,16 +127,26 @@
     /// # Errors
     /// One line, if it can't be built or started.
     pub fn open(seed: u64) -> Result<House, String> {
+        House::open_with(seed, MACHINES, BEAT_MS)
+    }
+
+    /// The same with so many machines, each in a zone of its own, and so long between two beats of a backend.
+    ///
+    /// # Errors
+    /// One line, if it can't be built or started.
+    pub fn open_with(seed: u64, machines: usize, beat_ms: u64) -> Result<House, String> {
         let (proscenium, prompter) = locate_system()?;
         // Tests may run beside each other: each has addresses of its own.
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let net = 100 + (u64::from(std::process::id()) + NEXT.fetch_add(1, Relaxed)) % 100;
-        let ips: Vec<String> = (1..=MACHINES).map(|n| format!("127.0.{net}.{n}")).collect();
+        let ips: Vec<String> = (1..=machines).map(|n| format!("127.0.{net}.{n}")).collect();
         let [front, readiness, control, inner] = ports(&ips)?;
         let folder =
             std::env::temp_dir().join(format!("granitethread-house-{}-{net}-{seed}", std::process::id()));
-        let seeds: Vec<String> = ips.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
+        // As the operator's files name them.
+        let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:{control}\"")).collect();
         let seeds = seeds.join(", ");
+        let zones: String = (0..machines).map(|n| format!("zone-{n} = \"r\"\n")).collect();
         let mut house = House { machines: Vec::new(), front, control, inner, prompter, proscenium, folder };
         for (n, ip) in ips.into_iter().enumerate() {
             let folder = house.folder.join(n.to_string());
@@ -147,7 +157,7 @@
                  initialStart = true\ndataDirectory = {:?}\n[networkTerms]\ninternalPortRange = [{inner}, {last}]\n\
                  seedNodes = [{seeds}]\n[networkTerms.listenAddresses]\nfrontHttp1 = \"{ip}:{front}\"\n\
                  readiness = \"{ip}:{readiness}\"\ncontrolPlane = \"{ip}:{control}\"\n[networkTerms.zones]\n\
-                 zone-0 = \"r\"\nzone-1 = \"r\"\nzone-2 = \"r\"\n[platformTerms]\nheartbeatIntervalMs = {BEAT_MS}\n",
+                 {zones}[platformTerms]\nheartbeatIntervalMs = {beat_ms}\n",
                 data.display().to_string()
             );
             let settings = folder.join("settings.toml");
@@ -168,6 +178,16 @@
         self.at(self.control)
     }
 
+    /// Where prompters hear gateways and each other.
+    pub fn inners(&self) -> Vec<SocketAddr> {
+        self.at(self.inner)
+    }
+
+    /// The processes of each machine: its prompter, its gateway.
+    pub fn children(&self) -> Vec<(u32, u32)> {
+        self.machines.iter().map(|m| (m.prompter.id(), m.gateway.id())).collect()
+    }
+
     fn at(&self, port: u16) -> Vec<SocketAddr> {
         let all = self.machines.iter().filter_map(|m| format!("{}:{port}", m.ip).parse().ok());
         all.collect()
@@ -541,7 +561,7 @@
          -H 'Remaining-Time: 2000' -H 'Credential: {KEY}'"
     ));
     say(&format!("  curl -iL http://{}/-/Configuration.Read", running.house.controls()[0]));
-    let inner = running.house.at(running.house.inner)[0];
+    let inner = running.house.inners()[0];
     say(&format!(
         "  cargo run --release -q -p foyer -- -a {inner} -c status    # or backends, gateways, configuration"
     ));
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,7 +5,7 @@
 #![forbid(unsafe_code)]
 
 use clap::Parser;
-use granite_rig::scenario::{Play, ALL};
+use granite_rig::scenario::{Play, Size, ALL};
 use std::io::Write;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -32,6 +32,8 @@
     /// Play these faults, as an earlier run printed them
     #[arg(long, value_name = "FAULTS")]
     schedule: Option<String>,
+    #[command(flatten)]
+    size: Size,
     /// Print the scenario's defects
     #[arg(long)]
     list_defects: bool,
@@ -101,7 +103,7 @@
         }
     }
     let time = Duration::from_secs(args.seconds.unwrap_or(scenario.seconds));
-    let play = Play { seed: args.seed, time, defect: args.defect, schedule: args.schedule };
+    let play = Play { seed: args.seed, time, defect: args.defect, schedule: args.schedule, size: args.size };
     let figures = match (scenario.run)(&play) {
         Ok(figures) => figures,
         Err(what) => {
--- /dev/null
+++ b/crates/rig/src/scale.rs
@@ -0,0 +1,282 @@
+//! How far a control plane goes: real prompters and gateways on loopback, beside them hollow gateways and hollow backends, many in
+//! this process. What a prompter spends is its threads' time on a processor, so that a busy machine does not count.
+
+mod hollow;
+mod meter;
+
+use crate::house::{call, configured, House};
+use crate::scenario::{Figures, Play, Scenario};
+use hollow::{Herd, Tally};
+use meter::Meter;
+use serde_json::{json, Value};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+pub const SCENARIO: Scenario = Scenario {
+    name: "scale",
+    about: "real prompters before hollow gateways and backends, a configuration changed again and again: what each spends",
+    seconds: 24,
+    test_seconds: 6,
+    defects: &[
+        ("deaf", "one gateway hears nothing of the last configuration"),
+        ("silent", "one backend in four never beats"),
+        ("counts-twice", "each answer to an ask for rights is counted twice"),
+    ],
+    planted: &[],
+    run,
+};
+
+/// What is played if nothing else is said.
+const GATEWAYS: usize = 40;
+const BACKENDS: usize = 200;
+const ROUTES: usize = 100;
+const TENANTS: usize = 40;
+const PROMPTERS: usize = 3;
+const CHANGES: usize = 3;
+/// Machines with a prompter and a gateway each, at the most, and hollow ones of either kind.
+const MOST_PROMPTERS: usize = 28;
+const MOST: usize = 12_000;
+const BEAT_MS: u64 = 1500;
+/// The operators want a change in force everywhere within so long.
+const IN_FORCE: Duration = Duration::from_secs(18);
+/// The whole comes up within so long, or within three times as long as it is to be played.
+const UP: Duration = Duration::from_secs(60);
+/// Each tenant's, a second, and its burst.
+const RATE: usize = 146;
+
+/// How large it is.
+struct Size {
+    gateways: usize,
+    backends: usize,
+    routes: usize,
+    tenants: usize,
+    prompters: usize,
+    changes: usize,
+    fresh: bool,
+}
+
+impl Size {
+    fn of(play: &Play) -> Result<Size, String> {
+        let s = &play.size;
+        let size = Size {
+            gateways: s.gateways.unwrap_or(GATEWAYS),
+            backends: s.backends.unwrap_or(BACKENDS),
+            routes: s.routes.unwrap_or(ROUTES),
+            tenants: s.tenants.unwrap_or(TENANTS),
+            prompters: s.prompters.unwrap_or(PROMPTERS),
+            changes: s.changes.unwrap_or(CHANGES),
+            fresh: s.fresh,
+        };
+        let few = |n: usize, most: usize, what: &str| match (1..=most).contains(&n) {
+            true => Ok(()),
+            false => Err(format!("{n} {what}: 1 to {most}")),
+        };
+        few(size.gateways, MOST, "gateways")?;
+        few(size.backends, MOST, "backends")?;
+        few(size.routes, 20_000, "routes")?;
+        few(size.tenants, 50_000, "tenants")?;
+        few(size.prompters, MOST_PROMPTERS, "prompters")?;
+        few(size.changes, 200, "changes")?;
+        Ok(size)
+    }
+
+    fn configuration(&self, base: u32, version: u32) -> String {
+        let prefixes: Vec<String> = (0..self.routes).map(|n| format!("/lohu{n}/")).collect();
+        let prefixes: Vec<&str> = prefixes.iter().map(String::as_str).collect();
+        let tenant = |n| {
+            json!({"name": tenant(n), "apiKeys": [format!("{n:05}9wu3fexd9dnn2ctn")], "priority": 1,
+                "ratePerS": RATE, "burstSize": RATE})
+        };
+        let tenants: Vec<Value> = (0..self.tenants).map(tenant).collect();
+        configured(base, version, &prefixes, &tenants)
+    }
+}
+
+fn tenant(n: usize) -> String {
+    format!("huka{n:05}")
+}
+
+fn run(play: &Play) -> Result<Figures, String> {
+    let size = Size::of(play)?;
+    let first = size.configuration(0, 1);
+    // A prompter holds what it tells a gateway twice until that has it all.
+    let wanted = 2.5 * size.gateways as f64 * first.len() as f64 / 1e6;
+    let free = meter::free_mb();
+    if wanted > 0.4 * free {
+        return Err(format!("that takes {wanted:.0} MB, and {free:.0} are free: fewer gateways, or routes"));
+    }
+    let house = House::open_with(play.seed, size.prompters, BEAT_MS)?;
+    let controls = house.controls();
+    let mut figures = Figures::default();
+    figures.set("gateways, backends", json!([size.gateways, size.backends]));
+    figures.set("routes, tenants, prompters", json!([size.routes, size.tenants, size.prompters]));
+    figures.set("a configuration, B", first.len());
+    let mut meter = Meter::new(house.children());
+    let began = Instant::now();
+    let taken = call(&controls, "POST", "/-/Configuration.Replace", &first, 150).map_or(0, |a| a.status());
+    if taken != 200 {
+        return Err(format!("the first configuration was not taken: {taken}"));
+    }
+    figures.set("the first configuration taken after, ms", began.elapsed().as_millis() as u64);
+    let herd = Herd::start(play, &size, &house)?;
+    let up = Instant::now();
+    while !herd.is_up() && up.elapsed() < UP.min(3 * play.time) {
+        sleep(Duration::from_millis(20));
+    }
+    figures.set("all up after, ms", up.elapsed().as_millis() as u64);
+    figures.none("gateways that did not come up", herd.gateways_down());
+    let coming = herd.tally();
+    figures.set("a gateway while it comes up, B", coming.told / size.gateways as u64);
+    let part = play.time / 3;
+    sleep(part / 3);
+    let leader = leader(&controls);
+    // Nothing happens but beats, pulses, rounds and asks.
+    let rest = measured(&mut meter, &herd, || sleep(part));
+    let (share, span) = (|s: f64| s / rest.span.as_secs_f64(), rest.span.as_secs_f64());
+    let cores: Vec<f64> = rest.prompters.iter().map(|s| round(share(*s) * 100.0, 2)).collect();
+    figures.set("the leader's place", leader);
+    figures.set("at rest: processor by prompter, % of a core", cores.clone());
+    figures.set("at rest: processor by real gateway, % of a core", shares(&rest.gateways, span));
+    figures.set("at rest: asks answered a second", round(share(rest.tally.answers as f64), 1));
+    figures.set("at rest: beats answered a second", round(share(rest.tally.beats as f64), 1));
+    let all = size.gateways as f64;
+    figures.set("at rest: a gateway is told, B/s", round(share(rest.tally.told as f64) / all, 1));
+    figures.set("at rest: a gateway says, B/s", round(share(rest.tally.said as f64) / all, 1));
+    let beaten = rest.tally.beat_bytes as f64 / rest.tally.beats.max(1) as f64;
+    figures.set("at rest: a beat and its answer, B", round(beaten, 0));
+    let asked = rest.tally.asks.max(1) as f64;
+    figures.bound("at rest: asks answered, of asked", rest.tally.answers as f64 / asked, 0.97, 1.05);
+    let beats = rest.tally.beats as f64 / rest.tally.beats_sent.max(1) as f64;
+    figures.bound("at rest: beats answered with 200, of sent", beats, 0.97, 1.05);
+    figures.set("memory by prompter at rest, MB", meter.resident().0);
+    changes(play, &size, (&controls, leader, &rest), &mut meter, &herd, &mut figures);
+    let (prompters, gateways) = meter.resident();
+    figures.set("memory by prompter at the end, MB", prompters);
+    figures.set("memory by real gateway at the end, MB", gateways);
+    let (prompters, gateways) = meter.peak();
+    figures.set("memory by prompter at the peak, MB", prompters);
+    figures.set("memory by real gateway at the peak, MB", gateways);
+    figures.none("prompters and gateways that ended by themselves", meter.ended());
+    figures.none("versions that went back", herd.tally().backwards as usize);
+    figures.set("links lost", herd.tally().lost);
+    // Lent over all gateways: what flows, the burst, and half a second that may be out.
+    let most = herd.age().as_secs_f64() * RATE as f64 + 1.5 * RATE as f64;
+    figures.bound("lent of one tenant, of what flows", herd.most_lent() as f64 / most, 0.0, 1.0);
+    // Patience and a beat; who has not beaten for so long is over.
+    let seen = herd.backends_seen(Duration::from_secs(8));
+    figures.bound("backends that gateways know, of all", seen as f64 / size.backends as f64, 1.0, 1.0);
+    Ok(figures)
+}
+
+/// A configuration after another, each on top of the one before, as soon as all have the one before.
+fn changes(
+    play: &Play,
+    size: &Size,
+    (controls, leader, rest): (&[std::net::SocketAddr], usize, &Measured),
+    meter: &mut Meter,
+    herd: &Herd,
+    figures: &mut Figures,
+) {
+    let (mut taken, mut last, mut half) = (Vec::new(), Vec::new(), Vec::new());
+    let mut lacking = 0;
+    let count = size.changes as u32;
+    let changed = measured(meter, herd, || {
+        for version in 2..2 + count {
+            if play.has("deaf") && version == 1 + count {
+                herd.deafen();
+            }
+            let text = size.configuration(version - 1, version);
+            let asked = Instant::now();
+            let status =
+                call(controls, "POST", "/-/Configuration.Replace", &text, 150).map_or(0, |a| a.status());
+            let acknowledged = Instant::now();
+            if status != 200 {
+                lacking += size.gateways;
+                return;
+            }
+            taken.push((acknowledged - asked).as_millis() as u64);
+            let (all, some) = herd.in_force(version, acknowledged, IN_FORCE.min(play.time));
+            lacking += size.gateways - all.len();
+            half.push(some.as_millis() as u64);
+            last.push(all.last().copied().unwrap_or(IN_FORCE).as_millis() as u64);
+            if lacking > 0 {
+                return;
+            }
+        }
+    });
+    let span = changed.span.as_secs_f64();
+    figures.set("changes", taken.len());
+    figures.none("gateways that lack a change that was acknowledged", lacking);
+    figures.set("a change acknowledged after, ms", taken.clone());
+    figures.set("half of the gateways have it after, ms", half);
+    figures.set("the last has it after, ms", last);
+    let count = taken.len().max(1) as f64;
+    let more = |n: usize| {
+        let idle = rest.prompters[n] / rest.span.as_secs_f64() * span;
+        round((changed.prompters[n] - idle).max(0.0) * 1e3 / count, 1)
+    };
+    figures.set("a change: the leader's processor, ms", more(leader));
+    let others: Vec<f64> = (0..size.prompters).filter(|n| *n != leader).map(more).collect();
+    figures.set("a change: the other prompters' processor, ms", others);
+    let real = |n: usize| {
+        let idle = rest.gateways[n] / rest.span.as_secs_f64() * span;
+        round((changed.gateways[n] - idle).max(0.0) * 1e3 / count, 1)
+    };
+    figures
+        .set("a change: a real gateway's processor, ms", (0..size.prompters).map(real).collect::<Vec<_>>());
+    let idle = rest.tally.told as f64 / rest.span.as_secs_f64() * span;
+    let told = (changed.tally.told as f64 - idle).max(0.0) / count / size.gateways as f64;
+    figures.set("a change: a gateway is told, B", round(told, 0));
+}
+
+/// What was spent in a while: seconds of processor time by prompter and by real gateway, and what hollow ones counted.
+struct Measured {
+    span: Duration,
+    prompters: Vec<f64>,
+    gateways: Vec<f64>,
+    tally: Tally,
+}
+
+fn measured(meter: &mut Meter, herd: &Herd, act: impl FnOnce()) -> Measured {
+    let (began, before, counted) = (Instant::now(), meter.spent(), herd.tally());
+    act();
+    let (span, after) = (began.elapsed(), meter.spent());
+    let less = |a: Vec<f64>, b: Vec<f64>| a.into_iter().zip(b).map(|(a, b)| (a - b).max(0.0)).collect();
+    Measured {
+        span,
+        prompters: less(after.0, before.0),
+        gateways: less(after.1, before.1),
+        tally: herd.tally().since(&counted),
+    }
+}
+
+fn shares(spent: &[f64], span: f64) -> Vec<f64> {
+    spent.iter().map(|s| round(s / span * 100.0, 2)).collect()
+}
+
+fn round(value: f64, digits: i32) -> f64 {
+    let by = 10f64.powi(digits);
+    (value * by).round() / by
+}
+
+/// Which of them holds the duty: the others point to it.
+fn leader(controls: &[std::net::SocketAddr]) -> usize {
+    let ask = |to: &std::net::SocketAddr| {
+        let text =
+            format!("POST /-/Configuration.Replace HTTP/1.1\r\nHost: {to}\r\nContent-Length: 2\r\n\r\n{{}}");
+        crate::peers::Client::try_connect(*to).and_then(|mut c| c.try_ask(&text)).map(|a| a.status())
+    };
+    (0..50)
+        .find_map(|_| {
+            let found = controls.iter().position(|to| ask(to) == Some(400));
+            if found.is_none() {
+                sleep(Duration::from_millis(100));
+            }
+            found
+        })
+        .unwrap_or(0)
+}
+
+/// Shared with the tasks that play hollow ones.
+type Shared = Arc<hollow::Book>;
--- /dev/null
+++ b/crates/rig/src/scale/hollow.rs
@@ -0,0 +1,451 @@
+//! Hollow gateways follow a prompter, ask for rights and keep nothing but counts; hollow backends beat. All of them are tasks of
+//! two threads.
+
+use super::{tenant, Shared, Size, BEAT_MS};
+use crate::fleet::lock;
+use crate::house::House;
+use crate::scenario::Play;
+use boxoffice::{Ask, Want};
+use serde_json::json;
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+use wings::message::{Change, Down, First, Scene, Up, FORM};
+
+/// As a gateway asks: so often, of so many tenants, where it takes 150 requests a second.
+const ASK: Duration = Duration::from_millis(100);
+const WANTS: usize = 15;
+/// One that has lost its prompter, or hears nothing for so long, goes to the next.
+const AGAIN: Duration = Duration::from_millis(200);
+const SILENT: Duration = Duration::from_secs(20);
+/// Gateways come one after the other, so far apart.
+const APART: Duration = Duration::from_millis(3);
+/// Connections to each prompter on which backends beat in turn, where they do not have one each.
+const LINES: usize = 16;
+/// Longer messages are not kept but looked through, but for the first few gateways'.
+const LONG: usize = 64 << 10;
+const WITNESSES: usize = 2;
+const VERSION: &[u8] = b"\"configVersion\":\"";
+
+/// What hollow ones count.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    /// Bytes to gateways and from them.
+    pub told: u64,
+    pub said: u64,
+    pub asks: u64,
+    pub answers: u64,
+    pub beats_sent: u64,
+    pub beats: u64,
+    /// Both ways.
+    pub beat_bytes: u64,
+    pub backwards: u64,
+    /// Links of gateways that ended.
+    pub lost: u64,
+}
+
+impl Tally {
+    pub fn since(&self, before: &Tally) -> Tally {
+        Tally {
+            told: self.told - before.told,
+            said: self.said - before.said,
+            asks: self.asks - before.asks,
+            answers: self.answers - before.answers,
+            beats_sent: self.beats_sent - before.beats_sent,
+            beats: self.beats - before.beats,
+            beat_bytes: self.beat_bytes - before.beat_bytes,
+            backwards: self.backwards - before.backwards,
+            lost: self.lost - before.lost,
+        }
+    }
+}
+
+/// One hollow gateway, as the scenario sees it.
+#[derive(Default)]
+struct Seen {
+    /// Its newest configuration, and when it came.
+    version: AtomicU32,
+    at: Mutex<Option<Instant>>,
+    answered: AtomicBool,
+    /// Of the first few: the backends that they know.
+    backends: Mutex<HashSet<String>>,
+}
+
+pub struct Book {
+    tally: Mutex<Tally>,
+    gateways: Vec<Seen>,
+    lent: Vec<AtomicU64>,
+    deaf: AtomicBool,
+    twice: bool,
+    stop: AtomicBool,
+    began: Instant,
+}
+
+/// All hollow ones, until it is dropped.
+pub struct Herd {
+    book: Shared,
+    backends: usize,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Herd {
+    fn drop(&mut self) {
+        self.book.stop.store(true, Relaxed);
+        self.threads.drain(..).for_each(|t| drop(t.join()));
+    }
+}
+
+impl Herd {
+    /// # Errors
+    /// One line: a thread cannot be had.
+    pub fn start(play: &Play, size: &Size, house: &House) -> Result<Herd, String> {
+        let book = Arc::new(Book {
+            tally: Mutex::default(),
+            gateways: (0..size.gateways).map(|_| Seen::default()).collect(),
+            lent: (0..size.tenants).map(|_| AtomicU64::new(0)).collect(),
+            deaf: AtomicBool::new(false),
+            twice: play.has("counts-twice"),
+            stop: AtomicBool::new(false),
+            began: Instant::now(),
+        });
+        let (inners, controls) = (house.inners(), house.controls());
+        let (seed, shared, count) = (play.seed, book.clone(), size.gateways);
+        let gateways = on_a_thread(book.clone(), move |tasks| {
+            for n in 0..count {
+                let rng = fastrand::Rng::with_seed(seed ^ (n as u64) << 20);
+                tasks.spawn_local(gateway(n, shared.clone(), inners.clone(), rng));
+            }
+        })?;
+        let beating = if play.has("silent") { size.backends * 3 / 4 } else { size.backends };
+        let (shared, fresh) = (book.clone(), size.fresh);
+        let backends = on_a_thread(book.clone(), move |tasks| {
+            // Each line beats for its part of the backends, evenly over the time between two beats.
+            let lines = if fresh { beating.min(512) } else { LINES * controls.len() };
+            for line in 0..lines {
+                let ids: Vec<usize> = (line..beating).step_by(lines).collect();
+                tasks.spawn_local(beats(line, ids, shared.clone(), controls.clone(), fresh));
+            }
+        })?;
+        Ok(Herd { book, backends: size.backends, threads: vec![gateways, backends] })
+    }
+
+    pub fn tally(&self) -> Tally {
+        *lock(&self.book.tally)
+    }
+
+    pub fn age(&self) -> Duration {
+        self.book.began.elapsed()
+    }
+
+    /// All gateways have a configuration and were lent something, and the first of them know all backends.
+    pub fn is_up(&self) -> bool {
+        self.gateways_down() == 0 && self.known() >= self.backends
+    }
+
+    pub fn gateways_down(&self) -> usize {
+        let down = |g: &&Seen| g.version.load(Relaxed) == 0 || !g.answered.load(Relaxed);
+        self.book.gateways.iter().filter(down).count()
+    }
+
+    fn known(&self) -> usize {
+        self.book.gateways.iter().take(WITNESSES).map(|g| lock(&g.backends).len()).min().unwrap_or(0)
+    }
+
+    /// Backends that the first gateways know once that has settled, or after so long.
+    pub fn backends_seen(&self, most: Duration) -> usize {
+        let until = Instant::now() + most;
+        while self.known() != self.backends && Instant::now() < until {
+            thread::sleep(Duration::from_millis(50));
+        }
+        self.known()
+    }
+
+    /// The first gateway hears of no configuration any more.
+    pub fn deafen(&self) {
+        self.book.deaf.store(true, Relaxed);
+    }
+
+    /// The most units of one tenant that were lent.
+    pub fn most_lent(&self) -> u64 {
+        self.book.lent.iter().map(|n| n.load(Relaxed)).max().unwrap_or(0)
+    }
+
+    /// How long after `since` each gateway had this version, the first first, of those that had it within `most`; and the
+    /// middle one of them.
+    pub fn in_force(&self, version: u32, since: Instant, most: Duration) -> (Vec<Duration>, Duration) {
+        let has = |g: &&Seen| g.version.load(Relaxed) >= version;
+        while self.book.gateways.iter().filter(has).count() < self.book.gateways.len()
+            && since.elapsed() < most
+        {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let at = |g: &Seen| Some((*lock(&g.at))?.saturating_duration_since(since));
+        let mut all: Vec<Duration> = self.book.gateways.iter().filter(has).filter_map(at).collect();
+        all.sort_unstable();
+        let half = all.get(all.len() / 2).copied().unwrap_or(most);
+        (all, half)
+    }
+}
+
+/// A thread of tasks that ends with the book's word.
+fn on_a_thread(
+    book: Shared,
+    spawn: impl FnOnce(&LocalSet) + Send + 'static,
+) -> Result<JoinHandle<()>, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    Ok(thread::spawn(move || {
+        let tasks = LocalSet::new();
+        spawn(&tasks);
+        let over = async move {
+            while !book.stop.load(Relaxed) {
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tasks.block_on(&runtime, over);
+    }))
+}
+
+// ---- Gateways ----
+
+async fn gateway(n: usize, book: Shared, inners: Vec<SocketAddr>, mut rng: fastrand::Rng) {
+    sleep(APART * n as u32).await;
+    let mut to = n;
+    loop {
+        let followed = follow(n, &book, inners[to % inners.len()], to % inners.len(), &mut rng).await;
+        if followed.is_err() || n > 0 {
+            lock(&book.tally).lost += 1;
+        }
+        to += 1;
+        sleep(AGAIN).await;
+    }
+}
+
+async fn write(to: &mut (impl AsyncWriteExt + Unpin), message: &impl serde::Serialize) -> io::Result<u64> {
+    let bytes = rmp_serde::to_vec(message).map_err(io::Error::other)?;
+    let mut frame = (bytes.len() as u32).to_be_bytes().to_vec();
+    frame.extend(bytes);
+    to.write_all(&frame).await?;
+    Ok(frame.len() as u64)
+}
+
+async fn follow(
+    n: usize,
+    book: &Book,
+    to: SocketAddr,
+    zone: usize,
+    rng: &mut fastrand::Rng,
+) -> io::Result<()> {
+    let stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let (mut reader, mut writer) = stream.into_split();
+    let first =
+        First::Gateway { form: FORM, name: format!("hollow-{n}"), zone: format!("zone-{zone}"), place: None };
+    let said = write(&mut writer, &first).await?;
+    lock(&book.tally).said += said;
+    let asks = async {
+        let mut every = interval(ASK);
+        every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        for number in 1.. {
+            every.tick().await;
+            let want =
+                |_| Want { tenant: tenant(rng.usize(0..book.lent.len())), units: 1, asked: 1, back: 0 };
+            let ask = Ask { number, wants: (0..WANTS).map(want).collect(), queues: Vec::new() };
+            let said = write(&mut writer, &Up::Ask(ask)).await?;
+            let mut tally = lock(&book.tally);
+            (tally.said, tally.asks) = (tally.said + said, tally.asks + 1);
+        }
+        Ok(())
+    };
+    let hears = async {
+        loop {
+            let heard = timeout(SILENT, hear(n, book, &mut reader)).await;
+            heard.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        }
+    };
+    tokio::select! {
+        ended = asks => ended,
+        ended = hears => ended,
+    }
+}
+
+/// One message.
+async fn hear(n: usize, book: &Book, reader: &mut OwnedReadHalf) -> io::Result<()> {
+    let length = reader.read_u32().await? as usize;
+    let version = if length <= LONG || n < WITNESSES {
+        let mut bytes = vec![0; length];
+        reader.read_exact(&mut bytes).await?;
+        let down = rmp_serde::from_slice(&bytes).map_err(io::Error::other)?;
+        fold(n, book, down)
+    } else {
+        look_through(reader, length).await?
+    };
+    lock(&book.tally).told += length as u64 + 4;
+    let seen = &book.gateways[n];
+    let is_deaf = n == 0 && book.deaf.load(Relaxed);
+    if let Some(version) = version.filter(|_| !is_deaf) {
+        let held = seen.version.load(Relaxed);
+        if version > held {
+            *lock(&seen.at) = Some(Instant::now());
+            seen.version.store(version, Relaxed);
+        } else if version < held {
+            lock(&book.tally).backwards += 1;
+        }
+    }
+    Ok(())
+}
+
+/// The configuration's version, if one came.
+fn fold(n: usize, book: &Book, down: Down) -> Option<u32> {
+    match down {
+        Down::Scene { scene, .. } => {
+            let Scene { configuration, backends, .. } = *scene;
+            if n < WITNESSES {
+                *lock(&book.gateways[n].backends) = backends.into_iter().map(|f| f.id).collect();
+            }
+            configuration.map(|c| c.version)
+        }
+        Down::Changes { changes, .. } => {
+            let mut version = None;
+            for change in changes {
+                match change {
+                    Change::Configuration(c) => version = Some(c.version),
+                    Change::Backend(fact) if n < WITNESSES => {
+                        lock(&book.gateways[n].backends).insert(fact.id);
+                    }
+                    Change::Over(id) if n < WITNESSES => {
+                        lock(&book.gateways[n].backends).remove(&id);
+                    }
+                    _ => {}
+                }
+            }
+            version
+        }
+        Down::Pulse { .. } => None,
+        Down::Lent(lent) => {
+            book.gateways[n].answered.store(true, Relaxed);
+            lock(&book.tally).answers += 1;
+            let times = if book.twice { 4 } else { 1 };
+            for loan in lent.loans {
+                let place = loan.tenant.strip_prefix("huka").and_then(|n| n.parse::<usize>().ok());
+                if let Some(units) = place.and_then(|n| book.lent.get(n)) {
+                    units.fetch_add(times * u64::from(loan.units), Relaxed);
+                }
+            }
+            None
+        }
+    }
+}
+
+/// The version of a configuration in a long message, of which no more than a piece is ever kept.
+async fn look_through(reader: &mut OwnedReadHalf, length: usize) -> io::Result<Option<u32>> {
+    let (mut left, mut found) = (length, None);
+    let mut piece = vec![0; LONG];
+    let mut held = 0;
+    while left > 0 {
+        let end = LONG.min(held + left);
+        let read = reader.read(&mut piece[held..end]).await?;
+        if read == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        left -= read;
+        held += read;
+        found = found.or_else(|| version(&piece[..held]));
+        if held > LONG / 2 {
+            // What may be the beginning of it is kept.
+            let keep = VERSION.len() + 8;
+            piece.copy_within(held - keep..held, 0);
+            held = keep;
+        }
+    }
+    Ok(found)
+}
+
+fn version(bytes: &[u8]) -> Option<u32> {
+    let at = bytes.windows(VERSION.len()).position(|w| w == VERSION)? + VERSION.len();
+    let digits = std::str::from_utf8(bytes.get(at..at + 8)?).ok()?;
+    u32::from_str_radix(digits, 16).ok()
+}
+
+// ---- Backends ----
+
+/// Beats of these backends, one after the other.
+async fn beats(line: usize, ids: Vec<usize>, book: Shared, controls: Vec<SocketAddr>, fresh: bool) {
+    let between = Duration::from_millis(BEAT_MS);
+    let mut every = interval(between / ids.len().max(1) as u32);
+    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut to, mut kept) = (line, None);
+    for sequence in 1u64.. {
+        for n in &ids {
+            every.tick().await;
+            let address = controls[to % controls.len()];
+            lock(&book.tally).beats_sent += 1;
+            let beaten = timeout(Duration::from_secs(1), beat(&mut kept, address, *n, sequence)).await;
+            match beaten {
+                Ok(Ok((200, bytes))) => {
+                    let mut tally = lock(&book.tally);
+                    (tally.beats, tally.beat_bytes) = (tally.beats + 1, tally.beat_bytes + bytes);
+                }
+                // Elsewhere, with the next.
+                _ => (to, kept) = (to + 1, None),
+            }
+            if fresh {
+                kept = None;
+            }
+        }
+    }
+}
+
+/// One beat: its status, and the bytes of both ways.
+async fn beat(
+    kept: &mut Option<TcpStream>,
+    to: SocketAddr,
+    n: usize,
+    sequence: u64,
+) -> io::Result<(u16, u64)> {
+    let stream = match kept {
+        Some(stream) => stream,
+        None => {
+            let stream = TcpStream::connect(to).await?;
+            stream.set_nodelay(true)?;
+            kept.insert(stream)
+        }
+    };
+    let body = json!({"address": format!("10.128.{}.{}:8080", n / 250, n % 250),
+        "nodeInfo": {"targetService": "desk", "configVersion": "v1", "zone": "zone-0", "capacitySlots": 6},
+        "status": {"state": "ready", "callSequence": sequence, "warmupLeftMs": 0}})
+    .to_string();
+    let text = format!(
+        "POST /-/Instances.Heartbeat/i-{n:08x} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await?;
+    let mut answer = Vec::new();
+    loop {
+        let before = answer.len();
+        answer.resize(before + 512, 0);
+        let read = stream.read(&mut answer[before..]).await?;
+        answer.truncate(before + read);
+        if read == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let head = String::from_utf8_lossy(&answer);
+        let Some((head, rest)) = head.split_once("\r\n\r\n") else { continue };
+        let long =
+            head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("content-length: ")?.parse().ok());
+        if rest.len() >= long.unwrap_or(0) {
+            let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+            return Ok((status, (text.len() + answer.len()) as u64));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/meter.rs
@@ -0,0 +1,66 @@
+//! What processes spend and hold, as the system tells it of each.
+
+use std::fs;
+
+/// Prompters and real gateways, by process.
+pub struct Meter {
+    prompters: Vec<u32>,
+    gateways: Vec<u32>,
+}
+
+impl Meter {
+    pub fn new(children: Vec<(u32, u32)>) -> Self {
+        let (prompters, gateways) = children.into_iter().unzip();
+        Meter { prompters, gateways }
+    }
+
+    /// Seconds on a processor so far, by prompter and by gateway; a process that has ended has none.
+    pub fn spent(&self) -> (Vec<f64>, Vec<f64>) {
+        (self.prompters.iter().map(spent).collect(), self.gateways.iter().map(spent).collect())
+    }
+
+    /// Megabytes that are resident now.
+    pub fn resident(&self) -> (Vec<u64>, Vec<u64>) {
+        self.status("VmRSS:")
+    }
+
+    /// The most that ever were.
+    pub fn peak(&self) -> (Vec<u64>, Vec<u64>) {
+        self.status("VmHWM:")
+    }
+
+    fn status(&self, line: &str) -> (Vec<u64>, Vec<u64>) {
+        let of = |all: &[u32]| all.iter().map(|id| megabytes(&format!("/proc/{id}/status"), line)).collect();
+        (of(&self.prompters), of(&self.gateways))
+    }
+
+    /// How many are not there any more.
+    pub fn ended(&self) -> usize {
+        let gone = |id: &&u32| {
+            let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+            stat.rsplit(')').next().is_none_or(|rest| rest.trim_start().is_empty() || rest.starts_with(" Z"))
+        };
+        self.prompters.iter().chain(&self.gateways).filter(gone).count()
+    }
+}
+
+/// Of all its threads, user and system.
+fn spent(id: &u32) -> f64 {
+    let Ok(threads) = fs::read_dir(format!("/proc/{id}/task")) else { return 0.0 };
+    let one = |path: std::path::PathBuf| {
+        let text = fs::read_to_string(path.join("schedstat")).ok()?;
+        text.split_whitespace().next()?.parse::<f64>().ok()
+    };
+    threads.filter_map(|t| one(t.ok()?.path())).sum::<f64>() / 1e9
+}
+
+fn megabytes(file: &str, name: &str) -> u64 {
+    let text = fs::read_to_string(file).unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_default();
+    line.split_whitespace().next().and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) / 1024
+}
+
+/// Megabytes that the machine has to spare.
+pub fn free_mb() -> f64 {
+    megabytes("/proc/meminfo", "MemAvailable:") as f64
+}
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -1,6 +1,7 @@
 //! What a scenario is: a seed settles its random choices, its figures are counts and shares, and bounds on
 //! them hold or do not.
 
+use clap::Args;
 use serde_json::{Map, Value};
 use std::time::Duration;
 
@@ -13,6 +14,36 @@
     pub defect: Option<String>,
     /// Faults to play instead of those that the seed draws, as an earlier run printed them.
     pub schedule: Option<String>,
+    pub size: Size,
+}
+
+/// How large a scenario is that can be played at several sizes; what is not said is the scenario's.
+#[derive(Args, Clone, Debug, Default)]
+pub struct Size {
+    /// Hollow gateways
+    #[arg(long)]
+    pub gateways: Option<usize>,
+    /// Hollow backends
+    #[arg(long)]
+    pub backends: Option<usize>,
+    /// Routes of the configuration
+    #[arg(long)]
+    pub routes: Option<usize>,
+    /// Tenants of the configuration
+    #[arg(long)]
+    pub tenants: Option<usize>,
+    /// Machines with a real prompter and a real gateway each
+    #[arg(long)]
+    pub prompters: Option<usize>,
+    /// Services, a backend each
+    #[arg(long)]
+    pub services: Option<usize>,
+    /// Changes of the configuration, one after the other
+    #[arg(long)]
+    pub changes: Option<usize>,
+    /// Each beat comes on a connection of its own
+    #[arg(long)]
+    pub fresh: bool,
 }
 
 impl Play {
@@ -75,4 +106,6 @@
     crate::comeback::SCENARIO,
     crate::house::SCENARIO,
     crate::trial::SCENARIO,
+    crate::scale::SCENARIO,
+    crate::services::SCENARIO,
 ];
--- a/crates/rig/tests/scenarios.rs
+++ b/crates/rig/tests/scenarios.rs
@@ -1,11 +1,12 @@
 //! The scenarios hold with any seed, and fail with each of their defects.
 
-use granite_rig::scenario::{Play, Scenario, ALL};
+use granite_rig::scenario::{Play, Scenario, Size, ALL};
 use std::time::Duration;
 
 fn play(scenario: &Scenario, seed: u64, defect: Option<&str>) -> Vec<String> {
     let time = Duration::from_secs(scenario.test_seconds);
-    let play = Play { seed, time, defect: defect.map(String::from), schedule: None };
+    let size = Size::default();
+    let play = Play { seed, time, defect: defect.map(String::from), schedule: None, size };
     let figures = (scenario.run)(&play).expect("it can be played");
     assert!(!figures.figures.is_empty());
     figures.broken
