--- a/crates/rehearsal/src/growth/pieces.rs
+++ b/crates/rehearsal/src/growth/pieces.rs
@@ -5,7 +5,7 @@
 use curtain::Terms;
 use greenroom::{Cell, Heard};
 use playbill::{Checker, Playbill, Table};
-use promptbook::{Book, Word};
+use promptbook::{mark, Book, Configuration, Difference, Steps, Word};
 use std::collections::BTreeSet;
 use std::hint::black_box;
 use understudy::{Body, Entry, Id, Members, Message, Said};
@@ -125,6 +125,7 @@
     lines.extend(keepers());
     lines.extend(desks());
     lines.extend(changes());
+    lines.extend(differences());
     lines.extend(cells());
     lines.extend(core());
     lines
@@ -332,15 +333,10 @@
     }
     for count in PROMPTERS {
         let prompters = (0..count).map(|n| (format!("10.{n}.0.5"), "long-bien".into())).collect();
-        told("a pulse", format!("{count} prompters"), &Down::Pulse { touch_ms: 80, prompters });
-    }
-    for (routes, tenants) in CONFIGURATIONS {
-        let change = Change::Configuration(configuration(routes, tenants));
-        told("a configuration", format!("{routes} routes, {tenants} tenants"), &changed(change));
+        told("a pulse", format!("{count} prompters"), &Down::Pulse { touch_ms: 80, newest: 4000, prompters });
     }
     for (all, backends, leaving) in [(85, 231, 8), (300, 800, 4096), (1000, 9200, 4096)] {
         let scene = Scene {
-            configuration: None,
             backends: (0..backends).map(fact).collect(),
             whole: true,
             leaving: (0..leaving).map(|n| fact(n).id).collect(),
@@ -356,6 +352,48 @@
     lines
 }
 
+/// A change of ten routes, as a difference: what a prompter makes of it once, and a gateway of what it is told.
+fn differences() -> Vec<String> {
+    let columns = [
+        "routes, tenants",
+        "the difference, B",
+        "worked out, ms",
+        "folded in and marked, ms",
+        "read, table and limits anew, ms",
+    ];
+    let mut lines = head("A change of ten routes", &columns);
+    for (routes, tenants) in CONFIGURATIONS {
+        let old = configuration(routes, tenants);
+        let moved = |text: String, n| text.replace(&format!("/lohu{n}/"), &format!("/lohu{n}/new/"));
+        let text = (0..10).fold(String::from_utf8_lossy(&old.body).into_owned(), moved);
+        let new = Configuration { version: 8, place: 10, body: text.into_bytes() };
+        let worked = micros(|| {
+            let mut steps = Steps::default();
+            steps.went(&old, &new);
+            black_box(steps.bytes());
+        });
+        let difference = Difference::between(&old.body, &new.body);
+        let folded = micros(|| {
+            let body = difference.fold(&old.body, 16 << 20).expect("it is of these bytes");
+            black_box(mark(&body));
+        });
+        let mut desk = Desk::new(0);
+        let anew = micros(|| {
+            let playbill = Playbill::read(&new.body).expect("it is sound");
+            desk.limits(0, &Terms::of(&playbill).limits);
+            black_box(Table::new(playbill));
+        });
+        lines.push(format!(
+            "| {routes}, {tenants} | {} | {:.2} | {:.2} | {:.2} |",
+            difference.write().len(),
+            worked / 1e3,
+            folded / 1e3,
+            anew / 1e3
+        ));
+    }
+    lines
+}
+
 /// A prompter's backends.
 fn cells() -> Vec<String> {
     let columns = [
--- a/crates/rig/src/scale.rs
+++ b/crates/rig/src/scale.rs
@@ -82,7 +82,10 @@
     }
 
     fn configuration(&self, base: u32, version: u32) -> String {
-        let prefixes: Vec<String> = (0..self.routes).map(|n| format!("/lohu{n}/")).collect();
+        // Each version moves ten routes.
+        let moved = |n: usize| n / 10 == version as usize % self.routes.div_ceil(10);
+        let prefix = |n| if moved(n) { format!("/lohu{n}/{version}/") } else { format!("/lohu{n}/") };
+        let prefixes: Vec<String> = (0..self.routes).map(prefix).collect();
         let prefixes: Vec<&str> = prefixes.iter().map(String::as_str).collect();
         let tenant = |n| {
             json!({"name": tenant(n), "apiKeys": [format!("{n:05}9wu3fexd9dnn2ctn")], "priority": 1,
@@ -100,8 +103,9 @@
 fn run(play: &Play) -> Result<Figures, String> {
     let size = Size::of(play)?;
     let first = size.configuration(0, 1);
-    // A prompter holds what it tells a gateway twice until that has it all.
-    let wanted = 2.5 * size.gateways as f64 * first.len() as f64 / 1e6;
+    // Each real process holds it several times, and a prompter the list of gateways for each of them.
+    let own = 16.0 * first.len() as f64 * size.prompters as f64;
+    let wanted = (own + 20.0 * (size.gateways as f64).powi(2) * 300.0) / 1e6;
     let free = meter::free_mb();
     if wanted > 0.4 * free {
         return Err(format!("that takes {wanted:.0} MB, and {free:.0} are free: fewer gateways, or routes"));
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -17,9 +17,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
-use wings::message::{Change, Down, First, Scene, Up, FORM};
+use wings::message::{Change, Down, First, Up, FORM};
 
 /// As a gateway asks: so often, of so many tenants, where it takes 150 requests a second.
 const ASK: Duration = Duration::from_millis(100);
@@ -31,10 +32,12 @@
 const APART: Duration = Duration::from_millis(3);
 /// Connections to each prompter on which backends beat in turn, where they do not have one each.
 const LINES: usize = 16;
-/// Longer messages are not kept but looked through, but for the first few gateways'.
-const LONG: usize = 64 << 10;
+/// The first few gateways read all that they are told; the others what concerns configurations and rights.
 const WITNESSES: usize = 2;
-const VERSION: &[u8] = b"\"configVersion\":\"";
+/// The longest message; a prompter's.
+const LONGEST: usize = 16 << 20;
+/// So many gateways share a thread.
+const A_THREAD: usize = 250;
 
 /// What hollow ones count.
 #[derive(Clone, Copy, Debug, Default)]
@@ -119,23 +122,27 @@
         });
         let (inners, controls) = (house.inners(), house.controls());
         let (seed, shared, count) = (play.seed, book.clone(), size.gateways);
-        let gateways = on_a_thread(book.clone(), move |tasks| {
-            for n in 0..count {
-                let rng = fastrand::Rng::with_seed(seed ^ (n as u64) << 20);
-                tasks.spawn_local(gateway(n, shared.clone(), inners.clone(), rng));
-            }
-        })?;
+        let mut threads = Vec::new();
+        for first in (0..count).step_by(A_THREAD) {
+            let (shared, inners) = (shared.clone(), inners.clone());
+            threads.push(on_a_thread(book.clone(), move |tasks| {
+                for n in first..count.min(first + A_THREAD) {
+                    let rng = fastrand::Rng::with_seed(seed ^ (n as u64) << 20);
+                    tasks.spawn_local(gateway(n, shared.clone(), inners.clone(), rng));
+                }
+            })?);
+        }
         let beating = if play.has("silent") { size.backends * 3 / 4 } else { size.backends };
         let (shared, fresh) = (book.clone(), size.fresh);
-        let backends = on_a_thread(book.clone(), move |tasks| {
+        threads.push(on_a_thread(book.clone(), move |tasks| {
             // Each line beats for its part of the backends, evenly over the time between two beats.
             let lines = if fresh { beating.min(512) } else { LINES * controls.len() };
             for line in 0..lines {
                 let ids: Vec<usize> = (line..beating).step_by(lines).collect();
                 tasks.spawn_local(beats(line, ids, shared.clone(), controls.clone(), fresh));
             }
-        })?;
-        Ok(Herd { book, backends: size.backends, threads: vec![gateways, backends] })
+        })?);
+        Ok(Herd { book, backends: size.backends, threads })
     }
 
     pub fn tally(&self) -> Tally {
@@ -219,13 +226,12 @@
 
 async fn gateway(n: usize, book: Shared, inners: Vec<SocketAddr>, mut rng: fastrand::Rng) {
     sleep(APART * n as u32).await;
-    let mut to = n;
+    let mut to = n % inners.len();
     loop {
-        let followed = follow(n, &book, inners[to % inners.len()], to % inners.len(), &mut rng).await;
-        if followed.is_err() || n > 0 {
-            lock(&book.tally).lost += 1;
-        }
-        to += 1;
+        // Whatever it was.
+        let _ = follow(n, &book, inners[to], to, &mut rng).await;
+        lock(&book.tally).lost += 1;
+        to = (to + 1) % inners.len();
         sleep(AGAIN).await;
     }
 }
@@ -238,6 +244,9 @@
     Ok(frame.len() as u64)
 }
 
+/// What a gateway has got of a configuration: its place and version, its bytes, and how many of them.
+type Coming = Option<(u64, u32, u32, u32)>;
+
 async fn follow(
     n: usize,
     book: &Book,
@@ -248,91 +257,92 @@
     let stream = TcpStream::connect(to).await?;
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = stream.into_split();
-    let first =
-        First::Gateway { form: FORM, name: format!("hollow-{n}"), zone: format!("zone-{zone}"), place: None };
-    let said = write(&mut writer, &first).await?;
+    let (name, zone) = (format!("hollow-{n}"), format!("zone-{zone}"));
+    let said = write(&mut writer, &First::Gateway { form: FORM, name, zone, place: None, holds: 0 }).await?;
     lock(&book.tally).said += said;
-    let asks = async {
+    let (sender, mut more) = mpsc::unbounded_channel::<Up>();
+    let says = async {
         let mut every = interval(ASK);
         every.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        for number in 1.. {
-            every.tick().await;
-            let want =
-                |_| Want { tenant: tenant(rng.usize(0..book.lent.len())), units: 1, asked: 1, back: 0 };
-            let ask = Ask { number, wants: (0..WANTS).map(want).collect(), queues: Vec::new() };
-            let said = write(&mut writer, &Up::Ask(ask)).await?;
-            let mut tally = lock(&book.tally);
-            (tally.said, tally.asks) = (tally.said + said, tally.asks + 1);
+        let mut number = 0;
+        loop {
+            let up = tokio::select! {
+                up = more.recv() => up.ok_or(io::ErrorKind::BrokenPipe)?,
+                _ = every.tick() => {
+                    number += 1;
+                    lock(&book.tally).asks += 1;
+                    let tenant = |_| tenant(rng.usize(0..book.lent.len()));
+                    let want = |tenant| Want { tenant, units: 1, asked: 1, back: 0 };
+                    let wants = (0..WANTS).map(tenant).map(want).collect();
+                    Up::Ask(Ask { number, wants, queues: Vec::new() })
+                }
+            };
+            let said = write(&mut writer, &up).await?;
+            lock(&book.tally).said += said;
         }
-        Ok(())
     };
     let hears = async {
+        let mut coming = None;
         loop {
-            let heard = timeout(SILENT, hear(n, book, &mut reader)).await;
-            heard.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            let heard = timeout(SILENT, hear(n, book, &mut reader, &mut coming)).await;
+            let up = heard.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            up.into_iter().for_each(|up| drop(sender.send(up)));
         }
     };
     tokio::select! {
-        ended = asks => ended,
+        ended = says => ended,
         ended = hears => ended,
     }
 }
 
-/// One message.
-async fn hear(n: usize, book: &Book, reader: &mut OwnedReadHalf) -> io::Result<()> {
+/// One message, and what is to be said to it.
+async fn hear(
+    n: usize,
+    book: &Book,
+    reader: &mut OwnedReadHalf,
+    coming: &mut Coming,
+) -> io::Result<Option<Up>> {
     let length = reader.read_u32().await? as usize;
-    let version = if length <= LONG || n < WITNESSES {
-        let mut bytes = vec![0; length];
-        reader.read_exact(&mut bytes).await?;
-        let down = rmp_serde::from_slice(&bytes).map_err(io::Error::other)?;
-        fold(n, book, down)
-    } else {
-        look_through(reader, length).await?
-    };
+    if length > LONGEST {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = vec![0; length];
+    reader.read_exact(&mut bytes).await?;
     lock(&book.tally).told += length as u64 + 4;
-    let seen = &book.gateways[n];
-    let is_deaf = n == 0 && book.deaf.load(Relaxed);
-    if let Some(version) = version.filter(|_| !is_deaf) {
-        let held = seen.version.load(Relaxed);
-        if version > held {
-            *lock(&seen.at) = Some(Instant::now());
-            seen.version.store(version, Relaxed);
-        } else if version < held {
-            lock(&book.tally).backwards += 1;
-        }
+    // A message is a map of its name to what it says.
+    let named = |name: &[u8]| bytes.get(2..).is_some_and(|b| b.starts_with(name));
+    if n >= WITNESSES && !named(b"Lent") && !named(b"Configuration") {
+        return Ok(None);
     }
-    Ok(())
-}
-
-/// The configuration's version, if one came.
-fn fold(n: usize, book: &Book, down: Down) -> Option<u32> {
-    match down {
+    let seen = &book.gateways[n];
+    match rmp_serde::from_slice(&bytes).map_err(io::Error::other)? {
         Down::Scene { scene, .. } => {
-            let Scene { configuration, backends, .. } = *scene;
-            if n < WITNESSES {
-                *lock(&book.gateways[n].backends) = backends.into_iter().map(|f| f.id).collect();
-            }
-            configuration.map(|c| c.version)
+            *lock(&seen.backends) = scene.backends.into_iter().map(|f| f.id).collect();
         }
         Down::Changes { changes, .. } => {
-            let mut version = None;
+            let mut known = lock(&seen.backends);
             for change in changes {
                 match change {
-                    Change::Configuration(c) => version = Some(c.version),
-                    Change::Backend(fact) if n < WITNESSES => {
-                        lock(&book.gateways[n].backends).insert(fact.id);
-                    }
-                    Change::Over(id) if n < WITNESSES => {
-                        lock(&book.gateways[n].backends).remove(&id);
-                    }
+                    Change::Backend(fact) => drop(known.insert(fact.id)),
+                    Change::Over(id) => drop(known.remove(&id)),
                     _ => {}
                 }
             }
-            version
         }
-        Down::Pulse { .. } => None,
+        Down::Pulse { .. } => {}
+        Down::Configuration(part) => {
+            if let Some(head) = part.head {
+                *coming = Some((head.place, head.version, head.length, 0));
+            }
+            let Some((place, version, length, got)) = coming else { return Ok(None) };
+            *got += part.bytes.len() as u32;
+            if *got >= *length && !(n == 0 && book.deaf.load(Relaxed)) {
+                taken(book, seen, *version);
+            }
+            return Ok(Some(Up::Got { place: *place, bytes: *got }));
+        }
         Down::Lent(lent) => {
-            book.gateways[n].answered.store(true, Relaxed);
+            seen.answered.store(true, Relaxed);
             lock(&book.tally).answers += 1;
             let times = if book.twice { 4 } else { 1 };
             for loan in lent.loans {
@@ -341,39 +351,20 @@
                     units.fetch_add(times * u64::from(loan.units), Relaxed);
                 }
             }
-            None
         }
     }
+    Ok(None)
 }
 
-/// The version of a configuration in a long message, of which no more than a piece is ever kept.
-async fn look_through(reader: &mut OwnedReadHalf, length: usize) -> io::Result<Option<u32>> {
-    let (mut left, mut found) = (length, None);
-    let mut piece = vec![0; LONG];
-    let mut held = 0;
-    while left > 0 {
-        let end = LONG.min(held + left);
-        let read = reader.read(&mut piece[held..end]).await?;
-        if read == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        left -= read;
-        held += read;
-        found = found.or_else(|| version(&piece[..held]));
-        if held > LONG / 2 {
-            // What may be the beginning of it is kept.
-            let keep = VERSION.len() + 8;
-            piece.copy_within(held - keep..held, 0);
-            held = keep;
-        }
+/// A gateway has all of a configuration.
+fn taken(book: &Book, seen: &Seen, version: u32) {
+    let held = seen.version.load(Relaxed);
+    if version > held {
+        *lock(&seen.at) = Some(Instant::now());
+        seen.version.store(version, Relaxed);
+    } else if version < held {
+        lock(&book.tally).backwards += 1;
     }
-    Ok(found)
-}
-
-fn version(bytes: &[u8]) -> Option<u32> {
-    let at = bytes.windows(VERSION.len()).position(|w| w == VERSION)? + VERSION.len();
-    let digits = std::str::from_utf8(bytes.get(at..at + 8)?).ok()?;
-    u32::from_str_radix(digits, 16).ok()
 }
 
 // ---- Backends ----
