--- a/crates/rehearsal/src/defect.rs
+++ b/crates/rehearsal/src/defect.rs
@@ -35,10 +35,26 @@
     PaceIgnored,
     /// A new keeper does not know whose trial is over.
     OverForgotten,
+    /// A prompter that has lost the majority goes on telling gateways that it is in touch.
+    StaysInTouch,
+    /// The leader decides on an order by what it knows itself, without asking a majority.
+    DecidesAlone,
+    /// Only the newest order is known again when it is sent again.
+    OrderForgotten,
+    /// An order with a number that was taken is confirmed, whatever its bytes.
+    NumberIsEnough,
+    /// The base is looked at before whether that very order was taken.
+    BaseFirst,
+    /// The snapshot knows the newest order alone.
+    SnapshotForgets,
+    /// The log is folded, and the state stays the old one.
+    OldSnapshot,
+    /// At its start one takes its snapshot and nothing of the log behind it.
+    LogCutAtStart,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 16] = [
+    pub const ALL: [Defect; 24] = [
         Defect::SendBeforeSync,
         Defect::WipedVotes,
         Defect::ReadAlone,
@@ -55,6 +71,14 @@
         Defect::RefusedAtOnce,
         Defect::PaceIgnored,
         Defect::OverForgotten,
+        Defect::StaysInTouch,
+        Defect::DecidesAlone,
+        Defect::OrderForgotten,
+        Defect::NumberIsEnough,
+        Defect::BaseFirst,
+        Defect::SnapshotForgets,
+        Defect::OldSnapshot,
+        Defect::LogCutAtStart,
     ];
 
     /// Its name on a command line.
--- /dev/null
+++ b/crates/rehearsal/src/ledger.rs
@@ -0,0 +1,178 @@
+//! What is true of all orders, and what operators were told of them: what must hold of each answer.
+
+use crate::rules::Broken;
+use crate::Time;
+use playbill::Version;
+use promptbook::{Place, Word};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A change as an operator sends it. Its bytes are few; `weight` says how many they stand for on a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Order {
+    pub base: Version,
+    pub version: Version,
+    /// Tells two of one number apart.
+    pub nonce: u64,
+    /// Bytes.
+    pub weight: u32,
+}
+
+impl Order {
+    pub fn body(&self) -> Vec<u8> {
+        let (version, nonce, weight) =
+            (self.version.to_be_bytes(), self.nonce.to_be_bytes(), self.weight.to_be_bytes());
+        [version.as_slice(), &nonce, &weight].concat()
+    }
+}
+
+/// Bytes on a link that an agreed word stands for.
+pub fn weight(word: &[u8]) -> u64 {
+    // As it is written: a map of one, the variant's name, and the body at the very end.
+    let configuration = word.get(2..8) == Some(b"Config");
+    let stated = word.last_chunk::<4>().filter(|_| configuration).map_or(0, |w| u32::from_be_bytes(*w));
+    word.len() as u64 + u64::from(stated)
+}
+
+/// What a call asks for.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    Replace(Order),
+    /// With what was acknowledged when it was sent.
+    Read(Version),
+}
+
+/// What a call is answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// 200.
+    Taken,
+    /// 412.
+    Other,
+    /// 400.
+    Invalid,
+    /// 200, with what stands.
+    Stands(Option<(Version, Vec<u8>)>),
+    /// 307.
+    Elsewhere(String),
+    /// 503: nothing is known.
+    Later,
+}
+
+/// What is agreed on, folded once more without the program's code, and all that operators were told.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    places: BTreeMap<Place, Vec<u8>>,
+    /// The newest, and since when.
+    stands: (Version, Time),
+    /// Each taken order by its number and bytes, and since when.
+    taken: BTreeMap<(Version, Vec<u8>), Time>,
+    /// Acknowledged: number, with base and bytes.
+    acknowledged: BTreeMap<Version, (Version, Vec<u8>)>,
+    refused: BTreeSet<Order>,
+    /// When each was first acknowledged, as they came.
+    when: Vec<(Time, Version)>,
+    pub counts: Counts,
+}
+
+/// How often each came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub taken: u32,
+    pub acknowledged: u32,
+    pub again: u32,
+    pub refused: u32,
+    pub reads: u32,
+}
+
+impl Ledger {
+    pub fn applied(&mut self, now: Time, place: Place, word: &[u8]) -> Result<(), Broken> {
+        if let Some(known) = self.places.get(&place) {
+            return if known == word { Ok(()) } else { Err(Broken::Agreed(place)) };
+        }
+        self.places.insert(place, word.to_vec());
+        let Some(Word::Configuration { base, version, body }) = Word::read(word) else { return Ok(()) };
+        let key = (version, body);
+        if self.taken.contains_key(&key) || base != self.stands.0 || version <= self.stands.0 {
+            return Ok(());
+        }
+        let refused = |o: &Order| (o.version, o.body()) == key;
+        if let Some(order) = self.refused.iter().find(|o| refused(o)) {
+            return Err(Broken::TakenThoughRefused(order.version));
+        }
+        self.counts.taken += 1;
+        self.stands = (version, now);
+        self.taken.insert(key, now);
+        Ok(())
+    }
+
+    /// The newest that was acknowledged.
+    pub fn newest(&self) -> Version {
+        self.acknowledged.last_key_value().map_or(0, |(v, _)| *v)
+    }
+
+    /// An order was agreed on.
+    pub fn is_taken(&self, order: &Order) -> bool {
+        self.taken.contains_key(&(order.version, order.body()))
+    }
+
+    /// The newest that was acknowledged by this time.
+    pub fn acknowledged_by(&self, at: Time) -> Version {
+        self.when.iter().rev().find(|(when, _)| *when <= at).map_or(0, |(_, version)| *version)
+    }
+
+    /// A prompter says this to a call that came then.
+    pub fn answered(&mut self, now: Time, came: Time, ask: &Ask, reply: &Reply) -> Result<(), Broken> {
+        match (ask, reply) {
+            (_, Reply::Elsewhere(_) | Reply::Later) => Ok(()),
+            (Ask::Replace(order), Reply::Taken) => self.confirmed(now, order),
+            (Ask::Replace(order), Reply::Other | Reply::Invalid) => {
+                self.counts.refused += 1;
+                if self.is_taken(order) {
+                    return Err(Broken::RefusedThoughTaken(order.version));
+                }
+                // Whatever is proper on top of what stands is not to be refused.
+                if order.base == self.stands.0 && self.stands.1 < came && order.version > order.base {
+                    return Err(Broken::RefusedOnNewest(order.version));
+                }
+                self.refused.insert(*order);
+                Ok(())
+            }
+            (Ask::Read(acknowledged), Reply::Stands(held)) => {
+                self.counts.reads += 1;
+                let read = held.as_ref().map_or(0, |(v, _)| *v);
+                if read < *acknowledged {
+                    return Err(Broken::Stale { read, acknowledged: *acknowledged });
+                }
+                let same = |(v, body): &(Version, Vec<u8>)| {
+                    self.acknowledged.get(v).is_none_or(|(_, told)| told == body)
+                };
+                if held.as_ref().is_some_and(|h| !same(h)) {
+                    return Err(Broken::Number(read));
+                }
+                Ok(())
+            }
+            (Ask::Replace(_), Reply::Stands(_)) | (Ask::Read(_), _) => Ok(()),
+        }
+    }
+
+    fn confirmed(&mut self, now: Time, order: &Order) -> Result<(), Broken> {
+        let Order { base, version, .. } = *order;
+        let body = order.body();
+        match self.acknowledged.get(&version) {
+            Some((_, told)) if *told != body => return Err(Broken::Number(version)),
+            Some(_) => self.counts.again += 1,
+            None => self.counts.acknowledged += 1,
+        }
+        if self.acknowledged.iter().any(|(v, (b, _))| *b == base && *v != version) {
+            return Err(Broken::Twice(base));
+        }
+        let newest = self.newest().max(version);
+        if self.acknowledged.insert(version, (base, body)).is_none() {
+            self.when.push((now, newest));
+        }
+        if !self.is_taken(order) {
+            return Err(Broken::NotAgreed(version));
+        }
+        Ok(())
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,11 +6,18 @@
 mod defect;
 pub mod growth;
 mod guest;
+mod ledger;
+mod long;
+mod machine;
+mod net;
 mod node;
+mod operators;
 mod rules;
+mod storm;
 mod world;
 
 pub use defect::Defect;
+use long::Long;
 pub use rules::Broken;
 pub use world::{Story, World};
 
@@ -18,10 +25,19 @@
 pub type Time = u64;
 pub(crate) const MS: Time = 1_000_000;
 
+/// Of four seeds one plays a world of minutes.
+pub fn is_long(seed: u64) -> bool {
+    seed % 4 == 3
+}
+
 /// Plays a seed to its end.
 ///
 /// # Errors
 /// The rule that was broken, and the story up to there.
 pub fn play(seed: u64, defect: Option<Defect>) -> Result<Story, Box<(Broken, Story)>> {
-    World::new(seed, defect).play()
+    if is_long(seed) {
+        Long::new(seed, defect).play()
+    } else {
+        World::new(seed, defect).play()
+    }
 }
--- /dev/null
+++ b/crates/rehearsal/src/net.rs
@@ -0,0 +1,100 @@
+//! Links between machines: cuts of either direction, resets, loss, delay, and bandwidth with a bounded queue.
+
+use crate::{Time, MS};
+use fastrand::Rng;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Messages that wait for a link at the most, as in the program; more are lost.
+const QUEUE: usize = 512;
+
+#[derive(Default)]
+pub struct Net {
+    /// One-way cuts, and until when.
+    cuts: BTreeMap<(usize, usize), Time>,
+    /// What was sent before has been lost with its connection.
+    resets: BTreeMap<(usize, usize), Time>,
+    /// Machines with narrow links: bytes a second, and until when.
+    narrow: BTreeMap<usize, (f64, Time)>,
+    /// When what waits for a narrow link will have left it.
+    lines: BTreeMap<(usize, usize), VecDeque<Time>>,
+    /// Of a thousand messages so many are lost, and as many are late, until then.
+    rough: (u32, Time),
+}
+
+impl Net {
+    pub fn cut(&mut self, from: usize, to: usize, until: Time) {
+        let held = self.cuts.entry((from, to)).or_insert(until);
+        *held = until.max(*held);
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.narrow.clear();
+        self.rough = (0, 0);
+    }
+
+    /// Both connections between these are reset.
+    pub fn reset(&mut self, a: usize, b: usize, now: Time) {
+        self.resets.insert((a, b), now);
+        self.resets.insert((b, a), now);
+    }
+
+    pub fn narrow(&mut self, machine: usize, bytes_a_second: f64, until: Time) {
+        self.narrow.insert(machine, (bytes_a_second, until));
+    }
+
+    pub fn rough(&mut self, per_mille: u32, until: Time) {
+        self.rough = (per_mille, until);
+    }
+
+    pub fn is_open(&self, from: usize, to: usize, now: Time) -> bool {
+        from == to || self.cuts.get(&(from, to)).is_none_or(|until| *until <= now)
+    }
+
+    /// Both ways.
+    pub fn joined(&self, a: usize, b: usize, now: Time) -> bool {
+        self.is_open(a, b, now) && self.is_open(b, a, now)
+    }
+
+    /// A machine's links are narrow, or all are rough.
+    pub fn is_slowed(&self, machine: usize, now: Time) -> bool {
+        self.rough.1 > now || self.narrow.get(&machine).is_some_and(|(_, until)| *until > now)
+    }
+
+    /// Whether what was sent then still arrives.
+    pub fn arrives(&self, from: usize, to: usize, sent: Time) -> bool {
+        self.resets.get(&(from, to)).is_none_or(|at| *at < sent)
+    }
+
+    /// When a message of so many bytes arrives, if it does.
+    pub fn send(&mut self, now: Time, (from, to): (usize, usize), bytes: u64, rng: &mut Rng) -> Option<Time> {
+        if !self.is_open(from, to, now) {
+            return None;
+        }
+        let mut delay = MS / 2 + rng.u64(..3 * MS);
+        let chance = rng.u32(..1000);
+        if self.rough.1 > now && chance < 2 * self.rough.0 {
+            if chance < self.rough.0 {
+                return None;
+            }
+            delay += rng.u64(..300 * MS);
+        } else if chance == 999 {
+            delay += rng.u64(..200 * MS);
+        }
+        let rate = |m| self.narrow.get(&m).filter(|n| n.1 > now).map_or(f64::INFINITY, |n| n.0);
+        let rate = f64::min(rate(from), rate(to));
+        let line = self.lines.entry((from, to)).or_default();
+        while line.front().is_some_and(|left| *left <= now) {
+            line.pop_front();
+        }
+        if line.len() >= QUEUE {
+            return None;
+        }
+        let mut left = line.back().copied().unwrap_or(now).max(now);
+        if rate.is_finite() {
+            left += (bytes as f64 / rate * 1e9) as Time;
+            line.push_back(left);
+        }
+        Some(left + delay)
+    }
+}
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -36,6 +36,26 @@
     NeverOver,
     /// One that could hear all for a second does not know what was acknowledged before.
     Behind(String),
+    /// An order was confirmed that is not agreed on.
+    NotAgreed(u32),
+    /// Two of one number were both acknowledged, or what was acknowledged under a number is read with other bytes.
+    Number(u32),
+    /// An order that had been taken was refused when it was sent again.
+    RefusedThoughTaken(u32),
+    /// An order that was refused was taken later.
+    TakenThoughRefused(u32),
+    /// A proper order on top of what stands was refused.
+    RefusedOnNewest(u32),
+    /// One that had no way to a majority for long confirmed, refused, or told what stands.
+    DecidedAlone(usize),
+    /// One that could not have heard of a majority for long told gateways that it is in touch.
+    SaysInTouch(usize),
+    /// A gateway that believes to be in touch has an old configuration.
+    ServedOld { gateway: usize, version: u32, acknowledged: u32 },
+    /// Nobody answered this though the core was settled for long.
+    NotAnswered(String),
+    /// All have been back for long, and the voters are not those that there are.
+    NotRepaired(String),
     /// Nothing was agreed on though nothing was wrong for a long time.
     Stuck,
 }
--- /dev/null
+++ b/crates/rehearsal/src/storm.rs
@@ -0,0 +1,340 @@
+//! What goes wrong in a world of minutes, and when: storms and calm spells by turns.
+
+use crate::defect::Defect;
+use crate::long::{Event, Long, CATCH_UP};
+use crate::rules::Broken;
+use crate::{Time, MS};
+use fastrand::Rng;
+use understudy::{Input, Stored};
+
+const SECOND: Time = 1000 * MS;
+/// The first comes no sooner: a core is founded by then.
+const FOUNDED: Time = 6 * SECOND;
+
+/// How a machine is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Both,
+    /// It hears nobody.
+    In,
+    /// Nobody hears it.
+    Out,
+    /// Both, and what is on its way is lost.
+    Reset,
+}
+
+/// A kind of trouble for one machine, of those that befall the leader and then its successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Blow {
+    Cut(Way),
+    Freeze,
+    Stall,
+}
+
+#[derive(Clone, Debug)]
+pub enum Trouble {
+    /// Whatever chance draws.
+    Next,
+    /// The leader of that moment, so often in a row, for so long.
+    Leader(Blow, u8, Time),
+}
+
+#[derive(Default)]
+pub struct Storm {
+    /// Ends of storms and calm spells by turns.
+    phases: Vec<Time>,
+    /// Between two troubles at the most.
+    gap: Time,
+    tolerance: usize,
+    /// Each machine's disk says nothing until then.
+    stalls: Vec<Time>,
+}
+
+impl Storm {
+    pub fn new(rng: &mut Rng, voters: usize) -> Self {
+        let length = rng.u64(120..300) * SECOND;
+        let mut phases = vec![FOUNDED];
+        while phases[phases.len() - 1] < length {
+            let lasts = if phases.len() % 2 == 1 { rng.u64(10..60) } else { rng.u64(14..30) };
+            phases.push(phases[phases.len() - 1] + lasts * SECOND);
+        }
+        if phases.len() % 2 == 0 {
+            phases.push(phases[phases.len() - 1] + 15 * SECOND);
+        }
+        let gap = [1, 4, 15][rng.usize(..3)] * SECOND;
+        Storm { phases, gap, tolerance: (voters - 1) / 2, stalls: Vec::new() }
+    }
+
+    pub fn first(&self) -> Time {
+        self.phases[0]
+    }
+
+    pub fn ends(&self) -> Time {
+        self.phases[self.phases.len() - 1]
+    }
+
+    /// The phase at this time: an odd one is a storm.
+    fn phase(&self, now: Time) -> usize {
+        self.phases.iter().take_while(|end| **end <= now).count()
+    }
+
+    pub fn is_calm(&self, now: Time) -> bool {
+        self.phase(now) % 2 == 0
+    }
+
+    /// When what begins now ends at the latest.
+    fn until(&self, now: Time, lasts: Time) -> Time {
+        (now + lasts).min(self.phases.get(self.phase(now)).copied().unwrap_or(now))
+    }
+
+    /// How long a save takes on this machine's disk.
+    pub fn save_takes(&self, n: usize, now: Time, rng: &mut Rng) -> Time {
+        let usual = MS / 5 + rng.u64(..2 * MS);
+        self.stalls.get(n).map_or(0, |until| until.saturating_sub(now)) + usual
+    }
+
+    pub fn disk_is_bad(&self, n: usize, now: Time) -> bool {
+        self.stalls.get(n).is_some_and(|until| *until > now)
+    }
+
+    pub fn strike(&mut self, world: &mut Long, trouble: Trouble) -> Result<(), Broken> {
+        match trouble {
+            Trouble::Next => self.next(world),
+            Trouble::Leader(..) if self.is_calm(world.now) => Ok(()),
+            Trouble::Leader(blow, left, lasts) => {
+                let Some(leader) = world.leader() else {
+                    // Nobody leads yet: a little later.
+                    let at = world.now + 50 * MS;
+                    world.at(at, Event::Trouble(Trouble::Leader(blow, left, lasts)));
+                    return Ok(());
+                };
+                self.blow(world, leader, blow, lasts);
+                if left > 1 {
+                    // Then its successor, at once.
+                    let at = world.now + lasts;
+                    world.at(at, Event::Trouble(Trouble::Leader(blow, left - 1, lasts)));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn next(&mut self, world: &mut Long) -> Result<(), Broken> {
+        let now = world.now;
+        let phase = self.phase(now);
+        if self.is_calm(now) {
+            // Whoever begins a storm may do so with a lost disk: all had time to catch up.
+            if let Some(ends) = self.phases.get(phase).copied() {
+                world.at(ends, Event::Trouble(Trouble::Next));
+            }
+            return Ok(());
+        }
+        let began = self.phases[phase - 1] + 50 * MS >= now;
+        let gap = world.rng.u64(self.gap / 20..self.gap);
+        let at = self.until(now, gap);
+        world.at(at, Event::Trouble(Trouble::Next));
+        let count = world.machines.len();
+        let leader = world.leader();
+        let mut n = world.rng.usize(..count);
+        if world.rng.u8(..3) == 0 {
+            n = leader.unwrap_or(n);
+        }
+        let lasts = match world.rng.u8(..4) {
+            0 => world.rng.u64(50..1000) * MS,
+            1 | 2 => world.rng.u64(500..8000) * MS,
+            _ => world.rng.u64(18_000..30_000) * MS,
+        };
+        let draw = if began && world.rng.u8(..3) == 0 { 12 } else { world.rng.u8(..24) };
+        match draw {
+            0..=3 => {
+                let blow = self.draw_blow(&mut world.rng);
+                let lasts = world.rng.u64(18..24) * SECOND;
+                let left = world.rng.u8(1..4);
+                return self.strike(world, Trouble::Leader(blow, left, lasts));
+            }
+            4 | 5 => {
+                let blow = self.draw_blow(&mut world.rng);
+                self.blow(world, n, blow, lasts);
+            }
+            6 => self.part(world, lasts),
+            7 => {
+                let m = world.rng.usize(..count);
+                let until = self.until(now, lasts);
+                let both = world.rng.bool();
+                world.tell(|| format!("cut p{n} -> p{m}, both ways {both}, for {} ms", (until - now) / MS));
+                world.net.cut(n, m, until);
+                if both {
+                    world.net.cut(m, n, until);
+                }
+                self.lost(world, &[n, m], until);
+            }
+            8 | 9 => {
+                let lasts = self.until(now, lasts) - now;
+                world.kill(n, lasts);
+            }
+            10 => {
+                world.tell(|| "all lose power".into());
+                for m in 0..count {
+                    let lasts = self.until(now, world.rng.u64(50..3000) * MS) - now;
+                    world.kill(m, lasts);
+                }
+            }
+            11 => self.told_to_end(world, n, lasts)?,
+            12..=14 => self.wipe(world, n),
+            15 => {
+                let rate = [250_000.0, 60_000.0][world.rng.usize(..2)];
+                let until = self.until(now, lasts);
+                world.tell(|| format!("p{n} has a narrow link for {} ms", (until - now) / MS));
+                world.net.narrow(n, rate, until);
+                self.lost(world, &[n], until);
+            }
+            16 => {
+                let until = self.until(now, lasts);
+                let per_mille = world.rng.u32(10..150);
+                world.tell(|| format!("links lose {per_mille} of 1000 for {} ms", (until - now) / MS));
+                world.net.rough(per_mille, until);
+                let all: Vec<usize> = (0..count).collect();
+                self.lost(world, &all, until);
+            }
+            17 | 18 => {
+                world.deaf[n] = self.until(now, lasts);
+                world.tell(|| format!("callers don't reach p{n} for {} ms", lasts / MS));
+            }
+            19 | 20 => {
+                world.calls_lost = (world.rng.u32(50..600), self.until(now, lasts));
+                world.tell(|| format!("callers' messages are lost for {} ms", lasts / MS));
+            }
+            21 => {
+                let g = world.rng.usize(..world.gateways.len());
+                world.gateways[g].cut_until = self.until(now, lasts);
+            }
+            22 => {
+                world.tell(|| "connections are reset".into());
+                let m = world.rng.usize(..count);
+                (0..count).filter(|o| *o != n && (m == n || *o == m)).for_each(|o| world.net.reset(n, o, now));
+                world.event = now;
+            }
+            _ => self.blow(world, n, Blow::Stall, lasts.min(6 * SECOND)),
+        }
+        Ok(())
+    }
+
+    fn draw_blow(&self, rng: &mut Rng) -> Blow {
+        match rng.u8(..8) {
+            0 | 1 => Blow::Cut(Way::Both),
+            2 => Blow::Cut(Way::In),
+            3 => Blow::Cut(Way::Out),
+            4 => Blow::Cut(Way::Reset),
+            5 => Blow::Stall,
+            _ => Blow::Freeze,
+        }
+    }
+
+    /// The core is unsettled by this, and by its end.
+    fn lost(&mut self, world: &mut Long, machines: &[usize], until: Time) {
+        world.event = world.now;
+        world.at(until, Event::Mark);
+        for n in machines {
+            world.lost[*n] = world.lost[*n].max(until);
+        }
+    }
+
+    fn blow(&mut self, world: &mut Long, n: usize, blow: Blow, lasts: Time) {
+        let now = world.now;
+        let until = self.until(now, lasts);
+        world.tell(|| format!("p{n}: {blow:?} for {} ms", (until - now) / MS));
+        self.lost(world, &[n], until);
+        match blow {
+            Blow::Freeze => {
+                let thaws = until.max(world.machines[n].frozen_until);
+                world.machines[n].frozen_until = thaws;
+                world.at(thaws, Event::Wake(n));
+            }
+            Blow::Stall => {
+                self.stalls.resize(world.machines.len().max(self.stalls.len()), 0);
+                self.stalls[n] = until.max(self.stalls[n]);
+            }
+            Blow::Cut(way) => {
+                // Callers, in the other half of the cases, are on its side of the cut.
+                if world.rng.bool() {
+                    world.deaf[n] = until;
+                }
+                for m in (0..world.machines.len()).filter(|m| *m != n) {
+                    if way != Way::Out {
+                        world.net.cut(m, n, until);
+                    }
+                    if way != Way::In {
+                        world.net.cut(n, m, until);
+                    }
+                    if way == Way::Reset {
+                        world.net.reset(n, m, now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Two sides that do not hear each other.
+    fn part(&mut self, world: &mut Long, lasts: Time) {
+        let until = self.until(world.now, lasts);
+        let side: Vec<bool> = world.machines.iter().map(|_| world.rng.bool()).collect();
+        let some: Vec<usize> = (0..side.len()).filter(|n| side[*n]).collect();
+        world.tell(|| format!("{some:?} are cut from the others for {} ms", lasts / MS));
+        for a in 0..side.len() {
+            for b in (0..side.len()).filter(|b| side[*b] != side[a]) {
+                world.net.cut(a, b, until);
+            }
+        }
+        let all: Vec<usize> = (0..side.len()).collect();
+        self.lost(world, &all, until);
+    }
+
+    /// SIGTERM: it names its successor, answers what it has, and ends.
+    fn told_to_end(&mut self, world: &mut Long, n: usize, lasts: Time) -> Result<(), Broken> {
+        let now = world.now;
+        let name = world.machines[n].id.to_string();
+        world.tell(|| format!("{name} is told to end"));
+        world.machines[n].put(Input::HandOver);
+        world.work(n)?;
+        let ends = self.until(now, world.rng.u64(20..1200) * MS);
+        let lasts = self.until(ends, lasts) - ends;
+        world.event = now;
+        world.lost[n] = world.lost[n].max(ends + lasts);
+        world.at(ends, Event::Kill(n, lasts));
+        Ok(())
+    }
+
+    /// Whether one more may lose its disk: of those that count no more than the stated ones are lost at a time.
+    fn bears(&self, world: &Long, n: usize) -> bool {
+        let lost = |m: &usize| *m != n && world.now < world.lost[*m] + CATCH_UP;
+        let others = world.voters().into_iter().filter(lost).count();
+        world.ledger.newest() > 0 && others < self.tolerance && world.now > FOUNDED
+    }
+
+    fn wipe(&mut self, world: &mut Long, n: usize) {
+        let voters = world.voters();
+        let n = if voters.contains(&n) { n } else { voters[0] };
+        if !self.bears(world, n) {
+            return;
+        }
+        let now = world.now;
+        let others_too = world.rng.u8(..3) == 0;
+        let lasts = self.until(now, world.rng.u64(20..4000) * MS) - now;
+        world.kill(n, lasts);
+        world.lost[n] = world.lost[n].max(now + lasts);
+        let machine = &mut world.machines[n];
+        machine.disk = Stored::default();
+        if world.defect != Some(Defect::WipedVotes) {
+            machine.id.disk += 1000;
+        }
+        let name = machine.id.to_string();
+        world.tell(|| format!("and comes back without its disk, as {name}"));
+        if others_too {
+            world.tell(|| "all others lose power meanwhile".into());
+            for m in (0..world.machines.len()).filter(|m| *m != n) {
+                let lasts = self.until(now, world.rng.u64(20..3000) * MS) - now;
+                world.kill(m, lasts);
+            }
+        }
+    }
+}
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -55,6 +55,10 @@
     pub through: u32,
     /// Of the tenant on trial: at full speed, in turn, refused for the pace.
     pub guest: (u32, u32, u32),
+    /// Of worlds of minutes: acknowledged again, refused, and how long they lasted.
+    pub again: u32,
+    pub refused: u32,
+    pub lasted: Time,
 }
 
 pub struct World {
