--- a/crates/rehearsal/src/defect.rs
+++ b/crates/rehearsal/src/defect.rs
@@ -37,6 +37,10 @@
     OverForgotten,
     /// A prompter that has lost the majority goes on telling gateways that it is in touch.
     StaysInTouch,
+    /// To have heard the leader is taken for contact with a majority.
+    HearingIsTouch,
+    /// What rests on a save is said though the disk refused it.
+    SpeaksWithoutDisk,
     /// The leader decides on an order by what it knows itself, without asking a majority.
     DecidesAlone,
     /// Only the newest order is known again when it is sent again.
@@ -54,7 +58,7 @@
 }
 
 impl Defect {
-    pub const ALL: [Defect; 24] = [
+    pub const ALL: [Defect; 26] = [
         Defect::SendBeforeSync,
         Defect::WipedVotes,
         Defect::ReadAlone,
@@ -72,6 +76,8 @@
         Defect::PaceIgnored,
         Defect::OverForgotten,
         Defect::StaysInTouch,
+        Defect::HearingIsTouch,
+        Defect::SpeaksWithoutDisk,
         Defect::DecidesAlone,
         Defect::OrderForgotten,
         Defect::NumberIsEnough,
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -13,6 +13,9 @@
 mod node;
 mod operators;
 mod rules;
+/// How a disk stands: the program's own file.
+#[path = "../../prompter/src/disk/standing.rs"]
+mod standing;
 mod storm;
 mod world;
 
--- a/crates/rehearsal/src/long.rs
+++ b/crates/rehearsal/src/long.rs
@@ -3,7 +3,7 @@
 
 use crate::defect::Defect;
 use crate::ledger::{weight, Ask, Ledger, Reply};
-use crate::machine::{Answer, Machine, Step, ANSWERED};
+use crate::machine::{Answer, Machine, Peer, Step, Timer};
 use crate::net::Net;
 use crate::operators::{Next, Operator, SILENCE};
 use crate::rules::Broken;
@@ -24,11 +24,11 @@
 /// `catchUpS`: who is back, or new, counts again after so long.
 pub const CATCH_UP: Time = 6_000 * MS;
 /// Who has had no way to a majority for so long confirms and refuses nothing, and does not say that it is in touch.
-const ALONE: Time = 2_500 * MS;
+const ALONE: Time = 1_500 * MS;
 /// A gateway that believes to be in touch knows what was acknowledged so long ago.
 const SERVED: Time = 4_000 * MS;
 /// A prompter that has known of a majority within so long is one to follow, in the gateway's eyes.
-const STALE: Time = 800 * MS;
+const STALE: Time = 1_000 * MS;
 const SILENT: Time = 700 * MS;
 const PULSE: Time = 200 * MS;
 const GATEWAYS: usize = 3;
@@ -38,14 +38,18 @@
 pub enum Event {
     Message(Box<Message>, Time),
     Wake(usize),
-    Saved(usize, u64),
+    /// The disk of a machine, in that life of its, has done a write.
+    Written(usize, u64, u64),
+    Peer { from: usize, to: usize, sent: Time, peer: Peer },
+    /// Prompters ask the leader for proof of contact.
+    Contact,
     Start(usize),
     Kill(usize, Time),
     /// Prompters say who they are.
     Hello,
     Found,
     Call { to: usize, call: u64, ask: Ask },
-    GiveUp { at: usize, life: u64, call: u64 },
+    Timer { at: usize, life: u64, timer: Timer },
     Reply { operator: usize, call: u64, reply: Option<Reply> },
     Operator(usize),
     Pulse(usize),
@@ -118,6 +122,8 @@
     /// The last event that unsettles the core.
     pub event: Time,
     settled: Option<Time>,
+    /// When callers last had no way to the leader, or only a rough one.
+    unheard: Time,
     /// Since when each runs and is joined with all others that run.
     joined: Vec<Option<Time>>,
     storm: Storm,
@@ -131,7 +137,7 @@
         let fold = if rng.bool() { 64 } else { rng.usize(6..30) };
         let id = |n: usize| Id { name: format!("p{n}"), disk: 100 + n as u64 };
         // The last has no disk.
-        let machines: Vec<Machine> = (0..=voters).map(|n| Machine::new(id(n), n < voters, fold)).collect();
+        let machines: Vec<Machine> = (0..=voters).map(|n| Machine::new(id(n), n < voters, fold, defect)).collect();
         let count = machines.len();
         let operators = rng.usize(2..9);
         let storm = Storm::new(&mut rng, voters);
@@ -157,6 +163,7 @@
             hearsay: vec![0; count],
             event: 0,
             settled: None,
+            unheard: 0,
             joined: vec![None; count],
             rng,
             storm,
@@ -201,6 +208,7 @@
         }
         self.at(1000 * MS, Event::Found);
         self.at(200 * MS, Event::Hello);
+        self.at(300 * MS, Event::Contact);
         self.at(LOOK, Event::Look);
         for o in 0..self.operators.len() {
             let at = self.rng.u64(1500..4000) * MS;
@@ -238,16 +246,34 @@
                 self.wakes[n] = Time::MAX;
                 self.work(n)?;
             }
-            Event::Saved(n, life) => {
-                let machine = &mut self.machines[n];
-                if machine.life == life && machine.is_up() {
-                    if machine.frozen_until > now {
-                        let thaws = machine.frozen_until;
-                        self.at(thaws, Event::Saved(n, life));
+            Event::Written(n, life, number) => {
+                if self.machines[n].life == life && self.machines[n].is_up() {
+                    let thaws = self.machines[n].frozen_until;
+                    if thaws > now {
+                        self.at(thaws, Event::Written(n, life, number));
                     } else {
-                        let step = machine.saved(now, self.defect)?;
+                        let done = !self.storm.disk_refuses(n, now);
+                        let step = self.machines[n].written(now, number, done)?;
+                        self.carry(n, step)?;
+                    }
+                }
+            }
+            Event::Peer { from, to, sent, peer } => {
+                let thaws = self.machines[to].frozen_until;
+                if thaws > now {
+                    self.at(thaws, Event::Peer { from, to, sent, peer });
+                } else if self.net.arrives(from, to, sent) && self.machines[to].is_up() {
+                    let name = self.machines[from].id.name.clone();
+                    let step = self.machines[to].peer(now, &name, peer);
+                    self.carry(to, step)?;
+                }
+            }
+            Event::Contact => {
+                self.at(now + 150 * MS, Event::Contact);
+                for n in 0..self.machines.len() {
+                    if self.machines[n].runs(now) {
+                        let step = self.machines[n].ask_contact(now);
                         self.carry(n, step)?;
-                        self.work(n)?;
                     }
                 }
             }
@@ -256,14 +282,13 @@
             Event::Hello => self.hello()?,
             Event::Found => self.found()?,
             Event::Call { to, call, ask } => self.call(to, call, ask)?,
-            Event::GiveUp { at, life, call } => {
-                let machine = &mut self.machines[at];
-                if machine.life == life && machine.is_up() {
-                    if machine.frozen_until > now {
-                        let thaws = machine.frozen_until;
-                        self.at(thaws, Event::GiveUp { at, life, call });
+            Event::Timer { at, life, timer } => {
+                if self.machines[at].life == life && self.machines[at].is_up() {
+                    let thaws = self.machines[at].frozen_until;
+                    if thaws > now {
+                        self.at(thaws, Event::Timer { at, life, timer });
                     } else {
-                        let step = machine.give_up(now, call, self.defect);
+                        let step = self.machines[at].timer(now, timer)?;
                         self.carry(at, step)?;
                         self.work(at)?;
                     }
@@ -286,7 +311,7 @@
         if !self.machines[n].runs(self.now) {
             return Ok(());
         }
-        let step = self.machines[n].work(self.now, self.defect)?;
+        let step = self.machines[n].work(self.now)?;
         self.carry(n, step)?;
         let due = self.machines[n].next_due();
         if due < self.wakes[n] {
@@ -301,10 +326,21 @@
         for (place, word) in step.applied {
             self.ledger.applied(now, place, &word)?;
         }
-        if step.saves {
-            let takes = self.storm.save_takes(n, now, &mut self.rng);
-            let life = self.machines[n].life;
-            self.at(now + takes, Event::Saved(n, life));
+        let life = self.machines[n].life;
+        for number in step.writes {
+            let done = self.storm.write_done(n, now, &mut self.rng);
+            self.at(done, Event::Written(n, life, number));
+        }
+        for (at, timer) in step.timers {
+            self.at(at, Event::Timer { at: n, life, timer });
+        }
+        for (name, peer) in step.peers {
+            let to = place(&name);
+            if self.machines[n].known & 1 << to != 0 {
+                if let Some(at) = self.net.send(now, (n, to), 40, &mut self.rng) {
+                    self.at(at, Event::Peer { from: n, to, sent: now, peer });
+                }
+            }
         }
         for message in step.send {
             let to = place(&message.to.name);
@@ -347,7 +383,7 @@
         self.tell(|| format!("p{n} begins"));
         self.event = now;
         self.lost[n] = self.lost[n].max(now);
-        self.machines[n].start(now, seed, self.defect);
+        self.machines[n].start(now, seed);
         self.wakes[n] = now;
         self.at(now, Event::Wake(n));
     }
@@ -357,8 +393,8 @@
             return;
         }
         self.tell(|| format!("p{n} dies for {} ms", lasts / MS));
-        let saved = self.rng.bool();
-        self.machines[n].stop(saved);
+        let writes = self.rng.usize(..=self.machines[n].writes());
+        self.machines[n].stop(writes);
         self.event = self.now;
         let at = self.now + lasts;
         self.lost[n] = self.lost[n].max(at);
@@ -423,11 +459,7 @@
     fn send_call(&mut self, o: usize, to: usize) {
         let Some(job) = &self.operators[o].job else { return };
         let (call, ask, now) = (job.call, job.ask.clone(), self.now);
-        let weight = match &ask {
-            Ask::Replace(order) => Time::from(order.weight),
-            Ask::Read(_) => 0,
-        };
-        let delay = MS / 2 + self.rng.u64(..3 * MS) + 3 * MS * weight / 500;
+        let delay = MS / 2 + self.rng.u64(..3 * MS) + upload(&ask);
         if self.call_arrives(to) {
             if !self.machines[to].is_up() {
                 self.at(now + MS, Event::Reply { operator: o, call, reply: Some(Reply::Later) });
@@ -454,10 +486,8 @@
             Ask::Read(_) => Ask::Read(self.ledger.newest()),
             order => order,
         };
-        let step = machine.call(now, call, ask, self.defect);
-        let life = machine.life;
+        let step = machine.call(now, call, ask);
         self.carry(to, step)?;
-        self.at(now + ANSWERED, Event::GiveUp { at: to, life, call });
         self.work(to)
     }
 
@@ -522,10 +552,24 @@
 
     // ---- What holds in calm spells ----
 
-    /// Who has a way to whom, and what must hold once all has been calm for long enough.
+    /// What must hold once all has been calm for long enough.
     fn look(&mut self) -> Result<(), Broken> {
         let now = self.now;
         self.at(now + LOOK, Event::Look);
+        let (whole, slowed) = self.contacts();
+        if slowed {
+            self.event = now;
+        }
+        let settled = whole && !slowed && now >= self.event + CONTACT;
+        self.settled = if settled { self.settled.or(Some(now)) } else { None };
+        let Some(since) = self.settled else { return Ok(()) };
+        self.answers_come(since)?;
+        self.all_know()
+    }
+
+    /// Who has a way to whom. Whether there is a majority that is whole, and whether something is slowed.
+    fn contacts(&mut self) -> (bool, bool) {
+        let now = self.now;
         let count = self.machines.len();
         let runs: Vec<bool> = self.machines.iter().map(|m| m.runs(now)).collect();
         let joined = |a: usize, b: usize| runs[a] && runs[b] && self.net.joined(a, b, now);
@@ -542,12 +586,9 @@
         for n in (0..count).filter(|n| runs[*n]) {
             contact[n] = most(n, &joined);
         }
-        let comes = |from: usize, to: usize| runs[from] && runs[to] && self.net.is_open(from, to, now);
-        let mut hears: Vec<bool> = (0..count).map(|n| runs[n] && most(n, &comes)).collect();
-        for _ in 0..2 {
-            let told = |n: usize| (0..count).any(|m| hears[m] && comes(m, n));
-            hears = (0..count).map(|n| hears[n] || runs[n] && told(n)).collect();
-        }
+        // Contact is proven by a leader that has a majority.
+        let hears: Vec<bool> =
+            (0..count).map(|n| contact[n] || (0..count).any(|m| contact[m] && joined(m, n))).collect();
         // Those of a majority that is whole: each has a way to each other.
         let all = |n: usize| (0..count).all(|m| m == n || !contact[m] || !contact[n] || joined(n, m));
         let whole = contact.iter().any(|c| *c) && (0..count).all(all);
@@ -563,27 +604,25 @@
             }
             self.joined[n] = if joins[n] && !slowed { self.joined[n].or(Some(now)) } else { None };
         }
-        if slowed {
-            self.event = now;
-        }
-        let settled = whole && !slowed && now >= self.event + CONTACT;
-        self.settled = if settled { self.settled.or(Some(now)) } else { None };
-        let Some(since) = self.settled else { return Ok(()) };
-        self.answers_come(since, &runs)?;
-        self.all_know()
+        (whole, slowed)
     }
 
-    fn answers_come(&mut self, since: Time, runs: &[bool]) -> Result<(), Broken> {
+    fn answers_come(&mut self, since: Time) -> Result<(), Broken> {
         let now = self.now;
-        // A caller that tries one of those that do not answer goes on after a second.
-        let mute = (0..runs.len()).filter(|n| !runs[*n] || self.contact[*n] < now || self.deaf[*n] > since);
-        let most = ACKNOWLEDGED + mute.count() as Time * (SILENCE + 500 * MS);
-        if self.calls_lost.1 > since {
-            return Ok(());
+        let deaf = |n: &usize| self.deaf[*n] > now;
+        if self.calls_lost.1 > now || self.leader().is_some_and(|n| deaf(&n)) {
+            self.unheard = now;
         }
+        // A caller that tries one of those that do not answer goes on after a second.
+        let count = self.machines.len();
+        let mute = |n: &usize| !self.machines[*n].runs(now) || self.contact[*n] < now || deaf(n);
+        let mute = (0..count).filter(mute).count() as Time;
+        let since = since.max(self.unheard);
         for operator in &self.operators {
             let Some(job) = &operator.job else { continue };
-            if now.saturating_sub(job.began.max(since)) > most {
+            // It is sent whole to each, and once more to whoever an answer names.
+            let sends = upload(&job.ask) * (mute + 3);
+            if now.saturating_sub(job.began.max(since)) > ACKNOWLEDGED + mute * (SILENCE + 500 * MS) + sends {
                 return Err(Broken::NotAnswered(format!("{:?}", job.ask)));
             }
         }
@@ -595,7 +634,7 @@
         let now = self.now;
         let known = self.ledger.acknowledged_by(now - 1500 * MS);
         let back = |n: usize| self.joined[n].is_some_and(|at| now >= at + CATCH_UP + CONTACT);
-        for (n, m) in self.machines.iter().enumerate().filter(|(n, _)| back(*n)) {
+        for (_, m) in self.machines.iter().enumerate().filter(|(n, _)| back(*n)) {
             if m.book().version() < known {
                 return Err(Broken::Behind(m.id.to_string()));
             }
@@ -612,6 +651,8 @@
     }
 
     fn trouble(&mut self, trouble: Trouble) -> Result<(), Broken> {
+        // What follows may end a contact that was seen by nobody yet.
+        self.contacts();
         let mut storm = std::mem::take(&mut self.storm);
         let result = storm.strike(self, trouble);
         self.storm = storm;
@@ -634,6 +675,14 @@
     name.get(1..).and_then(|n| n.parse().ok()).unwrap_or(0)
 }
 
+/// How long a caller takes to send this: 3 ms for each route, of some 250 bytes.
+fn upload(ask: &Ask) -> Time {
+    match ask {
+        Ask::Replace(order) => 3 * MS * Time::from(order.weight) / 250,
+        Ask::Read(_) => 0,
+    }
+}
+
 /// What a message weighs on a link.
 fn bytes(message: &Message) -> u64 {
     match &message.body {
--- a/crates/rehearsal/src/net.rs
+++ b/crates/rehearsal/src/net.rs
@@ -27,12 +27,6 @@
         *held = until.max(*held);
     }
 
-    pub fn heal(&mut self) {
-        self.cuts.clear();
-        self.narrow.clear();
-        self.rough = (0, 0);
-    }
-
     /// Both connections between these are reset.
     pub fn reset(&mut self, a: usize, b: usize, now: Time) {
         self.resets.insert((a, b), now);
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -29,6 +29,8 @@
     Cut(Way),
     Freeze,
     Stall,
+    /// Its disk is full.
+    Full,
 }
 
 #[derive(Clone, Debug)]
@@ -46,8 +48,10 @@
     /// Between two troubles at the most.
     gap: Time,
     tolerance: usize,
-    /// Each machine's disk says nothing until then.
+    /// Each machine's disk says nothing, or refuses, until then; and when it has done what it is at.
     stalls: Vec<Time>,
+    full: Vec<Time>,
+    busy: Vec<Time>,
 }
 
 impl Storm {
@@ -62,7 +66,7 @@
             phases.push(phases[phases.len() - 1] + 15 * SECOND);
         }
         let gap = [1, 4, 15][rng.usize(..3)] * SECOND;
-        Storm { phases, gap, tolerance: (voters - 1) / 2, stalls: Vec::new() }
+        Storm { phases, gap, tolerance: (voters - 1) / 2, ..Storm::default() }
     }
 
     pub fn first(&self) -> Time {
@@ -87,14 +91,22 @@
         (now + lasts).min(self.phases.get(self.phase(now)).copied().unwrap_or(now))
     }
 
-    /// How long a save takes on this machine's disk.
-    pub fn save_takes(&self, n: usize, now: Time, rng: &mut Rng) -> Time {
-        let usual = MS / 5 + rng.u64(..2 * MS);
-        self.stalls.get(n).map_or(0, |until| until.saturating_sub(now)) + usual
+    /// When a write that comes now is done on this machine's disk, which does them one by one.
+    pub fn write_done(&mut self, n: usize, now: Time, rng: &mut Rng) -> Time {
+        let until = |all: &[Time]| all.get(n).copied().unwrap_or(0);
+        let begins = now.max(until(&self.stalls)).max(until(&self.busy));
+        let done = begins + MS / 5 + rng.u64(..2 * MS);
+        self.busy.resize(self.busy.len().max(n + 1), 0);
+        self.busy[n] = done;
+        done
+    }
+
+    pub fn disk_refuses(&self, n: usize, now: Time) -> bool {
+        self.full.get(n).is_some_and(|until| *until > now)
     }
 
     pub fn disk_is_bad(&self, n: usize, now: Time) -> bool {
-        self.stalls.get(n).is_some_and(|until| *until > now)
+        self.disk_refuses(n, now) || self.stalls.get(n).is_some_and(|until| *until > now)
     }
 
     pub fn strike(&mut self, world: &mut Long, trouble: Trouble) -> Result<(), Broken> {
@@ -214,7 +226,10 @@
                 (0..count).filter(|o| *o != n && (m == n || *o == m)).for_each(|o| world.net.reset(n, o, now));
                 world.event = now;
             }
-            _ => self.blow(world, n, Blow::Stall, lasts.min(6 * SECOND)),
+            _ => {
+                let blow = if world.rng.bool() { Blow::Stall } else { Blow::Full };
+                self.blow(world, n, blow, lasts.min(6 * SECOND));
+            }
         }
         Ok(())
     }
@@ -225,7 +240,7 @@
             2 => Blow::Cut(Way::In),
             3 => Blow::Cut(Way::Out),
             4 => Blow::Cut(Way::Reset),
-            5 => Blow::Stall,
+            5 => [Blow::Stall, Blow::Full][rng.usize(..2)],
             _ => Blow::Freeze,
         }
     }
@@ -254,6 +269,10 @@
                 self.stalls.resize(world.machines.len().max(self.stalls.len()), 0);
                 self.stalls[n] = until.max(self.stalls[n]);
             }
+            Blow::Full => {
+                self.full.resize(world.machines.len().max(self.full.len()), 0);
+                self.full[n] = until.max(self.full[n]);
+            }
             Blow::Cut(way) => {
                 // Callers, in the other half of the cases, are on its side of the cut.
                 if world.rng.bool() {
