--- a/crates/rehearsal/src/operators.rs
+++ b/crates/rehearsal/src/operators.rs
@@ -84,7 +84,7 @@
     /// A try was answered, or not at all.
     pub fn hears(&mut self, reply: Option<&Reply>, place: impl Fn(&str) -> usize) -> Next {
         let Some(job) = &mut self.job else { return Next::Ended };
-        let pause = Next::Pause((50 * MS << job.tries.min(4)).min(500 * MS));
+        let pause = Next::Pause(((50 * MS) << job.tries.min(4)).min(500 * MS));
         match (reply, &job.ask) {
             (Some(Reply::Elsewhere(name)), _) if job.hops < HOPS => {
                 job.hops += 1;
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -83,7 +83,7 @@
     }
 
     pub fn is_calm(&self, now: Time) -> bool {
-        self.phase(now) % 2 == 0
+        self.phase(now).is_multiple_of(2)
     }
 
     /// When what begins now ends at the latest.
