--- a/crates/prompter/src/disk/generation.rs
+++ b/crates/prompter/src/disk/generation.rs
@@ -47,6 +47,7 @@
     Nothing,
     Members(Members),
     Word(Vec<Piece>),
+    Joint(Members, Members),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
