--- a/crates/rig/src/scale.rs
+++ b/crates/rig/src/scale.rs
@@ -155,6 +155,7 @@
     figures.bound("at rest: beats answered with 200, of sent", beats, 0.97, 1.05);
     figures.set("memory by prompter at rest, MB", meter.resident().0);
     changes(play, &size, (&controls, leader, &rest), &mut meter, &herd, &mut figures);
+    figures.set("the leader's place at the end", self::leader(&controls));
     let (prompters, gateways) = meter.resident();
     figures.set("memory by prompter at the end, MB", prompters);
     figures.set("memory by real gateway at the end, MB", gateways);
