--- a/crates/rehearsal/src/defect.rs
+++ b/crates/rehearsal/src/defect.rs
@@ -35,10 +35,30 @@
     PaceIgnored,
     /// A new keeper does not know whose trial is over.
     OverForgotten,
+    /// A prompter that has lost the majority goes on telling gateways that it is in touch.
+    StaysInTouch,
+    /// To have heard the leader is taken for contact with a majority.
+    HearingIsTouch,
+    /// What rests on a save is said though the disk refused it.
+    SpeaksWithoutDisk,
+    /// The leader decides on an order by what it knows itself, without asking a majority.
+    DecidesAlone,
+    /// Only the newest order is known again when it is sent again.
+    OrderForgotten,
+    /// An order with a number that was taken is confirmed, whatever its bytes.
+    NumberIsEnough,
+    /// The base is looked at before whether that very order was taken.
+    BaseFirst,
+    /// The snapshot knows the newest order alone.
+    SnapshotForgets,
+    /// The log is folded, and the state stays the old one.
+    OldSnapshot,
+    /// At its start one takes its snapshot and nothing of the log behind it.
+    LogCutAtStart,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 16] = [
+    pub const ALL: [Defect; 26] = [
         Defect::SendBeforeSync,
         Defect::WipedVotes,
         Defect::ReadAlone,
@@ -55,6 +75,16 @@
         Defect::RefusedAtOnce,
         Defect::PaceIgnored,
         Defect::OverForgotten,
+        Defect::StaysInTouch,
+        Defect::HearingIsTouch,
+        Defect::SpeaksWithoutDisk,
+        Defect::DecidesAlone,
+        Defect::OrderForgotten,
+        Defect::NumberIsEnough,
+        Defect::BaseFirst,
+        Defect::SnapshotForgets,
+        Defect::OldSnapshot,
+        Defect::LogCutAtStart,
     ];
 
     /// Its name on a command line.
