proscenium: a route or service that finds no place left is not taken for another

Cause, by reading: a gateway tells 64 sorts of requests apart (kind, aim, time-out, attempts) and 32 services; more shared the last place. Sorts only grow, one with each change of a time-out: after some sixty, an unsafe route got the class of whatever came last, also a safe one, and could run twice; a 33rd service's requests went to the 32nd's backends.

Change: the places are a module of their own. Two sorts that allow one attempt, one of each kind, hold a place from the start; a sort without one goes by the nearest of its kind that allows no more attempts. A service without one is refused (503, nothing has run) and its backends get nothing, with an error in the log.

--- a/crates/proscenium/src/door.rs
+++ b/crates/proscenium/src/door.rs
@@ -95,7 +95,8 @@
             return Err(unsound(StatusCode::BAD_REQUEST));
         }
         let service = route.target(fastrand::f64());
-        let service = service.ok_or_else(|| later(StatusCode::SERVICE_UNAVAILABLE, SOON))?;
+        let pool = service.and_then(|service| self.playing.pool(service));
+        let pool = pool.ok_or_else(|| later(StatusCode::SERVICE_UNAVAILABLE, SOON))?;
         let wait = wait(&head.headers, route);
         strip_hops(&mut head.headers);
         for name in [CREDENTIAL, TENANT, REMAINING, TARGET, EXPECT] {
@@ -116,7 +117,7 @@
             units: Playing::units(route),
             spread: 1,
             repeat: false,
-            pool: self.playing.pool(service),
+            pool,
             allowance: Allowance::Unknown,
         };
         let outgoing = Outgoing {
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -7,6 +7,7 @@
 mod fold;
 mod follow;
 mod house;
+mod places;
 mod playing;
 mod ready;
 mod relay;
@@ -53,6 +54,18 @@
     wings::command::main("proscenium", "granitethread's data plane", env!("CARGO_PKG_VERSION"), run)
 }
 
+/// The pools of a backend of this service, a bit each: one at the most.
+fn pool(playing: &Playing, service: &str) -> u32 {
+    if service.is_empty() {
+        return 0;
+    }
+    let place = playing.pool(service);
+    if place.is_none() {
+        log::error!("too many services: backends of {service} get no requests");
+    }
+    place.map_or(0, |place| 1 << place)
+}
+
 async fn run(settings: Settings, ring: wings::ring::Ring) -> Result<(), String> {
     let signals = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
     let (mut term, mut int) = (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
@@ -91,7 +104,7 @@
         }),
         backends: backends.clone(),
         zones,
-        pools: Box::new(move |t| if t.model.is_empty() { 0 } else { 1 << pools.pool(&t.model) }),
+        pools: Box::new(move |t| pool(&pools, &t.model)),
     })?;
     // Until it has a place among the gateways it keeps to no part of the backends.
     driver.neighbours(Some((0, 1)));
--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -1,6 +1,7 @@
 //! What is playing: the configuration in force and the backends, as requests need them. Fed by the link to a prompter.
 
 use crate::fold::{Fold, News};
+use crate::places::{Pools, Sort, Sorts, POOLS};
 use crate::rights::Rights;
 use curtain::Terms;
 use granite_interface::{Class, Effect, Group, Plan, Scope, Settings};
@@ -9,7 +10,6 @@
 use greenroom::Fact;
 use playbill::{Kind, Playbill, Route, Table};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,10 +17,6 @@
 use tokio::time::Instant;
 use wings::message::Up;
 
-/// Services that are told apart; more share the last place.
-pub const POOLS: usize = 32;
-/// Kinds of requests that are told apart by what routes say of them; more share the last place.
-const CLASSES: usize = 64;
 /// Ranks of requests: the highest has this weight, each lower one less by one.
 const RANKS: usize = 8;
 /// How long backends are slow at the longest that is reckoned with, and how slow.
@@ -36,23 +32,14 @@
 const UNIT_MS: f64 = 100.0;
 pub const MOST_UNITS: f64 = 16.0;
 
-/// What tells requests apart.
-#[derive(Clone, Copy, PartialEq)]
-struct Sort {
-    kind: Kind,
-    aim_ms: f64,
-    timeout_ms: f64,
-    attempts: u32,
-}
-
 pub struct Playing {
     pub rights: Rc<Rights>,
     fold: RefCell<Fold>,
     table: RefCell<Option<Rc<Table>>>,
-    sorts: RefCell<Vec<Sort>>,
+    sorts: RefCell<Sorts>,
     /// Told to the module beside the classes: the most attempts of each.
     pub attempts: crate::house::Attempts,
-    services: RefCell<HashMap<String, usize>>,
+    pools: RefCell<Pools>,
     settings: RefCell<Settings>,
     driver: RefCell<Option<Rc<Driver>>>,
     me: String,
@@ -69,13 +56,13 @@
         });
         // Who is slowed, in queues of their own, of the least weight.
         let plans = plans.chain([Plan::new("slowed", 0.0, 0.0)]);
-        let first = Sort { kind: Kind::Unsafe, aim_ms: 1000.0, timeout_ms: 10_000.0, attempts: 1 };
+        let sorts = Sorts::default();
         let settings = Settings {
             zone,
             // Until it is known: a guess errs on the side of small rooms.
             gateways: 8,
             pools: POOLS,
-            classes: vec![class(&first)],
+            classes: sorts.all().iter().map(class).collect(),
             plans: plans.collect(),
             cancelling: true,
             retry_after: true,
@@ -92,9 +79,9 @@
             rights,
             fold: RefCell::default(),
             table: RefCell::default(),
-            sorts: RefCell::new(vec![first]),
-            attempts: Rc::new(RefCell::new(vec![1])),
-            services: RefCell::default(),
+            attempts: Rc::new(RefCell::new(sorts.all().iter().map(|s| s.attempts).collect())),
+            sorts: RefCell::new(sorts),
+            pools: RefCell::default(),
             settings: RefCell::new(settings),
             driver: RefCell::default(),
             me,
@@ -146,18 +133,14 @@
         self.touch.set(self.touch.get().max(Some(at)));
     }
 
-    /// A service's place among the pools.
-    pub fn pool(&self, service: &str) -> usize {
-        let mut services = self.services.borrow_mut();
-        let next = services.len().min(POOLS - 1);
-        *services.entry(service.to_string()).or_insert(next)
+    /// A service's place among the pools; none if too many were named.
+    pub fn pool(&self, service: &str) -> Option<usize> {
+        self.pools.borrow_mut().place(service)
     }
 
     /// A route's place among the classes.
     pub fn class(&self, route: &Route) -> usize {
-        let sort = sort(route);
-        let sorts = self.sorts.borrow();
-        sorts.iter().position(|s| *s == sort).unwrap_or(sorts.len() - 1)
+        self.sorts.borrow().place(&Sort::of(route))
     }
 
     /// A rank's place among the plans.
@@ -218,14 +201,11 @@
     fn configure(&self, playbill: Playbill) {
         let mut sorts = self.sorts.borrow_mut();
         for route in &playbill.routes {
-            let sort = sort(route);
-            if sorts.len() < CLASSES && !sorts.contains(&sort) {
-                sorts.push(sort);
-            }
+            sorts.learn(Sort::of(route));
         }
         self.rights.limits(&Terms::of(&playbill).limits);
-        *self.attempts.borrow_mut() = sorts.iter().map(|s| s.attempts).collect();
-        self.settings.borrow_mut().classes = sorts.iter().map(class).collect();
+        *self.attempts.borrow_mut() = sorts.all().iter().map(|s| s.attempts).collect();
+        self.settings.borrow_mut().classes = sorts.all().iter().map(class).collect();
         drop(sorts);
         self.reconfigure();
         *self.table.borrow_mut() = Some(Rc::new(Table::new(playbill)));
@@ -252,15 +232,6 @@
     }
 }
 
-fn sort(route: &Route) -> Sort {
-    Sort {
-        kind: route.route_kind,
-        aim_ms: route.target_latency_ms,
-        timeout_ms: route.timeout_ms,
-        attempts: route.max_attempts.max(1),
-    }
-}
-
 fn class(sort: &Sort) -> Class {
     let nanos = |ms: f64| (ms.clamp(1.0, 3.6e6) * 1e6) as u64;
     let effect = match sort.kind {
