--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -1,4 +1,4 @@
-//! Explores every reachable state of the life of a request and of a client's connection.
+//! Explores every reachable state of the life of a request, of a client's connection and of those to a backend.
 //!
 //! Exit status: 0 if every rule holds in every state, 1 if one is broken (its shortest way there is printed as
 //! steps), 2 for a command line that won't do.
@@ -8,6 +8,7 @@
 mod drains;
 mod mind;
 mod rules;
+mod upstreams;
 mod world;
 mod worlds;
 
@@ -139,6 +140,13 @@
     for (world, depth) in if args.whole { worlds::whole() } else { worlds::small() } {
         jobs.push((world.name.into(), Box::new(move |name| explore(name, world, depth))));
     }
+    for (name, connections) in upstreams::worlds(args.whole) {
+        jobs.push((name.into(), Box::new(move |name| explore(name, connections, None))));
+    }
+    let theirs = |d: &defects::Defect| defects::active(*d);
+    if upstreams::DEFECTS.iter().any(theirs) {
+        jobs.retain(|(name, _)| name.starts_with("upstream"));
+    }
     jobs.retain(|(name, _)| args.world.as_ref().is_none_or(|w| name.starts_with(w.as_str())));
     jobs
 }
@@ -153,6 +161,7 @@
         rules::RULES.iter().for_each(|r| println!("{:36} {}", r.name, r.words));
         clients::RULES.iter().for_each(|(name, words, _)| println!("{name:36} {words}"));
         drains::RULES.iter().for_each(|(name, words, _)| println!("{name:36} {words}"));
+        upstreams::RULES.iter().for_each(|(name, words, _)| println!("{name:36} {words}"));
         return ExitCode::SUCCESS;
     }
     if let Some(wanted) = &args.defect {
--- a/crates/lifecycle/src/defects.rs
+++ b/crates/lifecycle/src/defects.rs
@@ -54,6 +54,11 @@
     ProgressIgnored, "progress-ignored", "who is writing a head is picked to make room before who only holds on";
     DrainForgetsDeadline, "drain-forgets-deadline", "a drain ends 3.6 s after it was told, however long requests may wait";
     DrainKeepsLate, "drain-keeps-late", "a request that is whole only after the window keeps all of its time";
+    HeadTakenForProof, "head-taken-for-proof", "a reset behind a request's head counts as proof that it never ran";
+    EchoIgnored, "echo-ignored", "an answer is passed on without comparing its id";
+    SurplusKept, "surplus-kept", "a connection is used again though bytes stand behind its last answer";
+    NamelessKept, "nameless-kept", "a connection is used again behind a refusal that bore no id";
+    SameConnectionAgain, "same-connection-again", "a further attempt goes out where an earlier one of its request did";
     BusySpared, "busy-spared", "a client with a request in hand makes room for others";
 }
 
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -1,12 +1,13 @@
-//! The life of a request and the life of a client's connection, as state machines without I/O.
+//! The lives of a request, of a client's connection and of one to a backend, as state machines without I/O.
 //!
 //! Whatever way a request came in, whatever the decision module says of it and however its attempts end, its
 //! life passes through [`Lives`]. The rules that can least afford to break are kept here and nowhere else:
 //! one final answer, never two attempts out, no repeat of what must not run twice, a refusal only if nothing
 //! can have run, and nothing written to a server that wants nothing new. [`Connection`] does the same for a
-//! client's connection: no answer is cut short, none taken for a request that was not whole.
+//! client's connection: no answer is cut short, none taken for a request that was not whole. [`Upstream`] does it for one to
+//! a backend: no answer reaches a request that it does not belong to.
 //!
-//! Both take an input with the time at which it happened and give orders to whoever owns the sockets. An
+//! The first two take an input with the time at which it happened and give orders to whoever owns the sockets. An
 //! input that has no meaning in the present state is a typed error and changes nothing. The program runs on
 //! these machines and `granitethread-check` explores them: they are the same code.
 //!
@@ -42,10 +43,12 @@
 pub mod drain;
 mod fleet;
 mod request;
+pub mod upstream;
 mod words;
 
 pub use connection::{Close, Connection};
 pub use drain::Drain;
 pub use fleet::{Fleet, Listed};
 pub use request::{Attempt, Life, Lives, Phase, Ran};
+pub use upstream::Upstream;
 pub use words::{Arrival, Final, Input, Limits, Order, Reply, Step, Told, Wrong};
--- a/crates/lifecycle/src/words.rs
+++ b/crates/lifecycle/src/words.rs
@@ -38,9 +38,9 @@
 pub enum Step {
     /// No byte of it may go out yet.
     Connecting,
-    /// It has the leave to write; its last byte is not out.
+    /// It has the leave to write; too little of it is out for a backend to begin.
     Writing,
-    /// Its last byte may be out: from here on it may have run.
+    /// So much of it may be out that it may have run from here on ([`crate::upstream::Begins`]).
     Written,
     /// A part of the answer is in.
     Answering,
--- a/crates/proscenium/src/door.rs
+++ b/crates/proscenium/src/door.rs
@@ -13,8 +13,8 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, EXPECT, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri};
-use playbill::Route;
-use std::cell::{Cell, RefCell};
+use playbill::{Kind, Route};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -124,9 +124,8 @@
             method: head.method,
             uri,
             headers: head.headers,
-            body: RefCell::default(),
-            wait: None,
-            whole_at: Cell::default(),
+            at_most_once: route.route_kind == Kind::Unsafe,
+            ..Outgoing::default()
         };
         Ok(Incoming { arrived, request, outgoing })
     }
@@ -164,6 +163,15 @@
         }
     }
 
+    /// 408 would promise that nothing has run.
+    fn cut_short(&self, status: StatusCode) -> StatusCode {
+        if status == StatusCode::REQUEST_TIMEOUT {
+            StatusCode::BAD_GATEWAY
+        } else {
+            status
+        }
+    }
+
     fn patience(&self) -> Patience {
         let limits = self.playing.table().map(|t| t.playbill().limits).unwrap_or_default();
         let nanos = |ms: f64| (ms.clamp(100.0, 3.6e6) * 1e6) as Time;
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -42,6 +42,8 @@
 /// What a backend leaves a connection idle for, by its own word; half of it is used.
 const KEEPALIVE: Duration = Duration::from_secs(10);
 const CONNECT: Duration = Duration::from_millis(300);
+/// An answer that is still coming when its request's time is over may pause for so long.
+const OVERTIME: Duration = Duration::from_millis(100);
 /// The answer leaves so long before its client stops waiting.
 const WAY_BACK: u64 = 25 * MS;
 /// A process that has just begun lets its first clients wait so long for the first word of a prompter.
@@ -88,7 +90,9 @@
     let wire = wire::Backward::default();
     let misdirected = wire.misdirected.clone();
     let unheard = Some(UNHEARD);
-    let limits = Limits { sockets: sockets / 2, connect_timeout: CONNECT, keepalive: KEEPALIVE, unheard };
+    let overtime = Some(OVERTIME);
+    let limits =
+        Limits { sockets: sockets / 2, connect_timeout: CONNECT, keepalive: KEEPALIVE, unheard, overtime };
     let backends = Backends::new(&limits, Box::new(wire));
     let figures = Figures { way_back: WAY_BACK, module_grace: 5 * MS, key_margin: 0, gap: 0 };
     let (attempts, own) = (playing.attempts.clone(), playing.settings());
--- a/crates/proscenium/src/wire.rs
+++ b/crates/proscenium/src/wire.rs
@@ -1,11 +1,14 @@
 //! How backends of the system are spoken to (`PROTOCOL.md`, Backends).
 
 use granite_interface::{Ending, Name};
+use granite_lifecycle::upstream::{Begins, Echo};
 use granite_stage::backends::{Content, Outcome, Outgoing, Served, Wire};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_ENCODING};
+use hyper::header::{
+    HeaderMap, HeaderName, HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING,
+};
 use hyper::http::response::Parts;
-use hyper::{Response, StatusCode};
-use std::cell::RefCell;
+use hyper::{Method, Response, StatusCode};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,13 +17,14 @@
 pub const TARGET: HeaderName = HeaderName::from_static("target-instance");
 pub const TENANT: HeaderName = HeaderName::from_static("tenant-name");
 pub const CREDENTIAL: HeaderName = HeaderName::from_static("credential");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const SEAL: HeaderName = HeaderName::from_static("server-seal");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 
 /// Headers that concern one connection only (RFC 9110, 7.6.1).
 const HOPS: [HeaderName; 8] = [
     hyper::header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
+    KEEP_ALIVE,
     HeaderName::from_static("proxy-connection"),
     hyper::header::TE,
     hyper::header::TRAILER,
@@ -29,7 +33,7 @@
     hyper::header::CONTENT_LENGTH,
 ];
 
-/// Takes out what concerns one connection only, and what `Connection` names.
+/// Takes out what concerns one connection only, and what `Connection` names; what says whose an answer is stays.
 pub fn strip_hops(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(hyper::header::CONNECTION)
@@ -37,6 +41,7 @@
         .filter_map(|v| v.to_str().ok())
         .flat_map(|v| v.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| ![ATTEMPT, SEAL].contains(name))
         .collect();
     HOPS.iter().chain(&named).for_each(|name| drop(headers.remove(name)));
 }
@@ -47,6 +52,8 @@
 #[derive(Default)]
 pub struct Backward {
     pub misdirected: Misdirected,
+    /// Answers of other requests so far.
+    foreign: Cell<u64>,
 }
 
 /// What an answer's head proves.
@@ -56,33 +63,62 @@
     Good,
     /// A failure of a run.
     Failed,
+    /// A failure of a run, by a status that promises clients that it has not run: it must not reach them.
+    Misleading,
     /// It turned the request away.
     Full,
     /// Another stands there.
     Other,
-    /// It belongs to another request, or cannot be the backend's.
+    /// It cannot be the backend's.
     Nothing,
 }
 
-fn says(attempt: Option<&HeaderValue>, head: &Parts) -> Says {
+/// Only these prove that a request has not run.
+fn turned_away(head: &Parts) -> bool {
+    head.headers.contains_key(NOT_EXECUTED) || head.status == StatusCode::MISDIRECTED_REQUEST
+}
+
+fn says(head: &Parts) -> Says {
     let h = &head.headers;
-    let ran = !h.contains_key(NOT_EXECUTED) && head.status != StatusCode::MISDIRECTED_REQUEST;
-    match h.get(ATTEMPT) {
-        // What did not run may be without an id; what ran echoes it.
-        Some(id) if Some(id) != attempt => return Says::Nothing,
-        None if ran => return Says::Nothing,
-        _ => {}
-    }
+    let whole = !h.contains_key(CONTENT_ENCODING) && h.contains_key(SEAL);
     match head.status {
         StatusCode::MISDIRECTED_REQUEST => Says::Other,
-        _ if !ran => Says::Full,
-        s if s.is_success() && (!h.contains_key(SEAL) || h.contains_key(CONTENT_ENCODING)) => Says::Nothing,
+        _ if turned_away(head) => Says::Full,
+        s if s.is_success() && !whole => Says::Nothing,
         s if s.is_success() => Says::Good,
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            Says::Misleading
+        }
         s if s.is_server_error() => Says::Failed,
         _ => Says::Good,
     }
 }
 
+/// Whose id an answer bears. Two are none that could be compared.
+fn echo(attempt: Option<&HeaderValue>, head: &Parts) -> Echo {
+    let mut ids = head.headers.get_all(ATTEMPT).iter();
+    match (ids.next(), ids.next()) {
+        (None, _) => Echo::Missing { turned_away: turned_away(head) },
+        (Some(id), None) if Some(id) == attempt => Echo::Same,
+        _ => Echo::Other,
+    }
+}
+
+/// Whether its end is told: a length, a coding, or none because nothing follows. One that ends with its connection looks
+/// whole wherever that breaks.
+fn ends(method: &Method, head: &Parts) -> bool {
+    let told = |name| head.headers.contains_key(name);
+    let bare = method == Method::HEAD || head.status == StatusCode::NO_CONTENT;
+    bare || told(CONTENT_LENGTH) || told(TRANSFER_ENCODING)
+}
+
+/// `timeout` of a `Keep-Alive` header, in seconds.
+fn keep_alive(head: &Parts) -> Option<Duration> {
+    let text = head.headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let told = text.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
+    told.filter_map(|seconds| seconds.trim().parse().ok()).map(Duration::from_secs).min()
+}
+
 impl Wire for Backward {
     fn stamp(&self, headers: &mut HeaderMap, wait: Duration, server: &Name) {
         headers.insert(REMAINING, HeaderValue::from(wait.as_millis() as u64));
@@ -92,22 +128,41 @@
         }
     }
 
-    fn answers(&self, request: &Outgoing, head: &Parts) -> bool {
-        says(request.headers.get(ATTEMPT), head) != Says::Nothing
+    fn begins(&self) -> Begins {
+        Begins::Head
+    }
+
+    fn echo(&self, request: &Outgoing, head: &Parts) -> Echo {
+        let echo = echo(request.headers.get(ATTEMPT), head);
+        if echo == Echo::Other {
+            self.foreign.set(self.foreign.get() + 1);
+            log::info!(
+                "answers: one of another request came and goes to nobody, {} so far",
+                self.foreign.get()
+            );
+        }
+        echo
+    }
+
+    fn is_sound(&self, request: &Outgoing, head: &Parts) -> bool {
+        says(head) != Says::Nothing && (!head.status.is_success() || ends(&request.method, head))
+    }
+
+    fn idle_time(&self, head: &Parts) -> Option<Duration> {
+        keep_alive(head)
     }
 
     fn is_good(&self, head: &Parts) -> bool {
-        head.status.is_success() && says(head.headers.get(ATTEMPT), head) == Says::Good
+        head.status.is_success() && says(head) == Says::Good
     }
 
-    fn read(&self, request: &Outgoing, server: &Name, answer: Response<Content>) -> Outcome {
+    fn read(&self, _: &Outgoing, server: &Name, answer: Response<Content>) -> Outcome {
         let (mut head, content) = answer.into_parts();
-        let says = says(request.headers.get(ATTEMPT), &head);
-        let repeatable = request.method.is_safe();
+        let says = says(&head);
         let ending = match says {
             Says::Good if head.status.is_success() => Ending::Pass,
             Says::Good => Ending::Undone,
-            Says::Failed => Ending::Fault,
+            Says::Failed | Says::Misleading => Ending::Fault,
             Says::Full => Ending::Full,
             Says::Other => Ending::Stale,
             Says::Nothing => Ending::Spoilt,
@@ -116,10 +171,15 @@
         if says == Says::Other {
             self.misdirected.borrow_mut().push(server.clone());
         }
-        // A failure that may be tried elsewhere is not passed on at once.
-        if says == Says::Good || says == Says::Failed && !repeatable {
+        if matches!(says, Says::Good | Says::Failed) {
             strip_hops(&mut head.headers);
-            outcome.served = Some(Served { status: head.status, headers: head.headers, content });
+            let served = Some(Served { status: head.status, headers: head.headers, content });
+            // Whether a failure may be tried elsewhere is not settled here.
+            if says == Says::Good {
+                outcome.served = served;
+            } else {
+                outcome.failure = served;
+            }
         }
         outcome
     }
@@ -138,19 +198,51 @@
     }
 
     #[test]
-    fn only_what_says_so_has_not_run_and_only_the_echoed_id_is_ours() {
-        let id = HeaderValue::from_static("9c41");
-        let said = |status, headers: &[(&'static str, &'static str)]| says(Some(&id), &head(status, headers));
-        assert_eq!(said(200, &[("attempt-id", "9c41"), ("server-seal", "x")]), Says::Good);
-        assert_eq!(said(200, &[("attempt-id", "9c42"), ("server-seal", "x")]), Says::Nothing, "a late one");
-        assert_eq!(said(200, &[("server-seal", "x")]), Says::Nothing);
-        assert_eq!(said(200, &[("attempt-id", "9c41")]), Says::Nothing, "no seal");
-        let coded = [("attempt-id", "9c41"), ("server-seal", "x"), ("content-encoding", "gzip")];
-        assert_eq!(said(200, &coded), Says::Nothing);
+    fn only_what_says_so_has_not_run_and_no_other_status_promises_it() {
+        let said = |status, headers: &[(&'static str, &'static str)]| says(&head(status, headers));
+        assert_eq!(said(200, &[("server-seal", "x")]), Says::Good);
+        assert_eq!(said(200, &[]), Says::Nothing, "no seal");
+        assert_eq!(said(200, &[("server-seal", "x"), ("content-encoding", "gzip")]), Says::Nothing);
         assert_eq!(said(503, &[("not-executed", "1")]), Says::Full);
-        assert_eq!(said(503, &[("attempt-id", "9c41")]), Says::Failed, "nothing says that it has not run");
         assert_eq!(said(421, &[("instance-id", "i-2")]), Says::Other);
-        assert_eq!(said(503, &[("attempt-id", "9c42"), ("not-executed", "1")]), Says::Nothing);
+        assert_eq!(
+            (said(500, &[]), said(504, &[]), said(404, &[])),
+            (Says::Failed, Says::Failed, Says::Good)
+        );
+        for promises in [408, 429, 503] {
+            assert_eq!(said(promises, &[("server-seal", "x")]), Says::Misleading, "{promises}");
+        }
+    }
+
+    #[test]
+    fn only_the_echoed_id_is_ours() {
+        let id = HeaderValue::from_static("9c41");
+        let echoed =
+            |status, headers: &[(&'static str, &'static str)]| echo(Some(&id), &head(status, headers));
+        assert_eq!(echoed(200, &[("attempt-id", "9c41")]), Echo::Same);
+        assert_eq!(echoed(200, &[("attempt-id", "9c42")]), Echo::Other, "a late one");
+        assert_eq!(echoed(200, &[("attempt-id", "9c41"), ("attempt-id", "9c42")]), Echo::Other);
+        assert_eq!(echoed(200, &[]), Echo::Missing { turned_away: false });
+        assert_eq!(echoed(503, &[("not-executed", "1")]), Echo::Missing { turned_away: true });
+        assert_eq!(echoed(503, &[("attempt-id", "9c42"), ("not-executed", "1")]), Echo::Other);
+        assert_eq!(echo(None, &head(200, &[("attempt-id", "9c42")])), Echo::Other);
+    }
+
+    #[test]
+    fn a_success_whose_end_is_not_told_is_none() {
+        let ends =
+            |method, status, headers: &[(&'static str, &'static str)]| ends(&method, &head(status, headers));
+        assert!(!ends(Method::GET, 200, &[("connection", "close")]));
+        assert!(ends(Method::GET, 200, &[("content-length", "7")]));
+        assert!(ends(Method::GET, 200, &[("transfer-encoding", "chunked")]));
+        assert!(ends(Method::GET, 204, &[]) && ends(Method::HEAD, 200, &[]));
+    }
+
+    #[test]
+    fn an_idle_time_is_read_as_it_is_stated() {
+        let told = |text| keep_alive(&head(200, &[("keep-alive", text)]));
+        assert_eq!(told("timeout=5, max=100"), Some(Duration::from_secs(5)));
+        assert_eq!((told("max=100"), told("timeout=x")), (None, None));
     }
 
     #[test]
@@ -159,5 +251,9 @@
             head(200, &[("connection", "x-a, close"), ("x-a", "1"), ("x-b", "2"), ("te", "x")]).headers;
         strip_hops(&mut headers);
         assert_eq!(headers.keys().map(HeaderName::as_str).collect::<Vec<_>>(), ["x-b"]);
+        let mut headers =
+            head(200, &[("connection", "server-seal, attempt-id"), ("server-seal", "x")]).headers;
+        strip_hops(&mut headers);
+        assert!(headers.contains_key(SEAL), "a success without its seal is none");
     }
 }
--- a/crates/stage/src/backends/answer.rs
+++ b/crates/stage/src/backends/answer.rs
@@ -4,6 +4,7 @@
 use super::Outgoing;
 use bytes::Bytes;
 use granite_interface::{Ending, Load, Name};
+use granite_lifecycle::upstream::{Begins, Echo};
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
@@ -14,6 +15,8 @@
     pub ending: Ending,
     /// The answer of a backend that is to be passed on.
     pub served: Option<Served>,
+    /// A backend's own failure: it is passed on if the request ends as failed, but not before.
+    pub failure: Option<Served>,
     /// The status by which a backend found fault with the request itself: no other would take it.
     pub turned: Option<StatusCode>,
     pub settled: f64,
@@ -38,7 +41,7 @@
 
 impl Outcome {
     pub fn without_answer(ending: Ending) -> Self {
-        Outcome { ending, served: None, turned: None, settled: 0.0, metered: None, load: None }
+        Outcome { ending, served: None, failure: None, turned: None, settled: 0.0, metered: None, load: None }
     }
 }
 
@@ -47,11 +50,26 @@
     /// Sets the headers that are known only when a request goes out: how long is left, and to whom it goes.
     fn stamp(&self, headers: &mut HeaderMap, wait: Duration, server: &Name);
 
-    /// Whether this is the head of an answer to this request, and not of another that came late.
-    fn answers(&self, _request: &Outgoing, _head: &Parts) -> bool {
+    /// From how much of a request on a backend may have begun to work on it.
+    fn begins(&self) -> Begins {
+        Begins::Whole
+    }
+
+    /// Whether the answer with this head bears this request's id.
+    fn echo(&self, _request: &Outgoing, _head: &Parts) -> Echo {
+        Echo::Same
+    }
+
+    /// Whether this can be the head of a backend's answer at all.
+    fn is_sound(&self, _request: &Outgoing, _head: &Parts) -> bool {
         true
     }
 
+    /// How long the backend says that it leaves the connection idle behind this answer; none: what holds for all.
+    fn idle_time(&self, _head: &Parts) -> Option<Duration> {
+        None
+    }
+
     /// Whether an answer with this head may be passed on as it comes, if it is long.
     fn is_good(&self, head: &Parts) -> bool {
         head.status == StatusCode::OK
--- a/crates/stage/src/backends/attempt.rs
+++ b/crates/stage/src/backends/attempt.rs
@@ -2,14 +2,14 @@
 
 use super::connection::{broke_off, drive, Connection};
 use super::relay::Relay;
-use super::{Backends, Content, Note, Outcome, Outgoing, Progress, ANSWER_TIME, MAX_BODY, WHOLE};
+use super::{nanos, Backends, Content, Note, Outcome, Outgoing, Progress, ANSWER_TIME, MAX_BODY, WHOLE};
 use bytes::Bytes;
 use granite_interface::{Ending, Name};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Response, Version};
+use hyper::{Method, Response, StatusCode, Version};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
@@ -49,7 +49,7 @@
         not_past: Instant,
         progress: &Rc<Progress>,
     ) -> Result<Exchanged, Ending> {
-        let mut connection = match self.take_idle(name, place) {
+        let mut connection = match self.take_idle(name, place, request) {
             Some(connection) => connection,
             None => match self.connect(place).await {
                 Some(connection) => connection,
@@ -59,28 +59,46 @@
         // The backend may have been told to drain, or another have come at its address, while the connection
         // came up; or nobody waits any more. Nothing is written then.
         if !(progress.tell)(Note::Connected) {
-            self.keep(name, connection);
+            self.put_by(name, connection);
             return Err(Ending::NoRoute);
         }
+        let (put, rested) =
+            (self.now(), connection.line.rested(self.now()).filter(|_| connection.line.is_used()));
+        connection.line.carry();
+        request.earlier.borrow_mut().push(connection.line.number());
         connection.link.idle.set(false);
         connection.link.progress.replace(progress.clone());
         let wait = not_past.saturating_duration_since(Instant::now());
+        // What can't be sent again is not given up for a pause in its answer.
+        let pause = if request.at_most_once { wait.max(ANSWER_TIME) } else { ANSWER_TIME };
         let outgoing = request;
         let mut request = outgoing.to_backend(&*self.wire, name, wait, progress);
         // An interim answer may come long before the answer itself.
         let begun = progress.begun.clone();
         hyper::ext::on_informational(&mut request, move |_| begun.store(false, Relaxed));
-        let answer = progress.in_time(connection.answer(request)).await;
+        let answer = progress.in_time(pause, connection.answer(request)).await;
         let (head, mut body) = match answer {
             Some(Some(Ok(answer))) => answer.into_parts(),
             Some(Some(Err(error))) if !broke_off(&error) => return Err(Ending::Spoilt),
-            Some(_) => return Err(progress.broken()),
+            Some(_) => {
+                let sooner = self.now() - put < nanos(self.connect_timeout) && !progress.has_begun();
+                if let Some(rested) = rested.filter(|_| sooner) {
+                    let mut fresh = self.fresh.get();
+                    fresh.lost(put, rested);
+                    self.fresh.set(fresh);
+                }
+                return Err(progress.broken());
+            }
             None => return Err(Ending::Spoilt),
         };
-        let length = length(&head).ok_or(Ending::Spoilt)?;
-        if !self.wire.answers(outgoing, &head) {
+        let length = length(&outgoing.method, &head).ok_or(Ending::Spoilt)?;
+        let echo = self.wire.echo(outgoing, &head);
+        if !connection.line.is_answer(echo) || !self.wire.is_sound(outgoing, &head) {
             return Err(Ending::Spoilt);
         }
+        if let Some(told) = self.wire.idle_time(&head) {
+            connection.rest = nanos(told / 2);
+        }
         let good = self.wire.is_good(&head);
         if length.is_some_and(|l| l > if good { MAX_BODY } else { WHOLE } as u64) {
             return Err(Ending::Spoilt);
@@ -95,7 +113,7 @@
                 Ok(Some(None))
             } else {
                 let Connection { io, closed, .. } = &mut connection;
-                timeout(ANSWER_TIME, drive(io, closed, body.frame())).await
+                timeout(pause, drive(io, closed, body.frame())).await
             };
             match frame {
                 Ok(Some(None)) => {
@@ -129,7 +147,11 @@
 
 /// The length that an answer states, if it does. None if its end is in doubt: two lengths, or none and the connection
 /// stays open.
-fn length(head: &Parts) -> Option<Option<u64>> {
+fn length(method: &Method, head: &Parts) -> Option<Option<u64>> {
+    // These end with their head, whatever it states (RFC 9112, 6.3).
+    if method == Method::HEAD || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return Some(Some(0));
+    }
     let mut lengths = head.headers.get_all(CONTENT_LENGTH).iter();
     let (first, second) = (lengths.next(), lengths.next());
     let coded = head.headers.contains_key(TRANSFER_ENCODING);
--- a/crates/stage/src/backends/connection.rs
+++ b/crates/stage/src/backends/connection.rs
@@ -2,6 +2,8 @@
 
 use super::upload::Sent;
 use super::{Note, Progress};
+use granite_interface::Time;
+use granite_lifecycle::Upstream;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -19,7 +21,6 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::task::{Context, Poll, Waker};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 /// A connection's place in the descriptor budget.
 pub(super) struct Slot(Rc<Cell<usize>>);
@@ -45,7 +46,9 @@
     pub(super) closed: bool,
     pub(super) link: Rc<Link>,
     pub(super) address: SocketAddr,
-    pub(super) used: Instant,
+    pub(super) line: Upstream,
+    /// It is used for so long after its last answer.
+    pub(super) rest: Time,
     pub(super) _slot: Slot,
 }
 
@@ -56,7 +59,10 @@
         self.link.idle.set(true);
         let mut cx = Context::from_waker(Waker::noop());
         self.closed = self.closed || Pin::new(&mut self.io).poll(&mut cx).is_ready();
-        !self.closed && self.sender.is_ready()
+        if self.closed || !self.sender.is_ready() {
+            self.line.disturbed();
+        }
+        !self.line.is_closed()
     }
 
     pub(super) async fn answer(
--- a/crates/stage/src/backends/mod.rs
+++ b/crates/stage/src/backends/mod.rs
@@ -22,7 +22,9 @@
 
 use crate::list::{State, Target};
 use connection::{Connection, Counted, Link, Slot};
-use granite_interface::{Name, Scope};
+use granite_interface::{Name, Scope, Time};
+use granite_lifecycle::upstream::Freshness;
+use granite_lifecycle::Upstream;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -42,6 +44,10 @@
 /// An answer that has begun and of which nothing more comes for this long never will be whole, or is not worth
 /// the wait; one of no stated length that has been coming for so long is passed on as it comes.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
+/// Backends that were seen to forget an idle connection are believed to for so long, and it tells nothing that one was lost
+/// that had rested for less than the second figure.
+const FORGETS: Duration = Duration::from_secs(10);
+const LEAST_REST: Duration = Duration::from_millis(50);
 /// The most that is read of an answer's head. It is also the largest buffer of a connection.
 const HEAD_BYTES: usize = 16 << 10;
 
@@ -61,8 +67,13 @@
     wire: Box<dyn Wire>,
     connect_timeout: Duration,
     unheard: Option<Duration>,
-    idle_time: Duration,
+    overtime: Option<Duration>,
+    idle_time: Time,
+    /// How long those may have been idle on which something goes out that can't be sent again.
+    fresh: Cell<Freshness>,
+    begun: Instant,
     pub connects: Cell<u64>,
+    opened: Cell<u64>,
 }
 
 /// Figures that hold for all backends.
@@ -74,6 +85,9 @@
     pub keepalive: Duration,
     /// A connection ends on which nothing has been acknowledged for so long; none: when the system says.
     pub unheard: Option<Duration>,
+    /// An answer that is passed on as it comes is given up once its request's time is over and nothing more of it has come
+    /// for so long; none: when nothing has come for ten seconds, whatever the request's time.
+    pub overtime: Option<Duration>,
 }
 
 impl Backends {
@@ -85,10 +99,14 @@
             wire,
             connect_timeout: limits.connect_timeout,
             unheard: limits.unheard,
+            overtime: limits.overtime,
             // The backend counts idle time from when it wrote its answer and closes at the settings' time at
             // the latest: half of it keeps clear of requests written to a connection on its way out.
-            idle_time: limits.keepalive / 2,
+            idle_time: nanos(limits.keepalive / 2),
+            fresh: Cell::new(Freshness::new(nanos(limits.keepalive / 2), nanos(FORGETS), nanos(LEAST_REST))),
+            begun: Instant::now(),
             connects: Cell::new(0),
+            opened: Cell::new(0),
         })
     }
 
@@ -131,9 +149,10 @@
     pub async fn reap(self: Rc<Self>) {
         let mut every = interval(REAP_EVERY);
         loop {
-            let now = every.tick().await;
+            every.tick().await;
+            let now = self.now();
             for b in self.table.borrow_mut().values_mut() {
-                b.idle.retain_mut(|c| now - c.used < self.idle_time && c.reusable());
+                b.idle.retain_mut(|c| c.line.may_carry(now, self.idle_time.min(c.rest), &[]) && c.reusable());
             }
         }
     }
@@ -141,37 +160,60 @@
     /// Gives a descriptor back when they run short: the connection that has been idle for longest. Whether
     /// there was any to give.
     pub fn drop_idle(&self) -> bool {
-        let mut table = self.table.borrow_mut();
+        let (now, mut table) = (self.now(), self.table.borrow_mut());
         // The one used last is at the end, so a backend's oldest is its first.
-        let oldest = table.values_mut().filter(|b| !b.idle.is_empty()).min_by_key(|b| b.idle[0].used);
+        let oldest =
+            table.values_mut().filter(|b| !b.idle.is_empty()).max_by_key(|b| b.idle[0].line.rested(now));
         oldest.map(|b| b.idle.remove(0)).is_some()
     }
 
-    fn take_idle(&self, name: &Name, place: SocketAddr) -> Option<Connection> {
+    /// The one used last that this request may go out on.
+    fn take_idle(&self, name: &Name, place: SocketAddr, request: &Outgoing) -> Option<Connection> {
         let mut table = self.table.borrow_mut();
         let backend = table.get_mut(name)?;
-        let now = Instant::now();
-        while let Some(mut connection) = backend.idle.pop() {
-            let here = connection.address == place;
-            if here && now - connection.used < self.idle_time && connection.reusable() {
-                return Some(connection);
+        let now = self.now();
+        let rest = if request.at_most_once { self.fresh.get().limit(now) } else { self.idle_time };
+        let earlier = request.earlier.borrow();
+        let mut n = backend.idle.len();
+        while n > 0 {
+            n -= 1;
+            let connection = &mut backend.idle[n];
+            let most = self.idle_time.min(connection.rest);
+            let here = connection.address == place && connection.line.may_carry(now, most, &[]);
+            if here && !connection.line.may_carry(now, rest, &[]) {
+                // Those below it have rested for longer.
+                return None;
+            }
+            if !here || !connection.reusable() {
+                backend.idle.remove(n);
+            } else if connection.line.may_carry(now, rest, &earlier) {
+                return Some(backend.idle.remove(n));
             }
         }
         None
     }
 
+    /// The request and its answer are whole.
     fn keep(&self, name: &Name, mut connection: Connection) {
+        connection.line.over(self.now(), true);
+        self.put_by(name, connection);
+    }
+
+    fn put_by(&self, name: &Name, mut connection: Connection) {
         if !connection.reusable() {
             return;
         }
         if let Some(backend) = self.table.borrow_mut().get_mut(name) {
             if backend.ready && backend.address == Some(connection.address) {
-                connection.used = Instant::now();
                 backend.idle.push(connection);
             }
         }
     }
 
+    fn now(&self) -> Time {
+        nanos(self.begun.elapsed())
+    }
+
     async fn connect(&self, address: SocketAddr) -> Option<Connection> {
         if self.open.get() >= self.budget && !self.drop_idle() {
             return None;
@@ -186,6 +228,13 @@
         let link = Rc::new(Link::default());
         let io = Counted { io: TokioIo::new(stream), link: link.clone() };
         let (sender, io) = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(io).await.ok()?;
-        Some(Connection { sender, io, closed: false, link, address, used: Instant::now(), _slot: slot })
+        self.opened.set(self.opened.get() + 1);
+        let line = Upstream::new(self.opened.get(), self.now());
+        let rest = self.idle_time;
+        Some(Connection { sender, io, closed: false, link, address, line, rest, _slot: slot })
     }
 }
+
+fn nanos(d: Duration) -> Time {
+    Time::try_from(d.as_nanos()).unwrap_or(Time::MAX)
+}
--- a/crates/stage/src/backends/progress.rs
+++ b/crates/stage/src/backends/progress.rs
@@ -1,12 +1,12 @@
 //! How far an attempt has come, counted where its bytes pass.
 
-use super::ANSWER_TIME;
 use granite_interface::Ending;
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -15,7 +15,7 @@
 pub enum Note {
     /// Its connection is up. It writes only if the word that comes back is yes.
     Connected,
-    /// Its last byte is out.
+    /// So much of it is out that it may have run.
     Written,
     /// A part of the answer is in.
     Answering,
@@ -59,8 +59,8 @@
         }
     }
 
-    /// Whether the last byte may be out. `whole` counts what we ask hyper to write and hyper adds at most,
-    /// so a request is never taken for unwritten when it is not.
+    /// Whether so much may be out that a backend may have begun. `whole` counts what we ask hyper to write and hyper adds
+    /// at most, so a request is never taken for unwritten when it is not.
     pub(super) fn may_have_run(&self) -> bool {
         let whole = self.whole.get();
         whole > 0 && self.written.get() >= whole
@@ -74,8 +74,13 @@
         }
     }
 
-    /// Waits for the answer, and not for long once it has begun.
-    pub(super) async fn in_time<F: Future>(&self, waiting: F) -> Option<F::Output> {
+    /// Whether a part of the answer itself is in.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun.load(Relaxed)
+    }
+
+    /// Waits for the answer, and no longer than a pause for the rest of its head once it has begun.
+    pub(super) async fn in_time<F: Future>(&self, pause: Duration, waiting: F) -> Option<F::Output> {
         let mut waiting = pin!(waiting);
         loop {
             tokio::select! {
@@ -83,9 +88,9 @@
                 output = &mut waiting => return Some(output),
                 () = self.news.notified() => {}
             }
-            match timeout(ANSWER_TIME, &mut waiting).await {
+            match timeout(pause, &mut waiting).await {
                 Ok(output) => return Some(output),
-                Err(_) if self.begun.load(Relaxed) => return None,
+                Err(_) if self.has_begun() => return None,
                 Err(_) => {}
             }
         }
--- a/crates/stage/src/backends/relay.rs
+++ b/crates/stage/src/backends/relay.rs
@@ -12,7 +12,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// How long a server may give nothing of an answer that has begun, and a client may read nothing of it.
 const GIVES: Duration = Duration::from_secs(10);
@@ -54,7 +54,7 @@
     }
 
     /// Passes on what comes until it ends, one way or the other.
-    pub async fn run(mut self: Box<Self>, backends: &Backends) -> Ending {
+    pub async fn run(mut self: Box<Self>, backends: &Backends, not_past: Instant) -> Ending {
         for frame in std::mem::take(&mut self.first) {
             if let Err(end) = self.pass(frame).await {
                 return end;
@@ -62,7 +62,9 @@
         }
         loop {
             let Connection { io, closed, .. } = &mut self.connection;
-            let frame = match timeout(GIVES, drive(io, closed, self.body.frame())).await {
+            let left = not_past.saturating_duration_since(Instant::now());
+            let gives = backends.overtime.map_or(GIVES, |overtime| left.max(overtime));
+            let frame = match timeout(gives, drive(io, closed, self.body.frame())).await {
                 Err(_) => return Ending::Late,
                 Ok(Some(Some(Ok(frame)))) => frame,
                 // A clean end. Without a stated length the connection's end may be it.
--- a/crates/stage/src/backends/request.rs
+++ b/crates/stage/src/backends/request.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 /// A client's request as it goes on to backends.
+#[derive(Default)]
 pub struct Outgoing {
     pub method: Method,
     pub uri: Uri,
@@ -21,6 +22,11 @@
     /// How long the client waits from its last byte on, where that has yet to come; and when it came.
     pub wait: Option<Duration>,
     pub whole_at: Cell<Option<Instant>>,
+    /// Whether it must not run twice, so that what is lost of it is lost for good: it goes out on fresh connections, and its
+    /// answer is awaited for as long as its client waits.
+    pub at_most_once: bool,
+    /// The connections that earlier attempts went out on: no more than there are attempts.
+    pub earlier: RefCell<Vec<u64>>,
 }
 
 impl Outgoing {
@@ -49,8 +55,9 @@
             headers.insert(CONTENT_LENGTH, length.into());
         }
         let size = head_size(&request);
-        request.body_mut().behind(size);
-        progress.whole.set(length.map_or(usize::MAX, |l| size + l as usize));
+        let begins = wire.begins();
+        request.body_mut().behind(size, begins);
+        progress.whole.set(begins.at(size, length.map(|l| l as usize)));
         request
     }
 }
--- a/crates/stage/src/backends/tests.rs
+++ b/crates/stage/src/backends/tests.rs
@@ -30,8 +30,7 @@
             .map(|(n, v)| (HeaderName::from_static(n), HeaderValue::from_static(v)))
             .collect(),
         body: RefCell::new(Upload::Whole(Bytes::from(vec![b'x'; body]), Budget::new(0).part())),
-        wait: None,
-        whole_at: Cell::default(),
+        ..Outgoing::default()
     }
 }
 
@@ -41,18 +40,14 @@
     }
 }
 
-fn backends(address: SocketAddr) -> Backends {
+fn backends(address: SocketAddr) -> Rc<Backends> {
+    let second = Duration::from_secs(1);
+    let (connect_timeout, keepalive) = (5 * second, 10 * second);
+    let limits = Limits { sockets: 10, connect_timeout, keepalive, unheard: None, overtime: None };
+    let backends = Backends::new(&limits, Box::new(Plain));
     let backend = Backend { address: Some(address), boot_ms: 0, ready: true, idle: Vec::new() };
-    Backends {
-        table: RefCell::new(HashMap::from([("s-1".into(), backend)])),
-        open: Rc::default(),
-        budget: 10,
-        wire: Box::new(Plain),
-        connect_timeout: Duration::from_secs(5),
-        unheard: None,
-        idle_time: Duration::from_secs(5),
-        connects: Cell::new(0),
-    }
+    backends.table.borrow_mut().insert("s-1".into(), backend);
+    backends
 }
 
 /// A new backend at the address of an old one, which discovery has not yet called gone.
--- a/crates/stage/src/backends/upload.rs
+++ b/crates/stage/src/backends/upload.rs
@@ -3,6 +3,7 @@
 use super::Progress;
 use crate::fronts::Part;
 use bytes::Bytes;
+use granite_lifecycle::upstream::Begins;
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
 use std::pin::Pin;
@@ -36,7 +37,7 @@
 /// The same as hyper writes it.
 pub(super) enum Sent {
     Whole(Option<Bytes>),
-    Open { open: Open, progress: Rc<Progress>, head: usize, sent: usize, done: bool },
+    Open { open: Open, progress: Rc<Progress>, head: usize, begins: Begins, sent: usize, done: bool },
 }
 
 impl Upload {
@@ -48,7 +49,8 @@
                 Sent::Whole(Some(bytes))
             }
             Upload::Open(open) => {
-                Sent::Open { open, progress: progress.clone(), head: 0, sent: 0, done: false }
+                let (progress, begins) = (progress.clone(), Begins::Whole);
+                Sent::Open { open, progress, head: 0, begins, sent: 0, done: false }
             }
             none => {
                 *self = none;
@@ -66,10 +68,10 @@
         }
     }
 
-    /// How long the head is that goes before it.
-    pub(super) fn behind(&mut self, size: usize) {
-        if let Sent::Open { head, .. } = self {
-            *head = size;
+    /// How long the head is that goes before it, and from when on the request may run.
+    pub(super) fn behind(&mut self, size: usize, from: Begins) {
+        if let Sent::Open { head, begins, .. } = self {
+            (*head, *begins) = (size, from);
         }
     }
 }
@@ -79,12 +81,14 @@
     type Error = io::Error;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let (open, progress, head, sent, done) = match &mut *self {
+        let (open, progress, head, begins, sent, done) = match &mut *self {
             Sent::Whole(bytes) => {
                 let bytes = bytes.take().filter(|b| !b.is_empty());
                 return Poll::Ready(bytes.map(|b| Ok(Frame::data(b))));
             }
-            Sent::Open { open, progress, head, sent, done } => (open, progress, head, sent, done),
+            Sent::Open { open, progress, head, begins, sent, done } => {
+                (open, progress, head, begins, sent, done)
+            }
         };
         if *done {
             return Poll::Ready(None);
@@ -100,7 +104,7 @@
             Some(data) if data.is_empty() => {
                 *done = true;
                 // From here on the last byte may be out.
-                progress.whole.set(*head + *sent);
+                progress.whole.set(begins.at(*head, Some(*sent)));
                 Poll::Ready(None)
             }
             Some(data) => {
--- a/crates/stage/src/driver.rs
+++ b/crates/stage/src/driver.rs
@@ -58,6 +58,8 @@
     client: Option<oneshot::Sender<Answer>>,
     outgoing: Rc<Outgoing>,
     out: Option<AbortHandle>,
+    /// A backend's own failure, of 64 KiB at most: its client hears it in place of ours if the request ends as failed.
+    failure: Option<Served>,
 }
 
 struct Inner {
@@ -263,7 +265,10 @@
         let id = r.request.id;
         self.handle(&mut state, r.arrived, Input::Received(r.request), &mut Brought::default()).ok()?;
         let (client, answer) = oneshot::channel();
-        state.ends.insert(id, Ends { client: Some(client), outgoing: Rc::new(r.outgoing), out: None });
+        state.ends.insert(
+            id,
+            Ends { client: Some(client), outgoing: Rc::new(r.outgoing), out: None, failure: None },
+        );
         Some(Ticket { id, answer, driver: self.clone(), answered: false })
     }
 
@@ -350,8 +355,10 @@
                     state.ends.get(&id).and_then(|e| e.out.as_ref()).inspect(|out| out.abort());
                 }
                 Output::Answer { id, answer } => {
-                    let client = state.ends.get_mut(&id).and_then(|e| e.client.take());
-                    if let (Some(client), Some(answer)) = (client, brought.answer(answer)) {
+                    let ends = state.ends.get_mut(&id);
+                    let (client, failure) =
+                        ends.map(|e| (e.client.take(), e.failure.take())).unwrap_or_default();
+                    if let (Some(client), Some(answer)) = (client, brought.answer(answer, failure)) {
                         // An error means that the client has just gone.
                         let _ = client.send(answer);
                     }
@@ -425,7 +432,10 @@
             (None, Some(_)) => Reply::Turned,
             (None, None) => Reply::None,
         };
-        let Outcome { ending, served, turned, settled, metered, load } = outcome;
+        let Outcome { ending, served, failure, turned, settled, metered, load } = outcome;
+        if let Some(ends) = state.ends.get_mut(&id).filter(|_| failure.is_some()) {
+            ends.failure = failure;
+        }
         let elapsed = run.elapsed(now);
         let facts = Facts { elapsed, settled, metered, load };
         let input = Input::Ended { id, attempt, ending, reply, facts };
@@ -517,14 +527,14 @@
 }
 
 impl Brought {
-    fn answer(&mut self, answer: Final) -> Option<Answer> {
+    fn answer(&mut self, answer: Final, failure: Option<Served>) -> Option<Answer> {
         match answer {
             Final::Served => self.served.take().map(Answer::Served),
             Final::Turned => self.turned.map(Answer::Turned),
             Final::Refused { tried, advice } => {
                 Some(Answer::Refused { tried, retry_after: Duration::from_nanos(advice) })
             }
-            Final::Failed { late } => Some(Answer::Failed { late }),
+            Final::Failed { late } => Some(failure.map_or(Answer::Failed { late }, Answer::Served)),
         }
     }
 }
--- a/crates/stage/src/driver/attempt.rs
+++ b/crates/stage/src/driver/attempt.rs
@@ -34,7 +34,8 @@
                     self.request.release();
                     let wanted = self.driver.begun(&self, outcome);
                     // In a box: the many that are short don't pay for its size.
-                    let ending = if wanted { Box::pin(relay.run(&backends)).await } else { Ending::Undone };
+                    let ending =
+                        if wanted { Box::pin(relay.run(&backends, not_past)).await } else { Ending::Undone };
                     self.done(Outcome::without_answer(ending));
                 }
             }
--- a/crates/stage/src/fronts/http1/mod.rs
+++ b/crates/stage/src/fronts/http1/mod.rs
@@ -80,6 +80,11 @@
 
     fn reply(&self, answer: Answer) -> Response<Payload>;
 
+    /// What a client is told that stops in the middle of a body of which a part has gone to a backend; this is the usual.
+    fn cut_short(&self, status: StatusCode) -> StatusCode {
+        status
+    }
+
     /// How long clients may say nothing.
     fn patience(&self) -> Patience {
         Patience::default()
@@ -423,7 +428,7 @@
                 return Ok(reply);
             }
             // Whoever stops in the middle is owed nothing: dropping the ticket ends the attempt.
-            passed = body.pass(&send) => passed.map_err(unsound)?,
+            passed = body.pass(&send) => passed.map_err(|status| unsound(self.door.cut_short(status)))?,
         }
         client.handle(Input::Taken);
         self.driver.whole(id, self.wait(timeout));
--- /dev/null
+++ b/crates/stage/tests/answers.rs
@@ -0,0 +1,492 @@
+//! Whose an answer is and what is sent twice, over real sockets: a gateway's driver and connections before backends that
+//! keep to a script. The module that speaks here sends everything again, whatever it does; what holds is not its doing.
+
+use granite_engine::Figures;
+use granite_interface::{
+    Action, Allowance, Class, Effect, Ending, Event, Group, Module, Name, Plan, RequestId, Scope, Settings,
+    Time,
+};
+use granite_lifecycle::upstream::{Begins, Echo};
+use granite_stage::backends::{Backends, Content, Limits, Outcome, Outgoing, Served, Upload, Wire};
+use granite_stage::driver::{Answer, Driver, Incoming, Setup};
+use granite_stage::fronts::Budget;
+use granite_stage::list::{List, State, Target};
+use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
+use hyper::{Method, Response, Uri};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{timeout, Instant};
+
+const MS: Time = 1_000_000;
+const UNSAFE: usize = 0;
+const SAFE: usize = 1;
+/// More than the sockets between two ends take.
+const LARGE: usize = 8 << 20;
+
+/// Sends each request up to three times, and lets go of it then.
+#[derive(Default)]
+struct Eager(HashMap<RequestId, u32>);
+
+impl Module for Eager {
+    fn handle(&mut self, _: Time, events: Vec<Event>, out: &mut Vec<Action>) {
+        for event in events {
+            let id = match event {
+                Event::Request(r) => r.id,
+                Event::AttemptEnd(e) if !e.last => e.id,
+                _ => continue,
+            };
+            let sends = self.0.entry(id).or_default();
+            *sends += 1;
+            out.push(match *sends {
+                1..=3 => Action::Send { id, server: "s-1".into(), not_past: 0 },
+                _ => Action::Reject { id, advice: 0 },
+            });
+        }
+    }
+}
+
+/// Answers echo `attempt-id`; `not-executed` says that a request did not run.
+struct Echoed;
+
+impl Wire for Echoed {
+    fn stamp(&self, _: &mut HeaderMap, _: Duration, _: &Name) {}
+
+    fn begins(&self) -> Begins {
+        Begins::Head
+    }
+
+    fn echo(&self, request: &Outgoing, head: &Parts) -> Echo {
+        match (head.headers.get("attempt-id"), request.headers.get("attempt-id")) {
+            (Some(id), Some(own)) if id == own => Echo::Same,
+            (Some(_), _) => Echo::Other,
+            (None, _) => Echo::Missing { turned_away: head.headers.contains_key("not-executed") },
+        }
+    }
+
+    fn read(&self, _: &Outgoing, _: &Name, answer: Response<Content>) -> Outcome {
+        let (head, content) = answer.into_parts();
+        let mut outcome = Outcome::without_answer(match head.status {
+            s if s.is_success() => Ending::Pass,
+            _ if head.headers.contains_key("not-executed") => Ending::Full,
+            _ => Ending::Fault,
+        });
+        let served = Some(Served { status: head.status, headers: head.headers, content });
+        match outcome.ending {
+            Ending::Pass => outcome.served = served,
+            Ending::Fault => outcome.failure = served,
+            _ => {}
+        }
+        outcome
+    }
+}
+
+struct Gateway {
+    driver: Rc<Driver>,
+    next: Cell<RequestId>,
+}
+
+impl Gateway {
+    fn before(listener: &TcpListener) -> Self {
+        let second = Duration::from_secs(1);
+        let limits = Limits {
+            sockets: 9,
+            connect_timeout: second,
+            keepalive: 60 * second,
+            unheard: None,
+            overtime: Some(Duration::ZERO),
+        };
+        let class = |name, effect| Class::new(name, 1000 * MS, 9000 * MS, effect, Group::All);
+        let settings = Settings {
+            classes: vec![class("unsafe", Effect::Unsafe), class("safe", Effect::Safe)],
+            plans: vec![Plan::new("p", 0.0, 0.0)],
+            try_limit: 3,
+            ..Settings::default()
+        };
+        let driver = Driver::new(Setup {
+            settings,
+            seed: 1,
+            figures: Figures { way_back: 0, module_grace: MS, key_margin: 0, gap: 0 },
+            module: Box::new(|_, _| Ok(Box::new(Eager::default()) as Box<dyn Module>)),
+            backends: Backends::new(&limits, Box::new(Echoed)),
+            zones: Vec::new(),
+            pools: Box::new(|_| 1),
+        })
+        .expect("sound settings");
+        let target = Target {
+            uid: "s-1".into(),
+            endpoint: listener.local_addr().expect("it listens").to_string(),
+            az: String::new(),
+            model: String::new(),
+            pod_group: 0,
+            state: State::Ready,
+            capacity_hint: 1.0,
+            boot_ms: 0,
+        };
+        driver.list(Scope::Full, List { rev: 1, all: true, targets: vec![target] });
+        let running = driver.clone();
+        spawn_local(async move { running.run().await });
+        Gateway { driver, next: Cell::new(1) }
+    }
+
+    /// What a client hears that sends `name` as its attempt's id and waits for so long.
+    async fn ask_for(&self, wait: Time, class: usize, name: &'static str, body: usize) -> String {
+        let id = self.next.replace(self.next.get() + 1);
+        let request = granite_engine::Incoming {
+            id,
+            class,
+            plan: 0,
+            customer: "c".into(),
+            timeout: wait,
+            open: false,
+            units: 1.0,
+            spread: 1,
+            repeat: false,
+            pool: 0,
+            allowance: Allowance::Unknown,
+        };
+        let mut headers = HeaderMap::new();
+        headers.insert("attempt-id", name.parse().expect("a value"));
+        let outgoing = Outgoing {
+            method: Method::POST,
+            uri: Uri::from_static("/"),
+            headers,
+            body: RefCell::new(Upload::Whole(vec![b'x'; body].into(), Budget::new(0).part())),
+            at_most_once: class == UNSAFE,
+            ..Outgoing::default()
+        };
+        let incoming = Incoming { request, arrived: Instant::now(), outgoing };
+        match self.driver.submit(incoming).expect("its id is free").await {
+            Answer::Served(served) => {
+                let body = match served.content {
+                    Content::Whole(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+                    Content::Stream(_) => "a stream".into(),
+                };
+                format!("{} {body}", served.status.as_u16())
+            }
+            Answer::Refused { .. } => "refused".into(),
+            Answer::Turned(status) => status.to_string(),
+            Answer::Failed { late: true } => "late".into(),
+            Answer::Failed { late: false } => "failed".into(),
+        }
+    }
+
+    async fn ask(&self, class: usize, name: &'static str, body: usize) -> String {
+        self.ask_for(9000 * MS, class, name, body).await
+    }
+}
+
+/// A backend's end of a connection.
+struct Peer(TcpStream);
+
+impl Peer {
+    async fn accept(listener: &TcpListener) -> Self {
+        Peer(listener.accept().await.expect("a connection").0)
+    }
+
+    async fn byte(&mut self) -> u8 {
+        self.0.read_u8().await.expect("a byte")
+    }
+
+    /// The head of the next request; its id.
+    async fn head(&mut self) -> String {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.byte().await);
+        }
+        let head = String::from_utf8(head).expect("text");
+        let id = head.lines().find_map(|l| l.strip_prefix("attempt-id: "));
+        id.expect("an id").to_string()
+    }
+
+    /// A whole request with a body of so many bytes; its id.
+    async fn request(&mut self, body: usize) -> String {
+        let id = self.head().await;
+        self.0.read_exact(&mut vec![0; body]).await.expect("a body");
+        id
+    }
+
+    async fn send(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("it reads");
+    }
+
+    fn reset(self) {
+        self.0.set_zero_linger().expect("it can be set");
+    }
+}
+
+fn answer(id: &str, body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+async fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a free port")
+}
+
+/// One that takes in little of what it does not read.
+fn narrow() -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(2048).expect("it can be set");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    socket.listen(8).expect("it listens")
+}
+
+/// Both sides of a script, to the end.
+fn play<T>(script: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let script = async { timeout(Duration::from_secs(20), script).await.expect("it ends") };
+    LocalSet::new().block_on(&runtime, script)
+}
+
+#[test]
+fn bytes_behind_an_answer_reach_nobody_and_cost_no_request_whether_they_come_at_once_or_later() {
+    play(async {
+        let listener = listen().await;
+        let gateway = Gateway::before(&listener);
+        let (heard, mut peer) = tokio::join!(gateway.ask(UNSAFE, "a", 3), async {
+            let mut peer = Peer::accept(&listener).await;
+            assert_eq!(peer.request(3).await, "a");
+            peer.send(&(answer("a", "one") + &answer("a", "one"))).await;
+            peer
+        });
+        assert_eq!(heard, "200 one");
+        let (heard, mut second) = tokio::join!(gateway.ask(UNSAFE, "b", 3), async {
+            let mut peer = Peer::accept(&listener).await;
+            assert_eq!(peer.request(3).await, "b");
+            peer.send(&answer("b", "two")).await;
+            peer
+        });
+        assert_eq!(heard, "200 two");
+        assert_eq!(peer.0.read(&mut [0]).await.unwrap_or(0), 0, "the first is closed");
+        // Late, but before anybody is put there.
+        second.send(&answer("b", "two")).await;
+        let (heard, _third) = tokio::join!(gateway.ask(UNSAFE, "c", 3), async {
+            let mut peer = Peer::accept(&listener).await;
+            assert_eq!(peer.request(3).await, "c");
+            peer.send(&answer("c", "three")).await;
+            peer
+        });
+        assert_eq!(heard, "200 three");
+    });
+}
+
+#[test]
+fn a_connection_without_surplus_is_kept() {
+    play(async {
+        let listener = listen().await;
+        let gateway = Gateway::before(&listener);
+        let (heard, ()) = tokio::join!(
+            async { [gateway.ask(UNSAFE, "a", 3).await, gateway.ask(SAFE, "b", 0).await] },
+            async {
+                let mut peer = Peer::accept(&listener).await;
+                for (id, body) in [("a", 3), ("b", 0)] {
+                    assert_eq!(peer.request(body).await, id);
+                    peer.send("HTTP/1.1 102 Processing\r\n\r\n").await;
+                    peer.send(&answer(id, id)).await;
+                }
+            }
+        );
+        assert_eq!(heard, ["200 a", "200 b"]);
+    });
+}
+
+#[test]
+fn an_answer_of_another_id_is_not_passed_on_and_only_what_may_run_twice_is_sent_again() {
+    for (class, second) in [(UNSAFE, false), (SAFE, true)] {
+        play(async {
+            let listener = listen().await;
+            let gateway = Gateway::before(&listener);
+            let (heard, ()) = tokio::join!(gateway.ask(class, "b", 3), async {
+                let mut peer = Peer::accept(&listener).await;
+                assert_eq!(peer.request(3).await, "b");
+                peer.send(&answer("a", "one")).await;
+                if second {
+                    let mut peer = Peer::accept(&listener).await;
+                    assert_eq!(peer.request(3).await, "b");
+                    peer.send(&answer("b", "two")).await;
+                }
+            });
+            assert_eq!(heard, if second { "200 two" } else { "failed" });
+        });
+    }
+}
+
+#[test]
+fn a_further_attempt_never_goes_where_an_earlier_one_of_its_request_did() {
+    play(async {
+        let listener = listen().await;
+        let gateway = Gateway::before(&listener);
+        let (heard, ()) = tokio::join!(gateway.ask(UNSAFE, "a", 3), async {
+            let mut first = Peer::accept(&listener).await;
+            assert_eq!(first.request(3).await, "a");
+            let full = "HTTP/1.1 503 Full\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            first.send(full).await;
+            let mut second = Peer::accept(&listener).await;
+            assert_eq!(second.request(3).await, "a");
+            // A second copy of the refusal comes where it can't be taken for this attempt's.
+            first.send(full).await;
+            second.send(&answer("a", "one")).await;
+        });
+        assert_eq!(heard, "200 one");
+    });
+}
+
+#[test]
+fn a_connection_is_closed_behind_a_refusal_without_an_id() {
+    play(async {
+        let listener = listen().await;
+        let gateway = Gateway::before(&listener);
+        let (heard, ()) = tokio::join!(gateway.ask(UNSAFE, "a", 3), async {
+            let mut first = Peer::accept(&listener).await;
+            assert_eq!(first.request(3).await, "a");
+            first.send("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n").await;
+            let mut second = Peer::accept(&listener).await;
+            assert_eq!(first.0.read(&mut [0]).await.unwrap_or(0), 0);
+            assert_eq!(second.request(3).await, "a");
+            second.send(&answer("a", "one")).await;
+        });
+        assert_eq!(heard, "200 one");
+    });
+}
+
+/// Where the backend resets the connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Point {
+    BehindHead,
+    BehindHalf,
+    BehindWhole,
+    InAnswer,
+}
+
+#[test]
+fn after_a_reset_from_the_head_on_what_must_not_run_twice_is_neither_sent_again_nor_refused() {
+    for point in [Point::BehindHead, Point::BehindHalf, Point::BehindWhole, Point::InAnswer] {
+        let body = if matches!(point, Point::BehindHead | Point::BehindHalf) { LARGE } else { 3 };
+        for class in [UNSAFE, SAFE] {
+            play(async {
+                let listener = narrow();
+                let gateway = Gateway::before(&listener);
+                let (heard, ()) = tokio::join!(gateway.ask(class, "a", body), async {
+                    let mut peer = Peer::accept(&listener).await;
+                    assert_eq!(peer.head().await, "a");
+                    match point {
+                        Point::BehindHead => {}
+                        Point::BehindHalf => drop(peer.0.read_exact(&mut vec![0; body / 2]).await),
+                        Point::BehindWhole => drop(peer.0.read_exact(&mut vec![0; body]).await),
+                        Point::InAnswer => {
+                            peer.0.read_exact(&mut vec![0; body]).await.expect("a body");
+                            peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 9\r\n\r\nhalf")
+                                .await;
+                        }
+                    }
+                    peer.reset();
+                    if class == SAFE {
+                        let mut peer = Peer::accept(&listener).await;
+                        assert_eq!(peer.request(body).await, "a");
+                        peer.send(&answer("a", "two")).await;
+                    }
+                });
+                assert_eq!(heard, if class == SAFE { "200 two" } else { "failed" }, "{point:?}");
+            });
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_never_took_the_head_costs_nothing() {
+    play(async {
+        let listener = listen().await;
+        let gateway = Gateway::before(&listener);
+        let (heard, ()) = tokio::join!(
+            async { [gateway.ask(UNSAFE, "a", 3).await, gateway.ask(UNSAFE, "b", 3).await] },
+            async {
+                let mut peer = Peer::accept(&listener).await;
+                assert_eq!(peer.request(3).await, "a");
+                peer.send(&answer("a", "one")).await;
+                // Closed while it is idle, and seen to be.
+                drop(peer);
+                let mut peer = Peer::accept(&listener).await;
+                assert_eq!(peer.request(3).await, "b");
+                peer.send(&answer("b", "two")).await;
+            }
+        );
+        assert_eq!(heard, ["200 one", "200 two"]);
+    });
+}
+
+#[test]
+fn a_silence_ends_at_the_requests_time_and_is_no_refusal() {
+    for class in [UNSAFE, SAFE] {
+        play(async {
+            let listener = listen().await;
+            let gateway = Gateway::before(&listener);
+            let (heard, peer) = tokio::join!(gateway.ask_for(30 * MS, class, "a", 3), async {
+                let mut peer = Peer::accept(&listener).await;
+                assert_eq!(peer.request(3).await, "a");
+                peer
+            });
+            assert_eq!(heard, "late");
+            drop(peer);
+        });
+    }
+}
+
+#[test]
+fn an_answer_before_the_body_was_read_counts_and_its_connection_is_not_kept() {
+    play(async {
+        let listener = narrow();
+        let gateway = Gateway::before(&listener);
+        let (heard, ()) = tokio::join!(gateway.ask(UNSAFE, "a", LARGE), async {
+            let mut first = Peer::accept(&listener).await;
+            assert_eq!(first.head().await, "a");
+            first
+                .send("HTTP/1.1 503 Full\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                .await;
+            let mut second = Peer::accept(&listener).await;
+            assert_eq!(second.request(LARGE).await, "a");
+            second.send(&answer("a", "one")).await;
+        });
+        assert_eq!(heard, "200 one");
+    });
+}
+
+#[test]
+fn an_answer_that_ends_early_does_not_look_whole() {
+    for cut in ["Content-Length: 9\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"] {
+        play(async {
+            let listener = listen().await;
+            let gateway = Gateway::before(&listener);
+            let (heard, ()) = tokio::join!(gateway.ask(UNSAFE, "a", 3), async {
+                let mut peer = Peer::accept(&listener).await;
+                assert_eq!(peer.request(3).await, "a");
+                peer.send(&format!("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n{cut}")).await;
+            });
+            assert_eq!(heard, "failed", "{cut:?}");
+        });
+    }
+}
+
+#[test]
+fn a_backends_own_failure_reaches_the_client_as_it_is_once_nothing_else_is_tried() {
+    let failure = "HTTP/1.1 500 Oops\r\nAttempt-Id: a\r\nContent-Length: 5\r\n\r\nsorry";
+    for (class, tries) in [(UNSAFE, 1), (SAFE, 3)] {
+        play(async {
+            let listener = listen().await;
+            let gateway = Gateway::before(&listener);
+            let (heard, ()) = tokio::join!(gateway.ask(class, "a", 3), async {
+                for _ in 0..tries {
+                    let mut peer = Peer::accept(&listener).await;
+                    assert_eq!(peer.request(3).await, "a");
+                    peer.send(failure).await;
+                }
+            });
+            assert_eq!(heard, "500 sorry");
+        });
+    }
+}
--- a/src/bin/granitethread/api.rs
+++ b/src/bin/granitethread/api.rs
@@ -10,7 +10,6 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -91,8 +90,7 @@
     keep(HeaderName::from_static("request-id"))?;
     keep(HeaderName::from_static("idempotency-key"));
     keep(CONTENT_TYPE);
-    let (body, whole_at) = (RefCell::default(), Cell::default());
-    Some(Outgoing { method: head.method, uri, headers, body, wait: None, whole_at })
+    Some(Outgoing { method: head.method, uri, headers, ..Outgoing::default() })
 }
 
 impl Door for Api {
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -176,6 +176,7 @@
         connect_timeout: config.connect_timeout,
         keepalive: config.keepalive,
         unheard: None,
+        overtime: None,
     };
     let wire = wire::Backward { most_units: settings.most_units.max(1.0) };
     let backends = Backends::new(&limits, Box::new(wire));
--- a/src/bin/granitethread/wire.rs
+++ b/src/bin/granitethread/wire.rs
@@ -53,6 +53,7 @@
             metered: metered.map(|percent| percent / 100.0),
             load,
             served,
+            failure: None,
             turned,
         }
     }
@@ -76,7 +77,7 @@
     use bytes::Bytes;
     use granite_stage::backends::Upload;
     use hyper::{Method, Uri};
-    use std::cell::{Cell, RefCell};
+    use std::cell::RefCell;
 
     /// The header is the simulator's figure less 1, in percent; units are the true ones.
     #[test]
@@ -86,8 +87,7 @@
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
             body: RefCell::new(Upload::None),
-            wait: None,
-            whole_at: Cell::default(),
+            ..Outgoing::default()
         };
         let answer = |status: u16| {
             let answer = Response::builder().status(status).header("usage-percent", "85");
