--- a/crates/prompter/src/disk/tests.rs
+++ b/crates/prompter/src/disk/tests.rs
@@ -234,6 +234,30 @@
     }
 }
 
+/// A save is refused, and so is something of the whole that is to make up for it, at each operation of both: the process is killed then.
+#[test]
+fn a_save_that_was_refused_may_be_found_whole_and_is_never_found_in_part() {
+    for first in 0..12 {
+        for second in 0..16 {
+            let (disk, mut seen) = (StandIn::default(), Seen::default());
+            let (mut keeping, held) = open(&disk);
+            let (mut core, mut book) = (sole(held.id), Book::new());
+            let done = keeping.whole(&core.stored());
+            seen.note(core.stored(), &done);
+            disk.refuses_after(first);
+            let saves = change(&mut core, &mut book, 1, 70_000, false);
+            let done = keeping.save(&saves, core.agreed());
+            seen.note(core.stored(), &done);
+            disk.refuses_after(second);
+            let done = keeping.whole(&core.stored());
+            seen.note(core.stored(), &done);
+            for loss in [Loss::None, Loss::All, Loss::Lot(first * 16 + second)] {
+                seen.check(&open(&disk.after(loss)).1, &format!("{first}, {second}, {loss:?}"));
+            }
+        }
+    }
+}
+
 fn configuration(version: u32, bytes: usize) -> Vec<u8> {
     let mut body = vec![b'x'; bytes];
     body[..4].copy_from_slice(&version.to_be_bytes());
@@ -259,21 +283,9 @@
     let (mut before, mut after_ten) = (disk.counts(), 0);
     let mut folds = 0;
     for version in 1..=1000 {
-        let mut outputs = Vec::new();
-        core.handle(0, Input::Propose { tag: 1, word: configuration(version, 20_000) }, &mut outputs);
-        let save = |o: &Output| if let Output::Save(save) = o { Some(save.clone()) } else { None };
-        let saves: Vec<Save> = outputs.iter().filter_map(save).collect();
-        keeping.save(&saves, core.agreed()).unwrap();
-        for output in outputs {
-            if let Output::Apply { place, word, .. } = output {
-                book.apply(place, &Word::read(&word).unwrap());
-            }
-        }
-        if core.entries() > 64 {
-            let save = core.compact(core.agreed(), book.write()).unwrap();
-            keeping.save(&[save], core.agreed()).unwrap();
-            folds += 1;
-        }
+        let fold = core.entries() >= 64;
+        folds += usize::from(fold);
+        keeping.save(&change(&mut core, &mut book, version, 20_000, fold), core.agreed()).unwrap();
         if version == 10 {
             (before, after_ten) = (disk.counts(), disk.counts().peak);
         }
@@ -291,10 +303,10 @@
     assert_eq!(open(&disk.after(Loss::All)).1.stored, core.stored());
 }
 
-/// One change of the longest that is taken, agreed on at once, and folded or not.
-fn longest(core: &mut Core, book: &mut Book, version: u32, fold: bool) -> Vec<Save> {
+/// A change, agreed on at once, and folded or not.
+fn change(core: &mut Core, book: &mut Book, version: u32, bytes: usize, fold: bool) -> Vec<Save> {
     let mut outputs = Vec::new();
-    core.handle(0, Input::Propose { tag: 1, word: configuration(version, 8 << 20) }, &mut outputs);
+    core.handle(0, Input::Propose { tag: 1, word: configuration(version, bytes) }, &mut outputs);
     let mut saves = Vec::new();
     for output in outputs {
         match output {
@@ -318,7 +330,7 @@
     let (mut core, mut book) = (sole(held.id), Book::new());
     keeping.whole(&core.stored()).unwrap();
     for version in 1..=3 {
-        let saves = longest(&mut core, &mut book, version, true);
+        let saves = change(&mut core, &mut book, version, 8 << 20, true);
         disk.mood(if version == 2 { Mood::Full } else { Mood::Works });
         let done = keeping.save(&saves, core.agreed());
         assert_eq!(done.is_ok(), version == 1, "{done:?}");
@@ -326,10 +338,10 @@
     keeping.whole(&core.stored()).unwrap();
     assert_eq!(open(&disk.after(Loss::All)).1.stored, core.stored());
     for version in 4..=7 {
-        keeping.save(&longest(&mut core, &mut book, version, false), core.agreed()).unwrap();
+        keeping.save(&change(&mut core, &mut book, version, 8 << 20, false), core.agreed()).unwrap();
     }
     let sure = core.stored();
-    let saves = longest(&mut core, &mut book, 8, false);
+    let saves = change(&mut core, &mut book, 8, 8 << 20, false);
     assert!(matches!(keeping.save(&saves, core.agreed()), Err(Fault::Bound)));
     assert!(matches!(keeping.whole(&core.stored()), Err(Fault::Bound)));
     assert_eq!(open(&disk.after(Loss::All)).1.stored, sure, "as it was");
