--- a/crates/wings/src/message.rs
+++ b/crates/wings/src/message.rs
@@ -6,7 +6,7 @@
 use greenroom::Fact;
 use promptbook::{Part, Place as AgreedPlace};
 use serde::{Deserialize, Serialize};
-use understudy::{Id, Members, Message, Term};
+use understudy::{FoundingSaid, Id, Members, Message, Term};
 
 /// The form of all messages here.
 pub const FORM: u32 = 3;
@@ -103,7 +103,9 @@
         /// Its time of day, in Unix milliseconds.
         wall: u64,
     },
-    /// To the one that is to found, from the first seed: these are the voters.
+    /// Among seeds at the first start of all: who is to vote.
+    Founding(FoundingSaid),
+    /// From a seed that knows what was agreed on there: these are the voters.
     Found {
         members: Members,
     },
