--- a/crates/prompter/src/disk/keeping.rs
+++ b/crates/prompter/src/disk/keeping.rs
@@ -181,6 +181,7 @@
                     let said = match &entry.said {
                         understudy::Said::Nothing => Said::Nothing,
                         understudy::Said::Members(members) => Said::Members(members.clone()),
+                        understudy::Said::Joint { old, new } => Said::Joint(old.clone(), new.clone()),
                         understudy::Said::Word(word) => Said::Word(self.blobs.put(folder, word, values)?),
                     };
                     kept.push(Entry { term: entry.term, said });
@@ -226,6 +227,7 @@
         let said = match &entry.said {
             Said::Nothing => understudy::Said::Nothing,
             Said::Members(members) => understudy::Said::Members(members.clone()),
+            Said::Joint(old, new) => understudy::Said::Joint { old: old.clone(), new: new.clone() },
             Said::Word(pieces) => understudy::Said::Word(blobs.get(folder, pieces, &held.values)?),
         };
         entries.push(understudy::Entry { term: entry.term, said });
