--- a/crates/rehearsal/src/machine.rs
+++ b/crates/rehearsal/src/machine.rs
@@ -15,6 +15,8 @@
 /// Inputs taken in one turn, and those that wait at the most, as in the program.
 const TURN: usize = 64;
 const QUEUE: usize = 4096;
+/// The log is folded into the state when so many bytes of it are agreed on.
+const FOLD_BYTES: usize = 1 << 20;
 /// A call is answered within so long; a proposal is waited for so long.
 pub const ANSWERED: Time = 850 * MS;
 const PROPOSED: Time = 15_000 * MS;
@@ -464,7 +466,8 @@
     fn fold(&mut self, step: &mut Step) -> Result<(), Broken> {
         let (applied, fold) = (self.applied, self.fold);
         let Some(core) = &mut self.core else { return Ok(()) };
-        if core.sizes().filter(|(place, _)| *place <= applied).count() <= fold {
+        let sizes = || core.sizes().filter(|(place, _)| *place <= applied).map(|(_, size)| size);
+        if sizes().count() <= fold && sizes().sum::<usize>() <= FOLD_BYTES {
             return self.save_whole(step);
         }
         let state = match self.defect {
--- a/crates/rehearsal/src/operators.rs
+++ b/crates/rehearsal/src/operators.rs
@@ -51,7 +51,7 @@
     }
 
     /// What it wants next. `nonce`: new; `acknowledged`: the newest that anybody was told of.
-    pub fn wants(&mut self, rng: &mut Rng, now: Time, nonce: u64, weight: u32, acknowledged: Version) {
+    pub fn wants(&mut self, rng: &mut Rng, now: Time, nonce: u64, bytes: u32, acknowledged: Version) {
         let reads = std::mem::take(&mut self.reads_next);
         let ask = match rng.u8(..10) {
             _ if reads => Ask::Read(acknowledged),
@@ -63,7 +63,7 @@
             }
             _ => {
                 let version = self.base + 1 + rng.u32(..2);
-                Ask::Replace(Order { base: self.base, version, nonce, weight })
+                Ask::Replace(Order { base: self.base, version, nonce, bytes })
             }
         };
         self.job = Some(Job { ask, began: now, call: 0, tries: 0, hops: 0, line: Vec::new() });
