--- a/crates/rehearsal/src/long.rs
+++ b/crates/rehearsal/src/long.rs
@@ -284,6 +284,7 @@
                         let done = !self.storm.disk_refuses(n, now);
                         let step = self.machines[n].written(now, number, done)?;
                         self.carry(n, step)?;
+                        self.work(n)?;
                     }
                 }
             }
@@ -735,6 +736,11 @@
         result
     }
 
+    /// It has been joined with all others, with a majority among them, for as long as it takes to catch up.
+    pub fn is_back(&self, n: usize) -> bool {
+        self.joined[n].is_some_and(|at| self.now >= at + CATCH_UP)
+    }
+
     /// Who leads, as the newest term has it.
     pub fn leader(&self) -> Option<usize> {
         let leads = self.machines.iter().enumerate().filter(|(_, m)| m.duty.is_leader);
@@ -790,8 +796,10 @@
         format!("term {}, agreed {}, from {}, {} entries", c.term(), c.agreed(), c.start().0, c.entries())
     });
     let version = machine.book().version();
+    let waits = machine.waits();
     format!(
-        "{id}: votes {votes}, gone {gone}, {core}, configuration {version}, leads {}, follows {:?}, members {:?}",
+        "{id}: {waits}, knows {:x}, votes {votes}, gone {gone}, {core}, configuration {version}, leads {}, follows {:?}, members {:?}",
+        machine.known,
         duty.is_leader, duty.leader, duty.members
     )
 }
--- a/crates/rehearsal/src/machine.rs
+++ b/crates/rehearsal/src/machine.rs
@@ -221,6 +221,17 @@
         self.core.as_ref()
     }
 
+    /// What it waits for, for a story.
+    pub fn waits(&self) -> String {
+        let due = self.next_due() as f64 / 1e6;
+        let (pending, writes) = (self.pending.as_ref().map(|(n, _)| n), self.writes.len());
+        format!(
+            "due at {due:.0}, waits for {pending:?} of {writes} writes, {} inputs, {:?}",
+            self.inbox.len(),
+            self.standing
+        )
+    }
+
     fn has(&self, defect: Defect) -> bool {
         self.defect == Some(defect)
     }
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -367,7 +367,8 @@
 
     /// Whether one more may lose its disk: of those that count no more than the stated ones are lost at a time.
     fn bears(&self, world: &Long, n: usize) -> bool {
-        let lost = |m: &usize| *m != n && world.now < world.lost[*m] + CATCH_UP;
+        // Who is new has its time to catch up while there is a majority to catch up with.
+        let lost = |m: &usize| *m != n && (world.now < world.lost[*m] + CATCH_UP || !world.is_back(*m));
         let others = world.voters().into_iter().filter(lost).count();
         world.ledger.newest() > 0 && others < self.tolerance && world.now > FOUNDED
     }
