--- a/crates/rehearsal/src/ledger.rs
+++ b/crates/rehearsal/src/ledger.rs
@@ -5,32 +5,38 @@
 use playbill::Version;
 use promptbook::{Place, Word};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// A change as an operator sends it. Its bytes are few; `weight` says how many they stand for on a link.
+/// A change as an operator sends it, of so many bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Order {
     pub base: Version,
     pub version: Version,
     /// Tells two of one number apart.
     pub nonce: u64,
-    /// Bytes.
-    pub weight: u32,
+    pub bytes: u32,
 }
 
 impl Order {
     pub fn body(&self) -> Vec<u8> {
-        let (version, nonce, weight) =
-            (self.version.to_be_bytes(), self.nonce.to_be_bytes(), self.weight.to_be_bytes());
-        [version.as_slice(), &nonce, &weight].concat()
+        let mut body = vec![0; self.bytes.max(12) as usize];
+        body[..4].copy_from_slice(&self.version.to_be_bytes());
+        body[4..12].copy_from_slice(&self.nonce.to_be_bytes());
+        body
     }
 }
 
-/// Bytes on a link that an agreed word stands for.
-pub fn weight(word: &[u8]) -> u64 {
-    // As it is written: a map of one, the variant's name, and the body at the very end.
-    let configuration = word.get(2..8) == Some(b"Config");
-    let stated = word.last_chunk::<4>().filter(|_| configuration).map_or(0, |w| u32::from_be_bytes(*w));
-    word.len() as u64 + u64::from(stated)
+/// What tells one body from another here.
+type Nonce = u64;
+
+fn nonce(body: &[u8]) -> Nonce {
+    body.get(4..12).and_then(|b| b.try_into().ok()).map_or(0, u64::from_be_bytes)
+}
+
+fn hash(bytes: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    bytes.hash(&mut hasher);
+    hasher.finish()
 }
 
 /// What a call asks for.
@@ -61,13 +67,14 @@
 /// What is agreed on, folded once more without the program's code, and all that operators were told.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    places: BTreeMap<Place, Vec<u8>>,
+    /// What stands at each place, as a hash of its bytes.
+    places: BTreeMap<Place, u64>,
     /// The newest, and since when.
     stands: (Version, Time),
     /// Each taken order by its number and bytes, and since when.
-    taken: BTreeMap<(Version, Vec<u8>), Time>,
+    taken: BTreeMap<(Version, Nonce), Time>,
     /// Acknowledged: number, with base and bytes.
-    acknowledged: BTreeMap<Version, (Version, Vec<u8>)>,
+    acknowledged: BTreeMap<Version, (Version, Nonce)>,
     refused: BTreeSet<Order>,
     /// When each was first acknowledged, as they came.
     when: Vec<(Time, Version)>,
@@ -86,16 +93,17 @@
 
 impl Ledger {
     pub fn applied(&mut self, now: Time, place: Place, word: &[u8]) -> Result<(), Broken> {
+        let bytes = hash(word);
         if let Some(known) = self.places.get(&place) {
-            return if known == word { Ok(()) } else { Err(Broken::Agreed(place)) };
+            return if *known == bytes { Ok(()) } else { Err(Broken::Agreed(place)) };
         }
-        self.places.insert(place, word.to_vec());
+        self.places.insert(place, bytes);
         let Some(Word::Configuration { base, version, body }) = Word::read(word) else { return Ok(()) };
-        let key = (version, body);
+        let key = (version, nonce(&body));
         if self.taken.contains_key(&key) || base != self.stands.0 || version <= self.stands.0 {
             return Ok(());
         }
-        let refused = |o: &Order| (o.version, o.body()) == key;
+        let refused = |o: &Order| (o.version, o.nonce) == key;
         if let Some(order) = self.refused.iter().find(|o| refused(o)) {
             return Err(Broken::TakenThoughRefused(order.version));
         }
@@ -112,7 +120,7 @@
 
     /// An order was agreed on.
     pub fn is_taken(&self, order: &Order) -> bool {
-        self.taken.contains_key(&(order.version, order.body()))
+        self.taken.contains_key(&(order.version, order.nonce))
     }
 
     /// The newest that was acknowledged by this time.
@@ -144,7 +152,7 @@
                     return Err(Broken::Stale { read, acknowledged: *acknowledged });
                 }
                 let same = |(v, body): &(Version, Vec<u8>)| {
-                    self.acknowledged.get(v).is_none_or(|(_, told)| told == body)
+                    self.acknowledged.get(v).is_none_or(|(_, told)| *told == nonce(body))
                 };
                 if held.as_ref().is_some_and(|h| !same(h)) {
                     return Err(Broken::Number(read));
@@ -156,10 +164,9 @@
     }
 
     fn confirmed(&mut self, now: Time, order: &Order) -> Result<(), Broken> {
-        let Order { base, version, .. } = *order;
-        let body = order.body();
+        let Order { base, version, nonce, .. } = *order;
         match self.acknowledged.get(&version) {
-            Some((_, told)) if *told != body => return Err(Broken::Number(version)),
+            Some((_, told)) if *told != nonce => return Err(Broken::Number(version)),
             Some(_) => self.counts.again += 1,
             None => self.counts.acknowledged += 1,
         }
@@ -167,7 +174,7 @@
             return Err(Broken::Twice(base));
         }
         let newest = self.newest().max(version);
-        if self.acknowledged.insert(version, (base, body)).is_none() {
+        if self.acknowledged.insert(version, (base, nonce)).is_none() {
             self.when.push((now, newest));
         }
         if !self.is_taken(order) {
