A long configuration that changes little is agreed on as its difference

Cause: three prompters as real processes behind relays: with links of 20 Mbit/s each configuration of 775 KB took 1.7 to 2.3 s and cost one or two leaders, since its bytes hold up the rounds behind them for longer than a leader may be silent; at 2 Mbit/s it was not agreed on within 40 s, and 27 terms went by.

Change: Word::Change, the difference to the current one with the mark of what comes of it, for configurations of over 16 KiB whose difference is a quarter at most (Word::shortened, in control.rs; decide's verdict is as it was). The first of that size, and each that is written anew, still goes whole.

--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -24,6 +24,10 @@
 const FORM: u32 = 1;
 /// So many that are leaving are remembered; ids are never used again, and the oldest have long ended.
 const LEAVING: usize = 4096;
+/// A configuration that is no longer stands whole in the log.
+const SHORT: usize = 16 << 10;
+/// The longest that a change comes to.
+const LONGEST: usize = 16 << 20;
 /// So many gateways are known. More are a fault of the platform's.
 const GATEWAYS: usize = 4096;
 /// So many trials are remembered as over; of more, those that ended last.
@@ -39,6 +43,15 @@
         #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
+    /// The same as its difference to the bytes of the current one, which all hold.
+    Change {
+        base: Version,
+        version: Version,
+        /// Of the bytes that come of it.
+        mark: Mark,
+        #[serde(with = "serde_bytes")]
+        difference: Vec<u8>,
+    },
     /// This backend takes no new work for the rest of its life.
     Leaving { instance: String },
     /// This gateway is there, and has its even part of what is shared.
@@ -48,6 +61,19 @@
 }
 
 impl Word {
+    /// A long configuration as a change of the book's, if that is much shorter: an entry of the log holds up the rounds behind
+    /// it for as long as its bytes take.
+    pub fn shortened(self, book: &Book) -> Word {
+        let Word::Configuration { base, version, body } = &self else { return self };
+        let current = book.configuration().filter(|c| c.version == *base && body.len() > SHORT);
+        let Some(current) = current else { return self };
+        let difference = Difference::between(&current.body, body).write();
+        if difference.len() > body.len() / 4 {
+            return self;
+        }
+        Word::Change { base: *base, version: *version, mark: mark(body), difference }
+    }
+
     pub fn write(&self) -> Vec<u8> {
         rmp_serde::to_vec(self).expect("a word can be written")
     }
@@ -161,21 +187,37 @@
         self.over.values().map(|(_, at)| *at).max().unwrap_or(0)
     }
 
+    fn configure(
+        &mut self,
+        place: Place,
+        (base, version): (Version, Version),
+        mark: Mark,
+        body: impl FnOnce(Option<&Configuration>) -> Option<Vec<u8>>,
+    ) -> Applied {
+        if self.taken.knows(&mark) == Some(version) {
+            return Applied::Same;
+        }
+        if base != self.version() || version <= self.version() {
+            return Applied::Other;
+        }
+        // All hold the same current one, so that it comes to the same for all.
+        let Some(body) = body(self.configuration.as_deref()) else { return Applied::Other };
+        self.configuration = Some(Arc::new(Configuration { version, place, body }));
+        self.taken.take(version, mark);
+        Applied::Changed
+    }
+
     /// Folds a word in.
     pub fn apply(&mut self, place: Place, word: &Word) -> Applied {
         match word {
             Word::Configuration { base, version, body } => {
-                let mark = mark(body);
-                if self.taken.knows(&mark) == Some(*version) {
-                    return Applied::Same;
-                }
-                if *base != self.version() || *version <= self.version() {
-                    return Applied::Other;
-                }
-                let configuration = Configuration { version: *version, place, body: body.clone() };
-                self.configuration = Some(Arc::new(configuration));
-                self.taken.take(*version, mark);
-                Applied::Changed
+                self.configure(place, (*base, *version), mark(body), |_| Some(body.clone()))
+            }
+            Word::Change { base, version, mark: wanted, difference } => {
+                self.configure(place, (*base, *version), *wanted, |current| {
+                    let body = Difference::read(difference)?.fold(&current?.body, LONGEST)?;
+                    (mark(&body) == *wanted).then_some(body)
+                })
             }
             Word::Leaving { instance } => {
                 if self.is_leaving(instance) {
--- /dev/null
+++ b/crates/promptbook/tests/changes.rs
@@ -0,0 +1,76 @@
+//! A long configuration in the agreed log, as a change of the one before.
+
+use promptbook::{Applied, Book, Word};
+
+fn body(version: u32, routes: usize, moved: usize) -> Vec<u8> {
+    let route =
+        |n: usize| format!(r#"{{"name":"r-{n}","pathPrefix":"/p{n}/","to":"{}"}}"#, u8::from(n == moved));
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!(r#"{{"configVersion":{version},"routes":[{}]}}"#, routes.join(",")).into_bytes()
+}
+
+fn whole(base: u32, version: u32, body: &[u8]) -> Word {
+    Word::Configuration { base, version, body: body.to_vec() }
+}
+
+/// Two books: one that is told all whole, one that is told what is shorter.
+fn books() -> (Book, Book) {
+    let first = whole(0, 3, &body(3, 3000, 9999));
+    let mut book = Book::new();
+    assert_eq!(first.clone().shortened(&book), first, "there is none to change");
+    assert_eq!(book.apply(1, &first), Applied::Changed);
+    (book.clone(), book)
+}
+
+#[test]
+fn a_change_comes_to_the_same_book_as_the_whole_with_far_fewer_bytes() {
+    let (mut one, mut other) = books();
+    let mut base = 3;
+    for (place, version) in (2..).zip([4, 7, 8, 20]) {
+        let word = whole(base, version, &body(version, 3000, version as usize));
+        let short = word.clone().shortened(&other);
+        assert!(matches!(short, Word::Change { .. }));
+        let (long, bytes) = (word.write().len(), short.write().len());
+        assert!(long > 100_000 && bytes < 500, "{bytes} of {long}");
+        assert_eq!(Word::read(&short.write()), Some(short.clone()));
+        assert_eq!(
+            (one.apply(place, &word), other.apply(place, &short)),
+            (Applied::Changed, Applied::Changed)
+        );
+        assert_eq!(one, other);
+        assert!(other.is_taken(&body(version, 3000, version as usize)));
+        // Proposed twice, or once more as a whole.
+        assert_eq!((other.apply(90, &short), other.apply(91, &word)), (Applied::Same, Applied::Same));
+        base = version;
+    }
+}
+
+#[test]
+fn of_two_changes_of_one_base_the_second_changes_nothing_nor_does_one_that_does_not_fit() {
+    let (_, mut book) = books();
+    let change = |version: u32, moved| whole(3, version, &body(version, 3000, moved)).shortened(&book);
+    let (first, second) = (change(5, 1), change(5, 2));
+    assert_eq!(book.apply(2, &first), Applied::Changed);
+    let stands = book.clone();
+    assert_eq!(book.apply(3, &second), Applied::Other, "the base is another");
+    let Word::Change { mark, difference, .. } = second else { panic!("a change") };
+    let spoilt = Word::Change { base: 5, version: 6, mark, difference };
+    assert_eq!(book.apply(4, &spoilt), Applied::Other, "it comes to other bytes than it says");
+    let nonsense = Word::Change { base: 5, version: 6, mark, difference: b"nonsense".to_vec() };
+    assert_eq!(book.apply(5, &nonsense), Applied::Other);
+    assert_eq!(book, stands);
+    let mut empty = Book::new();
+    assert_eq!(empty.apply(1, &first), Applied::Other, "there is none to change");
+}
+
+#[test]
+fn what_is_short_or_wholly_new_stands_whole() {
+    let (_, book) = books();
+    let new: Vec<u8> = body(5, 3000, 0).iter().map(|b| if *b == b'p' { b'q' } else { *b }).collect();
+    let word = whole(3, 5, &new);
+    assert_eq!(word.clone().shortened(&book), word);
+    let mut small = Book::new();
+    small.apply(1, &whole(0, 3, &body(3, 8, 0)));
+    let word = whole(3, 5, &body(5, 8, 1));
+    assert_eq!(word.clone().shortened(&small), word);
+}
--- a/crates/prompter/src/control.rs
+++ b/crates/prompter/src/control.rs
@@ -373,6 +373,7 @@
         let verdict =
             decide(&self.view.book.borrow(), body, |body| read.unwrap_or_else(|| check(&self.checker, body)));
         let Verdict::Propose(word) = verdict else { return verdict };
+        let word = word.shortened(&self.view.book.borrow());
         let applied = self.agreed(word).await;
         Verdict::after(applied.as_ref(), self.view.book.borrow().version())
     }
--- a/crates/prompter/src/view.rs
+++ b/crates/prompter/src/view.rs
@@ -179,7 +179,7 @@
         let applied = book.apply(place, &word);
         if applied == Applied::Changed {
             let change = match word {
-                Word::Configuration { version, .. } => {
+                Word::Configuration { version, .. } | Word::Change { version, .. } => {
                     log::info!("agreed: configuration {version:08x} at {place}");
                     self.went(old.as_deref(), book.configuration().map(AsRef::as_ref));
                     None
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -119,7 +119,7 @@
     pub fn acknowledge(&mut self, word: &Word) -> Result<(), Broken> {
         self.acknowledged += 1;
         match word {
-            Word::Configuration { base, version, .. } => {
+            Word::Configuration { base, version, .. } | Word::Change { base, version, .. } => {
                 let other = self.taken.iter().any(|(v, b)| b == base && v != version);
                 self.taken.insert(*version, *base);
                 if other {
