A configuration without time, weight or a key of one's own is refused

Change: the check refuses a timeoutMs of 0, targets whose weights are all 0, and a key that two tenants hold.

--- a/crates/playbill/src/check.rs
+++ b/crates/playbill/src/check.rs
@@ -54,11 +54,23 @@
         if let Some(unknown) = targets.find(|t| !services.contains(t.as_str())) {
             return Err(Fault::NoService(name(), unknown.clone()));
         }
+        if r.target_service.is_none() && r.weighted_targets.iter().all(|w| w.weight <= 0.0) {
+            return Err(Fault::NoWeight(name()));
+        }
         let place = (r.host.to_ascii_lowercase(), r.path_prefix.as_str());
         if let Some(other) = places.insert(place, &r.name) {
             return Err(Fault::SamePlace(other.clone(), name()));
         }
     }
+    let mut keys = HashMap::new();
+    for tenant in &playbill.tenants {
+        for key in &tenant.api_keys {
+            let other = keys.insert(key.as_str(), &tenant.name);
+            if let Some(other) = other.filter(|other| **other != tenant.name) {
+                return Err(Fault::SharedKey(other.clone(), tenant.name.clone()));
+            }
+        }
+    }
     playbill.tenants.iter().try_for_each(trial)
 }
 
@@ -133,6 +145,7 @@
             told(route("pathPrefix", json!("a/"))),
             told(route("host", json!(" "))),
             told(route("routeKind", json!("odd"))),
+            told(route("timeoutMs", json!(0))),
             told(|v| v["configVersion"] = json!("xyz")),
             told(|v| v["routes"] = json!({})),
         ] {
@@ -141,6 +154,18 @@
         let unknown = told(route("targetService", json!("nobody")));
         assert_eq!(unknown, Err(Fault::NoService("a".into(), "nobody".into())));
         assert_eq!(told(route("weightedTargets", json!([]))), Err(Fault::NoTarget("a".into())));
+        let nothing = json!([{"targetService": "s", "weight": 0}, {"targetService": "t", "weight": 0}]);
+        assert_eq!(told(route("weightedTargets", nothing)), Err(Fault::NoWeight("a".into())));
+        let one = json!([{"targetService": "s", "weight": 0}, {"targetService": "t", "weight": 1}]);
+        assert!(told(route("weightedTargets", one)).is_ok());
+        let shared = |key: &'static str| {
+            told(move |v| {
+                let tenants = v["tenants"].as_array_mut().unwrap();
+                tenants.push(json!({"name": "t2", "apiKeys": [key, key]}));
+            })
+        };
+        assert_eq!(shared("k"), Err(Fault::SharedKey("t1".into(), "t2".into())));
+        assert!(shared("l").is_ok(), "twice with one tenant");
         let twice = told(|v| {
             let mut same = v["routes"][0].clone();
             same["name"] = json!("b");
--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -168,8 +168,12 @@
     NoService(String, String),
     /// route {0}: it names no service
     NoTarget(String),
+    /// route {0}: all its targets have the weight 0
+    NoWeight(String),
     /// routes {0} and {1} have the same host and prefix
     SamePlace(String, String),
+    /// tenants {0} and {1} have a key in common
+    SharedKey(String, String),
     /// tenant {0}: {1:?} is no time like 2026-12-31T23:00:00Z
     NoTime(String, String),
     /// tenant {0}: its trial's pacePerS is more than its ratePerS
