--- a/crates/rehearsal/src/net.rs
+++ b/crates/rehearsal/src/net.rs
@@ -17,6 +17,8 @@
     narrow: BTreeMap<usize, (f64, Time)>,
     /// When what waits for a narrow link will have left it.
     lines: BTreeMap<(usize, usize), VecDeque<Time>>,
+    /// When the last message on each connection arrives.
+    arrived: BTreeMap<(usize, usize), Time>,
     /// Of a thousand messages so many are lost, and as many are late, until then.
     rough: (u32, Time),
 }
@@ -90,6 +92,9 @@
             left = (left + (bytes as f64 / rate * 1e9) as Time).min(until);
             line.push_back(left);
         }
-        Some(left + delay)
+        // A connection keeps the order of what is sent on it.
+        let last = self.arrived.entry((from, to)).or_insert(0);
+        *last = (left + delay).max(*last + 1);
+        Some(*last)
     }
 }
