--- a/crates/rehearsal/src/defect.rs
+++ b/crates/rehearsal/src/defect.rs
@@ -41,7 +41,7 @@
     HearingIsTouch,
     /// What rests on a save is said though the disk refused it.
     SpeaksWithoutDisk,
-    /// The leader decides on an order by what it knows itself, without asking a majority.
+    /// Whoever is asked decides on an order by what it knows itself, without asking a majority.
     DecidesAlone,
     /// Only the newest order is known again when it is sent again.
     OrderForgotten,
--- a/crates/rehearsal/src/machine.rs
+++ b/crates/rehearsal/src/machine.rs
@@ -651,7 +651,7 @@
     pub fn call(&mut self, now: Time, call: u64, ask: Ask) -> Step {
         self.now = now;
         let mut step = Step::default();
-        if !self.duty.is_leader {
+        if !self.duty.is_leader && !self.has(Defect::DecidesAlone) {
             let fresh = self.touch_age(now) < SENDS_ON;
             let leader = self.duty.leader.as_ref().filter(|_| fresh);
             let reply = leader.map_or(Reply::Later, |l| Reply::Elsewhere(l.name.clone()));
