--- a/crates/lifecycle/src/defects.rs
+++ b/crates/lifecycle/src/defects.rs
@@ -57,7 +57,7 @@
     HeadTakenForProof, "head-taken-for-proof", "a reset behind a request's head counts as proof that it never ran";
     EchoIgnored, "echo-ignored", "an answer is passed on without comparing its id";
     SurplusKept, "surplus-kept", "a connection is used again though bytes stand behind its last answer";
-    NamelessKept, "nameless-kept", "a connection is used again behind a refusal that bore no id";
+    NamelessKept, "nameless-kept", "what must not run twice goes out behind a refusal that bore no id";
     SameConnectionAgain, "same-connection-again", "a further attempt goes out where an earlier one of its request did";
     BusySpared, "busy-spared", "a client with a request in hand makes room for others";
 }
--- a/crates/stage/src/backends/mod.rs
+++ b/crates/stage/src/backends/mod.rs
@@ -152,7 +152,7 @@
             every.tick().await;
             let now = self.now();
             for b in self.table.borrow_mut().values_mut() {
-                b.idle.retain_mut(|c| c.line.may_carry(now, self.idle_time.min(c.rest), &[]) && c.reusable());
+                b.idle.retain_mut(|c| c.line.is_fresh(now, self.idle_time.min(c.rest)) && c.reusable());
             }
         }
     }
@@ -179,14 +179,14 @@
             n -= 1;
             let connection = &mut backend.idle[n];
             let most = self.idle_time.min(connection.rest);
-            let here = connection.address == place && connection.line.may_carry(now, most, &[]);
-            if here && !connection.line.may_carry(now, rest, &[]) {
+            let here = connection.address == place && connection.line.is_fresh(now, most);
+            if here && !connection.line.is_fresh(now, rest) {
                 // Those below it have rested for longer.
                 return None;
             }
             if !here || !connection.reusable() {
                 backend.idle.remove(n);
-            } else if connection.line.may_carry(now, rest, &earlier) {
+            } else if connection.line.may_carry(request.at_most_once, &earlier) {
                 return Some(backend.idle.remove(n));
             }
         }
