--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -2,20 +2,32 @@
 //! every prompter folds from the same words in the same order, so that all hold the same. No I/O.
 #![forbid(unsafe_code)]
 
+mod difference;
+mod order;
+mod parcel;
+mod taken;
+
+pub use difference::Difference;
+pub use order::{decide, Verdict, Versions};
+pub use parcel::{Head, Part, Received, Receiver, Sender, Steps, PART, WINDOW};
+pub use taken::{mark, Mark, MARKS};
+
 use playbill::Version;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use taken::Taken;
 
 /// A place in the agreed log.
 pub type Place = u64;
 /// The form of what is kept and sent.
 const FORM: u32 = 1;
-/// So many earlier configurations are known again when they come once more.
-const KNOWN: usize = 64;
 /// So many that are leaving are remembered; ids are never used again, and the oldest have long ended.
 const LEAVING: usize = 4096;
+/// A configuration that is no longer stands whole in the log.
+const SHORT: usize = 16 << 10;
+/// The longest that a change comes to.
+const LONGEST: usize = 16 << 20;
 /// So many gateways are known. More are a fault of the platform's.
 const GATEWAYS: usize = 4096;
 /// So many trials are remembered as over; of more, those that ended last.
@@ -31,6 +43,15 @@
         #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
+    /// The same as its difference to the bytes of the current one, which all hold.
+    Change {
+        base: Version,
+        version: Version,
+        /// Of the bytes that come of it.
+        mark: Mark,
+        #[serde(with = "serde_bytes")]
+        difference: Vec<u8>,
+    },
     /// This backend takes no new work for the rest of its life.
     Leaving { instance: String },
     /// This gateway is there, and has its even part of what is shared.
@@ -40,6 +61,19 @@
 }
 
 impl Word {
+    /// A long configuration as a change of the book's, if that is much shorter: an entry of the log holds up the rounds behind
+    /// it for as long as its bytes take.
+    pub fn shortened(self, book: &Book) -> Word {
+        let Word::Configuration { base, version, body } = &self else { return self };
+        let current = book.configuration().filter(|c| c.version == *base && body.len() > SHORT);
+        let Some(current) = current else { return self };
+        let difference = Difference::between(&current.body, body).write();
+        if difference.len() > body.len() / 4 {
+            return self;
+        }
+        Word::Change { base: *base, version: *version, mark: mark(body), difference }
+    }
+
     pub fn write(&self) -> Vec<u8> {
         rmp_serde::to_vec(self).expect("a word can be written")
     }
@@ -72,13 +106,11 @@
     pub body: Vec<u8>,
 }
 
-type Mark = [u8; 16];
-
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Book {
     form: u32,
     configuration: Option<Arc<Configuration>>,
-    known: VecDeque<(Version, Mark)>,
+    taken: Taken,
     leaving: BTreeMap<String, Place>,
     gateways: BTreeSet<String>,
     /// The latest end of each tenant's trial that has passed, and where that was agreed on. An earlier version, which knows of
@@ -114,8 +146,18 @@
     }
 
     /// Whether exactly this configuration has been taken, now or some time ago.
+    pub fn is_taken(&self, body: &[u8]) -> bool {
+        self.taken.knows(&mark(body)).is_some()
+    }
+
+    /// The same, of one under this version.
     pub fn has_taken(&self, version: Version, body: &[u8]) -> bool {
-        self.known.iter().any(|(v, m)| *v == version && *m == mark(body))
+        self.taken.knows(&mark(body)) == Some(version)
+    }
+
+    /// Whether one of this version may have been taken so long ago that nobody knows.
+    pub fn may_have_forgotten(&self, version: Version) -> bool {
+        self.taken.may_be_forgotten(version)
     }
 
     pub fn is_leaving(&self, instance: &str) -> bool {
@@ -130,6 +172,11 @@
         &self.gateways
     }
 
+    /// Whether a word on this gateway would change anything.
+    pub fn wants_gateway(&self, name: &str) -> bool {
+        self.gateways.len() < GATEWAYS && !self.gateways.contains(name)
+    }
+
     /// Whether this end of the tenant's trial has passed.
     pub fn is_over(&self, tenant: &str, ends: u64) -> bool {
         self.over.get(tenant).is_some_and(|(end, _)| *end == ends)
@@ -140,23 +187,37 @@
         self.over.values().map(|(_, at)| *at).max().unwrap_or(0)
     }
 
+    fn configure(
+        &mut self,
+        place: Place,
+        (base, version): (Version, Version),
+        mark: Mark,
+        body: impl FnOnce(Option<&Configuration>) -> Option<Vec<u8>>,
+    ) -> Applied {
+        if self.taken.knows(&mark) == Some(version) {
+            return Applied::Same;
+        }
+        if base != self.version() || version <= self.version() {
+            return Applied::Other;
+        }
+        // All hold the same current one, so that it comes to the same for all.
+        let Some(body) = body(self.configuration.as_deref()) else { return Applied::Other };
+        self.configuration = Some(Arc::new(Configuration { version, place, body }));
+        self.taken.take(version, mark);
+        Applied::Changed
+    }
+
     /// Folds a word in.
     pub fn apply(&mut self, place: Place, word: &Word) -> Applied {
         match word {
             Word::Configuration { base, version, body } => {
-                if self.has_taken(*version, body) {
-                    return Applied::Same;
-                }
-                if *base != self.version() || *version <= self.version() {
-                    return Applied::Other;
-                }
-                let configuration = Configuration { version: *version, place, body: body.clone() };
-                self.configuration = Some(Arc::new(configuration));
-                self.known.push_back((*version, mark(body)));
-                if self.known.len() > KNOWN {
-                    self.known.pop_front();
-                }
-                Applied::Changed
+                self.configure(place, (*base, *version), mark(body), |_| Some(body.clone()))
+            }
+            Word::Change { base, version, mark: wanted, difference } => {
+                self.configure(place, (*base, *version), *wanted, |current| {
+                    let body = Difference::read(difference)?.fold(&current?.body, LONGEST)?;
+                    (mark(&body) == *wanted).then_some(body)
+                })
             }
             Word::Leaving { instance } => {
                 if self.is_leaving(instance) {
@@ -171,12 +232,9 @@
                 }
                 Applied::Changed
             }
-            Word::Gateway { name } if self.gateways.len() < GATEWAYS => {
-                if self.gateways.insert(name.clone()) {
-                    Applied::Changed
-                } else {
-                    Applied::Same
-                }
+            Word::Gateway { name } if self.wants_gateway(name) => {
+                self.gateways.insert(name.clone());
+                Applied::Changed
             }
             Word::Gateway { .. } => Applied::Same,
             Word::TrialOver { tenant, ends } => {
@@ -196,13 +254,6 @@
     }
 }
 
-fn mark(body: &[u8]) -> Mark {
-    let whole = Sha256::digest(body);
-    let mut mark = Mark::default();
-    mark.copy_from_slice(&whole[..16]);
-    mark
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -23,7 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use understudy::{Id, Input};
 use view::View;
 use wings::frame;
@@ -39,6 +39,8 @@
 const KEEP: Duration = Duration::from_secs(1);
 /// Between being told to end and the end: for the duty to go to another, and for calls that are under way.
 const LAST: Duration = Duration::from_millis(1200);
+/// Whoever is told to end says so again so often.
+const LEAVE: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
     wings::command::main("prompter", "granitethread's control plane", env!("CARGO_PKG_VERSION"), run)
@@ -51,9 +53,21 @@
     let control = settings.net.listen_addresses.control_plane.ok_or("no controlPlane address is given")?;
     let inner = listen(SocketAddr::new(settings.own.ip_address, settings.prompters_port()))?;
     let outer = listen(control)?;
-    let opened = settings.own.data_directory.as_ref().map_or_else(Disk::none, |folder| Disk::open(folder));
+    let name = settings.own.ip_address.to_string();
+    let open = async {
+        match &settings.own.data_directory {
+            Some(folder) => Disk::open(folder, &name).await,
+            None => Disk::none(),
+        }
+    };
+    let opened = tokio::select! {
+        opened = open => opened,
+        // The disk does not answer.
+        _ = term.recv() => return Ok(()),
+        _ = int.recv() => return Ok(()),
+    };
     let (disk, held) = opened.map_err(|fault| fault.to_string())?;
-    let me = Id { name: settings.own.ip_address.to_string(), disk: held.id };
+    let me = Id { name, disk: held.id };
     let stored = held.stored;
     let mut seed = [0; 8];
     getrandom::fill(&mut seed).map_err(|e| format!("no random numbers are to be had: {e}"))?;
@@ -73,6 +87,7 @@
     spawn_local(keep_cell(view.clone(), disk));
     spawn_local(meet(view.clone(), agreement.clone(), links, inner));
     spawn_local(trials::run(view.clone(), agreement.clone()));
+    spawn_local(control::keep_contact(view.clone()));
     let calls = Control::new(view.clone(), agreement.clone());
     let mut calls = spawn_local(calls.serve(outer));
     loop {
@@ -89,10 +104,14 @@
         }
     }
     log::info!("told to end");
-    agreement.tell(Input::HandOver);
-    tokio::select! {
-        _ = task => {}
-        () = sleep(LAST) => {}
+    let ends = Instant::now() + LAST;
+    while Instant::now() < ends {
+        // Again, for its vote goes to another only once a new leader knows that it leaves.
+        agreement.tell(Input::HandOver);
+        tokio::select! {
+            _ = &mut task => break,
+            () = sleep(LEAVE) => {}
+        }
     }
     Ok(())
 }
@@ -129,8 +148,8 @@
             reader.known();
             match first {
                 Ok(Ok(Some(First::Prompter { form: FORM, id }))) => links.hear(id, reader).await,
-                Ok(Ok(Some(First::Gateway { form: FORM, name, place, .. }))) => {
-                    followers::serve(view, agreement, name, place, reader, writer).await;
+                Ok(Ok(Some(First::Gateway { form: FORM, name, place, holds, .. }))) => {
+                    followers::serve(view, agreement, name, (place, holds), reader, writer).await;
                 }
                 Ok(Ok(Some(First::Shell { form: FORM }))) => {
                     inquiry::serve(view, agreement, reader, writer).await
--- a/crates/proscenium/src/door.rs
+++ b/crates/proscenium/src/door.rs
@@ -95,8 +95,7 @@
             return Err(unsound(StatusCode::BAD_REQUEST));
         }
         let service = route.target(fastrand::f64());
-        let pool = service.and_then(|service| self.playing.pool(service));
-        let pool = pool.ok_or_else(|| later(StatusCode::SERVICE_UNAVAILABLE, SOON))?;
+        let service = service.ok_or_else(|| later(StatusCode::SERVICE_UNAVAILABLE, SOON))?;
         let wait = wait(&head.headers, route);
         strip_hops(&mut head.headers);
         for name in [CREDENTIAL, TENANT, REMAINING, TARGET, EXPECT] {
@@ -117,7 +116,7 @@
             units: Playing::units(route),
             spread: 1,
             repeat: false,
-            pool,
+            pool: self.playing.pool(service),
             allowance: Allowance::Unknown,
         };
         let outgoing = Outgoing {
--- a/crates/proscenium/src/playing.rs
+++ b/crates/proscenium/src/playing.rs
@@ -1,17 +1,20 @@
 //! What is playing: the configuration in force and the backends, as requests need them. Fed by the link to a prompter.
 
 use crate::fold::{Fold, News};
-use crate::places::{Pools, Sort, Sorts, POOLS};
+use crate::pools::{Pools, POOLS};
 use crate::rights::Rights;
+use crate::sorts::{Sort, Sorts};
 use curtain::Terms;
-use granite_interface::{Class, Effect, Group, Plan, Scope, Settings};
+use granite_interface::{Effect, Plan, Scope, Settings};
 use granite_stage::driver::Driver;
 use granite_stage::list::{List, State, Target};
 use greenroom::Fact;
-use playbill::{Kind, Playbill, Route, Table};
+use playbill::{Playbill, Route, Table};
+use promptbook::Configuration;
 use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -43,8 +46,9 @@
     settings: RefCell<Settings>,
     driver: RefCell<Option<Rc<Driver>>>,
     me: String,
-    /// When a majority was last known of.
+    /// When a majority was last known of, and when all that it had agreed on on configurations was held here.
     touch: Cell<Option<Instant>>,
+    newest: Cell<Option<Instant>>,
     prompter: Cell<Option<IpAddr>>,
 }
 
@@ -56,13 +60,13 @@
         });
         // Who is slowed, in queues of their own, of the least weight.
         let plans = plans.chain([Plan::new("slowed", 0.0, 0.0)]);
-        let sorts = Sorts::default();
+        let sorts = Sorts::new();
         let settings = Settings {
             zone,
             // Until it is known: a guess errs on the side of small rooms.
             gateways: 8,
             pools: POOLS,
-            classes: sorts.all().iter().map(class).collect(),
+            classes: sorts.all().iter().map(Sort::class).collect(),
             plans: plans.collect(),
             cancelling: true,
             retry_after: true,
@@ -86,6 +90,7 @@
             driver: RefCell::default(),
             me,
             touch: Cell::new(None),
+            newest: Cell::new(None),
             prompter: Cell::new(None),
         })
     }
@@ -105,7 +110,7 @@
 
     /// Whether what this gateway refuses for want of a route or a key may be refused for good.
     pub fn is_fresh(&self) -> bool {
-        self.touch.get().is_some_and(|at| at.elapsed() < FRESH)
+        self.newest.get().is_some_and(|at| at.elapsed() < FRESH)
     }
 
     /// Whether new clients do well to come here.
@@ -129,13 +134,32 @@
         self.prompter.get()
     }
 
-    pub fn touched(&self, at: Instant) {
+    /// The prompter holds all that was agreed on by then, and the newest configuration of that stands at `newest`.
+    pub fn touched(&self, at: Instant, newest: u64) {
         self.touch.set(self.touch.get().max(Some(at)));
+        if self.holds() >= newest {
+            self.newest.set(self.newest.get().max(Some(at)));
+        }
+    }
+
+    /// The configuration that it goes by.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.fold.borrow().held().cloned()
+    }
+
+    /// Where that stands in the agreed log; 0: there is none.
+    pub fn holds(&self) -> u64 {
+        self.fold.borrow().held().map_or(0, |c| c.place)
     }
 
-    /// A service's place among the pools; none if too many were named.
-    pub fn pool(&self, service: &str) -> Option<usize> {
-        self.pools.borrow_mut().place(service)
+    /// The pool that a request for this service goes to.
+    pub fn pool(&self, service: &str) -> usize {
+        self.pools.borrow_mut().asked(service)
+    }
+
+    /// The pools of this service's backends, a bit each.
+    pub fn pools(&self, service: &str) -> u32 {
+        self.pools.borrow_mut().served(service)
     }
 
     /// A route's place among the classes.
@@ -200,12 +224,10 @@
 
     fn configure(&self, playbill: Playbill) {
         let mut sorts = self.sorts.borrow_mut();
-        for route in &playbill.routes {
-            sorts.learn(Sort::of(route));
-        }
+        sorts.configure(&playbill.routes);
         self.rights.limits(&Terms::of(&playbill).limits);
         *self.attempts.borrow_mut() = sorts.all().iter().map(|s| s.attempts).collect();
-        self.settings.borrow_mut().classes = sorts.all().iter().map(class).collect();
+        self.settings.borrow_mut().classes = sorts.all().iter().map(Sort::class).collect();
         drop(sorts);
         self.reconfigure();
         *self.table.borrow_mut() = Some(Rc::new(Table::new(playbill)));
@@ -232,17 +254,6 @@
     }
 }
 
-fn class(sort: &Sort) -> Class {
-    let nanos = |ms: f64| (ms.clamp(1.0, 3.6e6) * 1e6) as u64;
-    let effect = match sort.kind {
-        Kind::Safe => Effect::Safe,
-        Kind::Unsafe => Effect::Unsafe,
-    };
-    let timeout = if sort.timeout_ms > 0.0 { sort.timeout_ms } else { 60_000.0 };
-    let aim = if sort.aim_ms > 0.0 { sort.aim_ms } else { timeout / 4.0 };
-    Class { late_worth: 0.5, ..Class::new("", nanos(aim), nanos(timeout), effect, Group::All) }
-}
-
 /// `now`: on the driver's clock, by which it tells how long backends have run.
 fn target(fact: &Fact, now: u64) -> Target {
     let cold = COLD.saturating_sub(Duration::from_millis(u64::from(fact.cold_ms)));
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -3,9 +3,15 @@
 use futures_util::{SinkExt, StreamExt};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::cell::Cell;
 use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
@@ -18,24 +24,53 @@
     LengthDelimitedCodec::builder().max_frame_length(longest).new_codec()
 }
 
-pub struct Reader(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+pub struct Reader {
+    frames: FramedRead<Heard, LengthDelimitedCodec>,
+    heard: Rc<Cell<Instant>>,
+}
+
+/// Notes when bytes come: a long message on a slow link is no silence.
+struct Heard {
+    from: OwnedReadHalf,
+    at: Rc<Cell<Instant>>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.from).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.at.set(Instant::now());
+        }
+        polled
+    }
+}
 
 pub struct Writer(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
 
 /// The two ends of a connection. Its reader takes short messages only, until it is told that the other is known.
 pub fn split(stream: TcpStream) -> (Reader, Writer) {
     let (read, write) = stream.into_split();
+    let heard = Rc::new(Cell::new(Instant::now()));
+    let read = Heard { from: read, at: heard.clone() };
     // A link at rest holds no large buffers.
-    (
-        Reader(FramedRead::with_capacity(read, codec(STRANGER), 2048)),
-        Writer(FramedWrite::new(write, codec(LONGEST))),
-    )
+    let frames = FramedRead::with_capacity(read, codec(STRANGER), 2048);
+    (Reader { frames, heard }, Writer(FramedWrite::new(write, codec(LONGEST))))
 }
 
 impl Reader {
     /// The other side is one of ours: what it says may be long.
     pub fn known(&mut self) {
-        self.0.decoder_mut().set_max_frame_length(LONGEST);
+        self.frames.decoder_mut().set_max_frame_length(LONGEST);
+    }
+
+    /// When bytes came last.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
     }
 
     /// The next message; none at the connection's end.
@@ -43,7 +78,7 @@
     /// # Errors
     /// The connection's, or that what came is no message.
     pub async fn read<M: DeserializeOwned>(&mut self) -> io::Result<Option<M>> {
-        let Some(bytes) = self.0.next().await.transpose()? else { return Ok(None) };
+        let Some(bytes) = self.frames.next().await.transpose()? else { return Ok(None) };
         let message = rmp_serde::from_slice(&bytes);
         message.map(Some).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
     }
@@ -76,8 +111,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::time::Duration;
     use tokio::io::AsyncWriteExt;
     use tokio::net::TcpListener;
+    use tokio::time::timeout;
 
     async fn pair() -> (TcpStream, TcpStream) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -103,6 +140,24 @@
         assert!(reader.read::<String>().await.is_err(), "nothing is set aside for what it claims");
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_long_message_on_a_slow_link_is_heard_while_its_bytes_come() {
+        let (one, mut two) = pair().await;
+        let (mut reader, _one) = split(one);
+        reader.known();
+        let begun = reader.heard();
+        let message = rmp_serde::to_vec(&"x".repeat(5000)).unwrap();
+        two.write_all(&(message.len() as u32).to_be_bytes()).await.unwrap();
+        for piece in message.chunks(1000) {
+            tokio::time::advance(Duration::from_millis(400)).await;
+            two.write_all(piece).await.unwrap();
+            // The whole does not come within this; its bytes do.
+            let _ = timeout(Duration::from_millis(1), reader.read::<String>()).await;
+            assert!(reader.heard() > begun && reader.heard().elapsed() < Duration::from_millis(100));
+        }
+        assert!(begun.elapsed() > Duration::from_millis(2000), "longer than a silence that ends a link");
+    }
+
     #[tokio::test]
     async fn what_is_no_message_of_ours_ends_the_connection() {
         let (one, mut two) = pair().await;
