--- a/crates/rehearsal/src/defect.rs
+++ b/crates/rehearsal/src/defect.rs
@@ -49,6 +49,8 @@
     NumberIsEnough,
     /// The base is looked at before whether that very order was taken.
     BaseFirst,
+    /// A newcomer says that it has what it has not, and votes before it has caught up.
+    TakenInTooSoon,
     /// The snapshot knows the newest order alone.
     SnapshotForgets,
     /// The log is folded, and the state stays the old one.
@@ -58,7 +60,7 @@
 }
 
 impl Defect {
-    pub const ALL: [Defect; 26] = [
+    pub const ALL: [Defect; 27] = [
         Defect::SendBeforeSync,
         Defect::WipedVotes,
         Defect::ReadAlone,
@@ -82,6 +84,7 @@
         Defect::OrderForgotten,
         Defect::NumberIsEnough,
         Defect::BaseFirst,
+        Defect::TakenInTooSoon,
         Defect::SnapshotForgets,
         Defect::OldSnapshot,
         Defect::LogCutAtStart,
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -5,7 +5,7 @@
 use crate::rules::Broken;
 use crate::{Time, MS};
 use fastrand::Rng;
-use understudy::{Input, Stored};
+use understudy::Stored;
 
 const SECOND: Time = 1000 * MS;
 /// The first comes no sooner: a core is founded by then.
@@ -37,6 +37,8 @@
 pub enum Trouble {
     /// Whatever chance draws.
     Next,
+    /// Machines are replaced in turn, each by one of another name, until the world ends.
+    Replace,
     /// The leader of that moment, so often in a row, for so long.
     Leader(Blow, u8, Time),
 }
@@ -112,6 +114,14 @@
     pub fn strike(&mut self, world: &mut Long, trouble: Trouble) -> Result<(), Broken> {
         match trouble {
             Trouble::Next => self.next(world),
+            Trouble::Replace => {
+                let at = world.now + world.rng.u64(9..25) * SECOND;
+                world.at(at, Event::Trouble(Trouble::Replace));
+                let voters = world.voters();
+                // The oldest, which is at times the leader.
+                self.replace(world, voters[0]);
+                Ok(())
+            }
             Trouble::Leader(..) if self.is_calm(world.now) => Ok(()),
             Trouble::Leader(blow, left, lasts) => {
                 let Some(leader) = world.leader() else {
@@ -156,7 +166,7 @@
             1 | 2 => world.rng.u64(500..8000) * MS,
             _ => world.rng.u64(18_000..30_000) * MS,
         };
-        let draw = if began && world.rng.u8(..3) == 0 { 12 } else { world.rng.u8(..24) };
+        let draw = if began && world.rng.u8(..2) == 0 { world.rng.u8(12..15) } else { world.rng.u8(..24) };
         match draw {
             0..=3 => {
                 let blow = self.draw_blow(&mut world.rng);
@@ -191,8 +201,9 @@
                     world.kill(m, lasts);
                 }
             }
-            11 => self.told_to_end(world, n, lasts)?,
-            12..=14 => self.wipe(world, n),
+            11 => self.told_to_end(world, n, lasts),
+            12 | 13 => self.wipe(world, n),
+            14 => self.replace(world, n),
             15 => {
                 let rate = [250_000.0, 60_000.0][world.rng.usize(..2)];
                 let until = self.until(now, lasts);
@@ -311,23 +322,53 @@
     }
 
     /// SIGTERM: it names its successor, answers what it has, and ends.
-    fn told_to_end(&mut self, world: &mut Long, n: usize, lasts: Time) -> Result<(), Broken> {
+    fn told_to_end(&mut self, world: &mut Long, n: usize, lasts: Time) {
         let now = world.now;
         let name = world.machines[n].id.to_string();
         world.tell(|| format!("{name} is told to end"));
-        world.machines[n].put(Input::HandOver);
-        world.work(n)?;
+        let life = world.machines[n].life;
+        world.at(now, Event::Leaving(n, life));
         let ends = self.until(now, world.rng.u64(20..1200) * MS);
         let lasts = self.until(ends, lasts) - ends;
         world.event = now;
         world.lost[n] = world.lost[n].max(ends + lasts);
         world.at(ends, Event::Kill(n, lasts));
-        Ok(())
+    }
+
+    /// A machine is removed for good, told to end or not, and another of a new name begins, which is told of some that
+    /// there are, at times of those that are cut off or down first.
+    fn replace(&mut self, world: &mut Long, n: usize) {
+        let voters = world.voters();
+        if !voters.contains(&n) || world.machines.len() >= 60 || !self.bears(world, n) {
+            return;
+        }
+        let now = world.now;
+        let planned = world.rng.u8(..3) > 0;
+        let begins = now + world.rng.u64(..3000) * MS;
+        let mut seeds: Vec<usize> = (0..world.machines.len()).filter(|m| !world.machines[*m].gone).collect();
+        world.rng.shuffle(&mut seeds);
+        seeds.sort_by_key(|m| world.lost[*m] <= now);
+        seeds.truncate(3);
+        // One of three is there.
+        if let Some(there) = voters.iter().find(|m| **m != n && world.machines[**m].runs(now)) {
+            seeds[0] = *there;
+        }
+        let newcomer = world.newcomer(&seeds, begins);
+        world.tell(|| format!("p{n} is replaced by p{newcomer}, planned {planned}"));
+        world.event = now;
+        if planned {
+            let (life, ends) = (world.machines[n].life, now + world.rng.u64(300..1200) * MS);
+            world.at(now, Event::Leaving(n, life));
+            world.at(ends, Event::Gone(n));
+        } else {
+            world.at(now, Event::Gone(n));
+        }
     }
 
     /// Whether one more may lose its disk: of those that count no more than the stated ones are lost at a time.
     fn bears(&self, world: &Long, n: usize) -> bool {
-        let lost = |m: &usize| *m != n && world.now < world.lost[*m] + CATCH_UP;
+        // Who is new has its time to catch up while there is a majority to catch up with.
+        let lost = |m: &usize| *m != n && (world.now < world.lost[*m] + CATCH_UP || !world.is_back(*m));
         let others = world.voters().into_iter().filter(lost).count();
         world.ledger.newest() > 0 && others < self.tolerance && world.now > FOUNDED
     }
@@ -341,6 +382,9 @@
         let now = world.now;
         let others_too = world.rng.u8(..3) == 0;
         let lasts = self.until(now, world.rng.u64(20..4000) * MS) - now;
+        if world.machines[n].gone {
+            return;
+        }
         world.kill(n, lasts);
         world.lost[n] = world.lost[n].max(now + lasts);
         let machine = &mut world.machines[n];
