--- a/crates/prompter/src/agreement/tests.rs
+++ b/crates/prompter/src/agreement/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use crate::disk::folder::Folder;
-use crate::disk::keeping::Keeping;
 use crate::disk::stand_in::{Loss, Mood, StandIn};
+use crate::disk::storage::Storage;
 use std::future::Future;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -67,7 +67,7 @@
     async fn start(&mut self, n: usize) -> u64 {
         self.starts += 1;
         let (folder, id) = (Arc::new(self.disks[n].clone()) as Arc<dyn Folder>, 100 * self.starts + n as u64);
-        let opens = move || Keeping::open(folder, &name(n), id);
+        let opens = move || Storage::open(folder, &name(n), id);
         let (disk, held) = Disk::begin(opens, PathBuf::new()).await.unwrap();
         let view = View::new(settings(n), Id { name: name(n), disk: held.id }, self.starts);
         let (agreement, task) = Agreement::start(&view, disk, held.stored, self.starts);
--- a/crates/prompter/src/disk.rs
+++ b/crates/prompter/src/disk.rs
@@ -5,10 +5,10 @@
 mod cell;
 pub(crate) mod folder;
 mod generation;
-pub(crate) mod keeping;
 #[cfg(test)]
 pub(crate) mod stand_in;
 mod standing;
+pub(crate) mod storage;
 #[cfg(test)]
 mod tests;
 
@@ -18,11 +18,11 @@
 use displaydoc::Display;
 use folder::{Directory, Folder};
 use greenroom::Fact;
-use keeping::Keeping;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 use std::time::Duration;
+use storage::Storage;
 use tokio::sync::oneshot;
 use understudy::{Place, Save, Stored};
 
@@ -111,7 +111,7 @@
 
     /// The thread, with what it begins with; and where a store of an earlier form may be.
     pub(crate) async fn begin(
-        opens: impl FnOnce() -> Result<(Keeping, Held), Fault> + Send + 'static,
+        opens: impl FnOnce() -> Result<(Storage, Held), Fault> + Send + 'static,
         earlier: PathBuf,
     ) -> Result<(Disk, Held), Fault> {
         let (sender, asked) = mpsc::channel();
@@ -119,11 +119,11 @@
         let cell: Arc<Mutex<Option<Vec<Fact>>>> = Arc::default();
         let thread = Thread { asked: sender, cell: cell.clone() };
         let begun = std::thread::Builder::new().name("disk".into()).spawn(move || {
-            let mut keeping = match opens() {
-                Ok((keeping, held)) => {
+            let mut storage = match opens() {
+                Ok((storage, held)) => {
                     // Whoever waited is gone when the process ends.
                     let _ = tell.send(Ok(held));
-                    keeping
+                    storage
                 }
                 Err(fault) => return drop(tell.send(Err(fault))),
             };
@@ -131,10 +131,10 @@
             for asked in asked {
                 match asked {
                     Asked::Work(Work::Save(saves, agreed), done) => {
-                        drop(done.send(keeping.save(&saves, agreed)))
+                        drop(done.send(storage.save(&saves, agreed)))
                     }
                     Asked::Work(Work::Whole(stored), done) => {
-                        let saved = keeping.whole(&stored);
+                        let saved = storage.whole(&stored);
                         if let Some(earlier) = earlier.take_if(|_| saved.is_ok()) {
                             remove_earlier(&earlier);
                         }
@@ -142,10 +142,10 @@
                     }
                     Asked::Cell => {
                         let facts = cell.lock().unwrap_or_else(PoisonError::into_inner).take();
-                        keeping.keep(&facts.unwrap_or_default());
+                        storage.keep(&facts.unwrap_or_default());
                     }
                 }
-                keeping.rest();
+                storage.rest();
             }
         });
         begun.map_err(|e| Fault::Io("thread".into(), e))?;
@@ -185,7 +185,7 @@
 }
 
 /// Asks until it can be read.
-fn begin(folder: &Path, name: &str) -> Result<(Keeping, Held), Fault> {
+fn begin(folder: &Path, name: &str) -> Result<(Storage, Held), Fault> {
     if folder.join(EARLIER).exists() {
         log::warn!("disk: it holds a store of an earlier form, which is not read: as with a lost disk");
     }
@@ -193,7 +193,7 @@
     loop {
         let path: PathBuf = folder.join(FOLDER);
         let opened = Directory::new(path.clone()).map_err(|e| Fault::Io(path.display().to_string(), e));
-        let fault = match opened.and_then(|d| Keeping::open(Arc::new(d) as Arc<dyn Folder>, name, random()?))
+        let fault = match opened.and_then(|d| Storage::open(Arc::new(d) as Arc<dyn Folder>, name, random()?))
         {
             Err(fault @ Fault::Random(_)) => return Err(fault),
             Err(fault) => fault,
--- a/crates/prompter/src/disk/keeping.rs
+++ b/crates/prompter/src/disk/storage.rs
@@ -20,7 +20,7 @@
 
 /// The folder, as the thread that writes holds it.
 #[derive(Debug)]
-pub struct Keeping {
+pub struct Storage {
     folder: Arc<dyn Folder>,
     owner: Owner,
     /// That which is written to. None: the whole is to be saved first.
@@ -36,12 +36,12 @@
     saves: u64,
 }
 
-impl Keeping {
+impl Storage {
     /// Reads what is there. Nothing is written, so that nothing can be lost. `new`: the id, if there is none.
     ///
     /// # Errors
     /// The disk refuses to be read.
-    pub fn open(folder: Arc<dyn Folder>, name: &str, new: u64) -> Result<(Keeping, Held), Fault> {
+    pub fn open(folder: Arc<dyn Folder>, name: &str, new: u64) -> Result<(Storage, Held), Fault> {
         let (cell, facts) = Kept::read(&*folder);
         let numbers = generation::numbers(&*folder).map_err(|e| Fault::Io("the folder".into(), e))?;
         let (mut found, mut damaged, mut blobs) = (None, None, Blobs::default());
@@ -71,7 +71,7 @@
             }
         };
         let owner = Owner::new(name, disk);
-        let keeping = Keeping {
+        let storage = Storage {
             folder,
             owner,
             generation: None,
@@ -82,7 +82,7 @@
             cell,
             saves: 0,
         };
-        Ok((keeping, Held { id: disk, stored, cell: facts }))
+        Ok((storage, Held { id: disk, stored, cell: facts }))
     }
 
     /// Saves all of it, in order, synced together.
--- a/crates/prompter/src/disk/tests.rs
+++ b/crates/prompter/src/disk/tests.rs
@@ -1,8 +1,8 @@
 //! What is kept, against a stand-in that loses power at each operation, refuses, and forgets.
 
 use super::folder::Folder;
-use super::keeping::{Keeping, MOST};
 use super::stand_in::{Loss, Mood, StandIn};
+use super::storage::{Storage, MOST};
 use super::*;
 use fastrand::Rng;
 use promptbook::{Book, Word};
@@ -11,8 +11,8 @@
 const NAME: &str = "10.0.0.1";
 const ID: u64 = 77;
 
-fn open(folder: &StandIn) -> (Keeping, Held) {
-    Keeping::open(Arc::new(folder.clone()) as Arc<dyn Folder>, NAME, ID).unwrap()
+fn open(folder: &StandIn) -> (Storage, Held) {
+    Storage::open(Arc::new(folder.clone()) as Arc<dyn Folder>, NAME, ID).unwrap()
 }
 
 /// A follower, and a leader that makes up what it is told: long and short words, new terms, ends of the log that are
@@ -148,10 +148,10 @@
 
 /// A process of so many steps, or until the disk is gone.
 fn play(disk: &StandIn, seen: &mut Seen, seed: u64, steps: usize) {
-    let (mut keeping, held) = open(disk);
+    let (mut storage, held) = open(disk);
     let mut follower = Follower::new(held, seed);
     let whole = follower.core.stored();
-    let done = keeping.whole(&whole);
+    let done = storage.whole(&whole);
     seen.note(whole, &done);
     let mut works = done.is_ok();
     for _ in 0..steps {
@@ -160,10 +160,10 @@
             continue;
         }
         let stored = follower.core.stored();
-        let done = if works { keeping.save(&saves, stored.agreed) } else { keeping.whole(&stored) };
+        let done = if works { storage.save(&saves, stored.agreed) } else { storage.whole(&stored) };
         works = done.is_ok();
         seen.note(stored, &done);
-        keeping.rest();
+        storage.rest();
     }
 }
 
@@ -206,7 +206,7 @@
 fn a_disk_that_was_full_holds_all_again_and_forgets_nothing() {
     for seed in 0..16 {
         let (disk, mut seen) = (StandIn::default(), Seen::default());
-        let (mut keeping, held) = open(&disk);
+        let (mut storage, held) = open(&disk);
         let mut follower = Follower::new(held, seed);
         let mut rng = Rng::with_seed(seed);
         let mut works = false;
@@ -219,7 +219,7 @@
             }
             let saves = follower.step();
             let stored = follower.core.stored();
-            let done = if works { keeping.save(&saves, stored.agreed) } else { keeping.whole(&stored) };
+            let done = if works { storage.save(&saves, stored.agreed) } else { storage.whole(&stored) };
             works = done.is_ok();
             seen.note(stored, &done);
             for loss in [Loss::None, Loss::All, Loss::Lot(rng.u64(..))] {
@@ -229,7 +229,7 @@
         disk.mood(Mood::Works);
         disk.refuses_after(u64::MAX);
         let stored = follower.core.stored();
-        keeping.whole(&stored).unwrap();
+        storage.whole(&stored).unwrap();
         assert_eq!(open(&disk.after(Loss::All)).1.stored, stored);
     }
 }
@@ -240,16 +240,16 @@
     for first in 0..12 {
         for second in 0..16 {
             let (disk, mut seen) = (StandIn::default(), Seen::default());
-            let (mut keeping, held) = open(&disk);
+            let (mut storage, held) = open(&disk);
             let (mut core, mut book) = (sole(held.id), Book::new());
-            let done = keeping.whole(&core.stored());
+            let done = storage.whole(&core.stored());
             seen.note(core.stored(), &done);
             disk.refuses_after(first);
             let saves = change(&mut core, &mut book, 1, 70_000, false);
-            let done = keeping.save(&saves, core.agreed());
+            let done = storage.save(&saves, core.agreed());
             seen.note(core.stored(), &done);
             disk.refuses_after(second);
-            let done = keeping.whole(&core.stored());
+            let done = storage.whole(&core.stored());
             seen.note(core.stored(), &done);
             for loss in [Loss::None, Loss::All, Loss::Lot(first * 16 + second)] {
                 seen.check(&open(&disk.after(loss)).1, &format!("{first}, {second}, {loss:?}"));
@@ -277,15 +277,15 @@
 #[test]
 fn a_thousand_changes_take_no_more_room_than_ten() {
     let disk = StandIn::default();
-    let (mut keeping, held) = open(&disk);
+    let (mut storage, held) = open(&disk);
     let (mut core, mut book) = (sole(held.id), Book::new());
-    keeping.whole(&core.stored()).unwrap();
+    storage.whole(&core.stored()).unwrap();
     let (mut before, mut after_ten) = (disk.counts(), 0);
     let mut folds = 0;
     for version in 1..=1000 {
         let fold = core.entries() >= 64;
         folds += usize::from(fold);
-        keeping.save(&change(&mut core, &mut book, version, 20_000, fold), core.agreed()).unwrap();
+        storage.save(&change(&mut core, &mut book, version, 20_000, fold), core.agreed()).unwrap();
         if version == 10 {
             (before, after_ten) = (disk.counts(), disk.counts().peak);
         }
@@ -326,24 +326,24 @@
 #[test]
 fn the_longest_configurations_stay_within_the_bound() {
     let disk = StandIn::default();
-    let (mut keeping, held) = open(&disk);
+    let (mut storage, held) = open(&disk);
     let (mut core, mut book) = (sole(held.id), Book::new());
-    keeping.whole(&core.stored()).unwrap();
+    storage.whole(&core.stored()).unwrap();
     for version in 1..=3 {
         let saves = change(&mut core, &mut book, version, 8 << 20, true);
         disk.mood(if version == 2 { Mood::Full } else { Mood::Works });
-        let done = keeping.save(&saves, core.agreed());
+        let done = storage.save(&saves, core.agreed());
         assert_eq!(done.is_ok(), version == 1, "{done:?}");
     }
-    keeping.whole(&core.stored()).unwrap();
+    storage.whole(&core.stored()).unwrap();
     assert_eq!(open(&disk.after(Loss::All)).1.stored, core.stored());
     for version in 4..=7 {
-        keeping.save(&change(&mut core, &mut book, version, 8 << 20, false), core.agreed()).unwrap();
+        storage.save(&change(&mut core, &mut book, version, 8 << 20, false), core.agreed()).unwrap();
     }
     let sure = core.stored();
     let saves = change(&mut core, &mut book, 8, 8 << 20, false);
-    assert!(matches!(keeping.save(&saves, core.agreed()), Err(Fault::Bound)));
-    assert!(matches!(keeping.whole(&core.stored()), Err(Fault::Bound)));
+    assert!(matches!(storage.save(&saves, core.agreed()), Err(Fault::Bound)));
+    assert!(matches!(storage.whole(&core.stored()), Err(Fault::Bound)));
     assert_eq!(open(&disk.after(Loss::All)).1.stored, sure, "as it was");
     assert!(disk.counts().peak <= MOST, "{} bytes at the peak", disk.counts().peak);
     const { assert!(MOST < 64_000_000) };
@@ -353,12 +353,12 @@
 #[test]
 fn what_makes_no_sense_is_a_lost_disk_and_stays_to_be_looked_at() {
     let disk = StandIn::default();
-    let (mut keeping, held) = open(&disk);
+    let (mut storage, held) = open(&disk);
     let mut follower = Follower::new(held, 3);
-    keeping.whole(&follower.core.stored()).unwrap();
+    storage.whole(&follower.core.stored()).unwrap();
     for _ in 0..8 {
         let saves = follower.step();
-        keeping.save(&saves, follower.core.agreed()).unwrap();
+        storage.save(&saves, follower.core.agreed()).unwrap();
     }
     let file = disk.names().into_iter().find(|n| n.starts_with("agreed-")).unwrap();
     let bytes = disk.read(&file).unwrap();
@@ -380,12 +380,12 @@
     for (name, bytes) in broken {
         let disk = disk.after(Loss::All);
         disk.spoil(name, bytes);
-        let (mut keeping, held) = Keeping::open(Arc::new(disk.clone()) as Arc<dyn Folder>, NAME, 78).unwrap();
+        let (mut storage, held) = Storage::open(Arc::new(disk.clone()) as Arc<dyn Folder>, NAME, 78).unwrap();
         // What is left of it may be whole.
         let same = held.id == ID && held.stored == follower.core.stored();
         assert!(same || held.id == 78 && held.stored == Stored::default(), "older under the same id");
         lost += usize::from(!same);
-        keeping.whole(&held.stored).unwrap();
+        storage.whole(&held.stored).unwrap();
         let kept = disk.names().iter().any(|n| n == "damaged");
         assert!(same || kept, "{:?}", disk.names());
         assert_eq!(open(&disk.after(Loss::All)).1.id, held.id);
@@ -393,7 +393,7 @@
     assert!(lost > 40, "{lost}");
     // A machine that was given another's disk.
     let disk = disk.after(Loss::All);
-    let held = Keeping::open(Arc::new(disk) as Arc<dyn Folder>, "10.0.0.9", 79).unwrap().1;
+    let held = Storage::open(Arc::new(disk) as Arc<dyn Folder>, "10.0.0.9", 79).unwrap().1;
     assert_eq!((held.id, held.stored), (79, Stored::default()));
 }
 
@@ -403,18 +403,18 @@
 fn one_that_is_spoilt_later_is_a_lost_disk_and_not_the_one_before() {
     let disk = StandIn::default();
     for seed in 0..8 {
-        let (mut keeping, held) = open(&disk);
+        let (mut storage, held) = open(&disk);
         let mut follower = Follower::new(held, seed);
-        keeping.whole(&follower.core.stored()).unwrap();
+        storage.whole(&follower.core.stored()).unwrap();
         for _ in 0..3 {
             let saves = follower.step();
-            keeping.save(&saves, follower.core.agreed()).unwrap();
+            storage.save(&saves, follower.core.agreed()).unwrap();
         }
         let after = disk.after(Loss::Lot(seed));
         let last = after.names().into_iter().filter(|n| n.starts_with("agreed-")).max().unwrap();
         after.spoil(&last, b"spoilt".to_vec());
         let folder = Arc::new(after) as Arc<dyn Folder>;
-        let held = Keeping::open(folder, NAME, 78).unwrap().1;
+        let held = Storage::open(folder, NAME, 78).unwrap().1;
         assert_eq!((held.id, held.stored), (78, Stored::default()), "seed {seed}");
     }
 }
@@ -423,14 +423,14 @@
 #[test]
 fn the_cell_is_kept_by_turns() {
     let disk = StandIn::default();
-    let (mut keeping, held) = open(&disk);
+    let (mut storage, held) = open(&disk);
     assert!(held.cell.is_empty());
-    keeping.whole(&Stored::default()).unwrap();
+    storage.whole(&Stored::default()).unwrap();
     let fact = |n: u64| Fact { id: format!("i-{n}"), ..Fact::default() };
     for n in 1..5 {
-        keeping.keep(&[fact(n)]);
-        keeping.rest();
-        keeping.keep(&[fact(n + 100)]);
+        storage.keep(&[fact(n)]);
+        storage.rest();
+        storage.keep(&[fact(n + 100)]);
         assert_eq!(open(&disk.after(Loss::None)).1.cell, [fact(n + 100)], "a process that is killed");
         assert_eq!(open(&disk.after(Loss::All)).1.cell, [fact(n)], "what was synced");
     }
