Two that wait are taken in together only while every voter answers

A leader that had just begun took voters that were gone for there, and made seven of five though two of the seven were gone; nobody was exchanged then. Change: a voter that has not answered this leader is new, not there, and pairs wait until all answer.

--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -793,6 +793,7 @@
                 () if unheard >= GONE => Health::Gone,
                 () if h.leaving.contains_key(id) => Health::Leaving,
                 () if unheard >= PATIENCE => Health::Silent,
+                () if self.heard_of(h, id) == 0 => Health::New,
                 () => Health::There,
             }
         };
--- a/crates/understudy/src/members.rs
+++ b/crates/understudy/src/members.rs
@@ -76,6 +76,8 @@
 /// How a voter is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Health {
+    /// It has not answered this leader yet, who has just begun.
+    New,
     /// It answers.
     There,
     /// It was told to end, or has not answered for a moment: its place is for the same machine with another disk, or, if it
@@ -127,13 +129,15 @@
             _ => new.extend(waiting.pop_first()),
         }
     }
-    while waiting.len() > 1 {
+    // While one is silent, whoever waits may be wanted in its place.
+    let all_there = ids(members).all(|id| health(&id) == Health::There);
+    while all_there && waiting.len() > 1 {
         new.extend(waiting.pop_first());
         new.extend(waiting.pop_first());
     }
     let there = |set: &Members| {
         let was = |id: &Id| members.get(&id.name) == Some(&id.disk);
-        let there = ids(set).filter(|id| !was(id) || health(id) == Health::There).count();
+        let there = ids(set).filter(|id| !was(id) || health(id) <= Health::There).count();
         there as isize - (set.len() / 2 + 1) as isize
     };
     (bears(new.len()) >= bears(members.len()) && there(&new) > there(members)).then_some(new)
