--- a/crates/prompter/src/disk/tests.rs
+++ b/crates/prompter/src/disk/tests.rs
@@ -172,16 +172,16 @@
 fn whenever_it_is_cut_short_what_was_saved_is_found_under_the_same_id() {
     let whole = {
         let disk = StandIn::default();
-        play(&disk, &mut Seen::default(), 1, 6);
+        play(&disk, &mut Seen::default(), 1, 10);
         disk.counts().operations
     };
-    assert!(whole > 60, "{whole} operations");
+    assert!(whole > 100, "{whole} operations");
     for at in 0..whole {
-        let plain = if at % 2 == 0 { Loss::All } else { Loss::None };
-        for (n, loss) in [plain, Loss::Lot(at)].into_iter().enumerate() {
+        for (n, loss) in [Loss::None, Loss::All, Loss::Lot(at), Loss::Lot(at + 1000)].into_iter().enumerate()
+        {
             let (mut disk, mut seen) = (StandIn::default(), Seen::default());
             disk.dies_after(at);
-            play(&disk, &mut seen, 1, 6);
+            play(&disk, &mut seen, 1, 10);
             // It comes back, and is cut short again: in the middle of its new generation, or soon after.
             for again in 0..3 {
                 let what = format!("operation {at}, {loss:?}, {again}");
@@ -194,7 +194,7 @@
                         seen.maybe.push(held.stored);
                     }
                     disk.dies_after((7 * at + 13 * again + n as u64) % 40);
-                    play(&disk, &mut seen, at + again, 2);
+                    play(&disk, &mut seen, at + again, 4);
                 }
             }
         }
@@ -204,7 +204,7 @@
 /// A disk that takes nothing for a while, and forgets what it was to sync: what is saved afterwards is found, whatever happens then.
 #[test]
 fn a_disk_that_was_full_holds_all_again_and_forgets_nothing() {
-    for seed in 0..16 {
+    for seed in 0..24 {
         let (disk, mut seen) = (StandIn::default(), Seen::default());
         let (mut storage, held) = open(&disk);
         let mut follower = Follower::new(held, seed);
