A member that begins again in the middle of a state gets it from the start

Change: an answer to a later round that names less than was acknowledged sets the transfer back to there.

--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -452,7 +452,7 @@
                 self.answered(now, &m.from, round, |p| p.missed(hint, last), out);
             }
             Body::Got { place, up_to, round } if m.term == self.term => {
-                self.answered(now, &m.from, round, |p| p.got(now, place, up_to), out);
+                self.answered(now, &m.from, round, |p| p.got(now, place, up_to, round), out);
             }
             Body::Took { .. } | Body::Missed { .. } | Body::Got { .. } => {}
             Body::Leave => {
--- a/crates/understudy/src/sending.rs
+++ b/crates/understudy/src/sending.rs
@@ -40,6 +40,8 @@
     snapshot: Option<Arc<Snapshot>>,
     sent: u64,
     acknowledged: u64,
+    /// The latest round that was answered with more than before.
+    answered: u64,
     /// The latest answer, or the start.
     moved: Time,
     /// Where each part that is under way ends, and when it went.
@@ -136,8 +138,16 @@
             }
         };
         let under_way = VecDeque::new();
-        let transfer =
-            Transfer { whole, snapshot, sent: 0, acknowledged: 0, moved: now, under_way, slowed: 0 };
+        let transfer = Transfer {
+            whole,
+            snapshot,
+            sent: 0,
+            acknowledged: 0,
+            answered: 0,
+            moved: now,
+            under_way,
+            slowed: 0,
+        };
         self.transfer = Some(transfer);
     }
 
@@ -180,13 +190,19 @@
         }
     }
 
-    /// It has so many bytes of what is sent in parts.
-    pub fn got(&mut self, now: Time, place: Place, up_to: u64) {
+    /// It has so many bytes of what is sent in parts, as of this round.
+    pub fn got(&mut self, now: Time, place: Place, up_to: u64, round: u64) {
         let Some(t) = self.transfer.as_mut().filter(|t| t.whole.place() == place) else { return };
+        if up_to < t.acknowledged && round > t.answered {
+            // It has begun anew meanwhile: what it had is gone.
+            (t.sent, t.acknowledged, t.answered, t.moved, t.slowed) = (up_to, up_to, round, now, 0);
+            t.under_way.clear();
+            return;
+        }
         if up_to <= t.acknowledged {
             return;
         }
-        (t.acknowledged, t.moved) = (up_to, now);
+        (t.acknowledged, t.answered, t.moved) = (up_to, t.answered.max(round), now);
         t.sent = t.sent.max(up_to);
         let mut sent_at = None;
         while let Some((end, at)) = t.under_way.front().copied().filter(|(end, _)| *end <= up_to) {
--- a/crates/understudy/tests/slow.rs
+++ b/crates/understudy/tests/slow.rs
@@ -57,6 +57,34 @@
     assert_eq!(net.term(), term);
 }
 
+/// `rehearsal`, seed 991: the leader repeated the last part for ever to one that had begun again in the middle of a state.
+#[test]
+fn one_that_begins_again_in_the_middle_of_a_state_gets_it_from_the_start() {
+    let mut net = Net::founded(5, &["a", "b", "c"]);
+    let (back, _) = pair(&net);
+    net.stop(&back);
+    net.size = 200;
+    for _ in 0..70 {
+        net.propose();
+        net.run(50);
+    }
+    (net.size, net.fold) = (LARGE, 0);
+    net.propose();
+    net.run(1_000);
+    let (term, target) = (net.term(), net.seen.newest());
+    slow(&mut net, &back);
+    for _ in 0..3 {
+        net.start(&back);
+        net.run(1_500);
+        assert!(net.member(&back).applied < target, "it is in the middle of it");
+        net.stop(&back);
+    }
+    net.start(&back);
+    net.run(4_500);
+    assert!(net.member(&back).applied >= target);
+    assert_eq!(net.term(), term);
+}
+
 #[test]
 fn a_large_word_holds_up_no_pulse_and_goes_once() {
     let mut net = Net::founded(2, &["a", "b", "c"]);
