Who holds no configuration takes what is on its way, also without contact

Change: cue::Follow stays with a prompter without contact while it holds nothing and a configuration is on its way, then leaves as before. It is not fresh by it: 503 stands in for 404 and 401.

--- a/crates/cue/src/follow.rs
+++ b/crates/cue/src/follow.rs
@@ -268,7 +268,11 @@
 
     /// How long ago the prompter was in contact with a majority. Whether it is to be left.
     fn pulse(&mut self, now: Time, touch_ms: u32) -> Option<End> {
-        let Link { ip, direct, begun, .. } = *self.link.as_ref()?;
+        let Link { ip, direct, begun, ref parts, .. } = *self.link.as_ref()?;
+        if touch_ms > STALE && self.holds() == 0 && parts.is_under_way() {
+            // Behind a loss of all that control is, what was in force is better than nothing until somebody can prove more.
+            return None;
+        }
         if touch_ms > STALE {
             // Those that were not heard before this link stood may have been there, and this gateway cut off: each is tried once more.
             for shunned in self.shunned.values_mut().filter(|s| s.unheard && s.since < begun) {
--- a/crates/cue/tests/follow.rs
+++ b/crates/cue/tests/follow.rs
@@ -1,8 +1,10 @@
 //! Which prompter a gateway follows, and how far it takes its word. Stories that `rehearsal` told first.
 
 use cue::{Effect, End, Follow, Setup, Time};
+use promptbook::{Configuration, Sender, Steps, PART};
 use std::collections::BTreeSet;
 use std::net::IpAddr;
+use std::sync::Arc;
 use wings::message::{Down, First, Up};
 
 const MS: Time = 1_000_000;
@@ -58,6 +60,31 @@
     assert!(f.touch().is_ready(1020 * MS) && !f.touch().is_fresh(1020 * MS));
 }
 
+/// All processes were killed: whoever begins again holds nothing, and no prompter is in contact with a majority yet.
+#[test]
+fn who_holds_nothing_takes_what_is_on_its_way_from_whoever_has_it() {
+    let mut f = follow();
+    let first = begin(&mut f, 0, ip(1));
+    let body = vec![7; 3 * PART];
+    let agreed = Arc::new(Configuration { version: 5, place: 9, body });
+    let (steps, mut sender) = (Steps::default(), Sender::new(0));
+    let parts: Vec<_> = std::iter::from_fn(|| sender.part(&steps, Some(&agreed))).collect();
+    for part in parts {
+        f.hear(MS, Down::Configuration(part), Vec::new);
+        let effects = f.hear(2 * MS, pulse(first, u32::MAX, 9), Vec::new);
+        assert!(said(&effects).is_some(), "it stays");
+    }
+    sender.got(9, 2 * PART as u32);
+    f.hear(3 * MS, Down::Configuration(sender.part(&steps, Some(&agreed)).expect("the rest")), Vec::new);
+    assert_eq!(f.holds(), 9);
+    let effects = f.hear(4 * MS, pulse(first, u32::MAX, 9), Vec::new);
+    assert!(
+        matches!(effects[..], [Effect::Leave(End::Stale)]),
+        "now it looks for one that can prove it: {effects:?}"
+    );
+    assert!(!f.touch().is_fresh(5 * MS) && !f.touch().is_ready(5 * MS));
+}
+
 /// Seed 3471: one that refuses is not dialled again and again while others have not been tried for long.
 #[test]
 fn where_none_answers_each_is_tried_in_turn() {
--- a/crates/promptbook/src/parcel.rs
+++ b/crates/promptbook/src/parcel.rs
@@ -192,6 +192,11 @@
 pub struct Receiver(Option<(Head, Vec<u8>)>);
 
 impl Receiver {
+    /// Something has begun to come, and is not whole.
+    pub fn is_under_way(&self) -> bool {
+        self.0.is_some()
+    }
+
     pub fn receive(&mut self, held: Option<&Configuration>, part: Part) -> Received {
         if let Some(head) = part.head {
             self.0 = Some((head, Vec::new()));
