Nobody leaves for a nearer prompter in the middle of a configuration

Cause: rehearsal, seed 11763: a gateway behind 2 Mbit/s, 240 KB on their way from a prompter that is in contact, left for its own zone's, which was cut off, each time that one was shunned no more, and began anew: the longer the configuration, the less it ever got. Change: cue::Follow leaves for a nearer prompter only while nothing is under way.

--- a/crates/cue/src/follow.rs
+++ b/crates/cue/src/follow.rs
@@ -269,7 +269,8 @@
     /// How long ago the prompter was in contact with a majority. Whether it is to be left.
     fn pulse(&mut self, now: Time, touch_ms: u32) -> Option<End> {
         let Link { ip, direct, begun, ref parts, .. } = *self.link.as_ref()?;
-        if touch_ms > STALE && self.holds() == 0 && parts.is_under_way() {
+        let is_under_way = parts.is_under_way();
+        if touch_ms > STALE && self.holds() == 0 && is_under_way {
             // Behind a loss of all that control is, what was in force is better than nothing until somebody can prove more.
             return None;
         }
@@ -284,7 +285,8 @@
             // Where nobody has a majority any one is as good.
             return others.next().map(|_| End::Stale);
         }
-        let settled = direct || now.saturating_sub(begun) >= THROUGH;
+        // A configuration that is on its way would have to begin anew elsewhere.
+        let settled = (direct || now.saturating_sub(begun) >= THROUGH) && !is_under_way;
         let nearer = settled && !self.is_near(&ip) && others.any(|other| self.is_near(other));
         nearer.then_some(End::Nearer)
     }
--- a/crates/cue/tests/follow.rs
+++ b/crates/cue/tests/follow.rs
@@ -85,6 +85,24 @@
     assert!(!f.touch().is_fresh(5 * MS) && !f.touch().is_ready(5 * MS));
 }
 
+/// Seed 11763: a gateway in the middle of a long configuration left for its own zone's prompter, which was cut off, and began anew.
+#[test]
+fn nobody_leaves_for_a_nearer_one_in_the_middle_of_a_configuration() {
+    let mut f = follow();
+    let near = |contact| {
+        let prompters = vec![(ip(1).to_string(), "z".into()), (ip(2).to_string(), String::new())];
+        Down::Pulse { contact, touch_ms: 0, newest: 9, prompters }
+    };
+    let first = begin(&mut f, 0, ip(2));
+    let agreed = Arc::new(Configuration { version: 5, place: 9, body: vec![7; PART + 1] });
+    let (steps, mut sender) = (Steps::default(), Sender::new(0));
+    f.hear(MS, Down::Configuration(sender.part(&steps, Some(&agreed)).expect("the first")), Vec::new);
+    assert!(said(&f.hear(2 * MS, near(first), Vec::new)).is_some(), "it stays");
+    f.hear(3 * MS, Down::Configuration(sender.part(&steps, Some(&agreed)).expect("the rest")), Vec::new);
+    let effects = f.hear(4 * MS, near(first), Vec::new);
+    assert!(matches!(effects[..], [Effect::Leave(End::Nearer)]), "{effects:?}");
+}
+
 /// Seed 3471: one that refuses is not dialled again and again while others have not been tried for long.
 #[test]
 fn where_none_answers_each_is_tried_in_turn() {
