rehearsal: a voter that begins again and does not hear its leader; two defects by worlds of seconds alone

Change: one of the short worlds' troubles also cuts the leader from the voter that is killed and back at once, one way; the test leaves worlds of minutes out for those two defects.

--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -32,6 +32,8 @@
 pub enum Happens {
     HandOver(usize),
     Kill(usize, Time),
+    /// One way, until then.
+    Cut(usize, usize, Time),
     Operator,
     Trouble,
     Gateway,
@@ -240,6 +242,10 @@
                 self.kill(n, lasts);
                 Ok(())
             }
+            Happens::Cut(from, to, until) => {
+                self.net.cut(from, to, until);
+                Ok(())
+            }
             Happens::Operator => self.operator(),
             Happens::Trouble => {
                 self.trouble();
@@ -458,6 +464,12 @@
             let at = now + self.rng.u64(500..1300) * MS;
             self.later(at, Happens::Kill(dies, 20 * MS));
         }
+        if self.rng.bool() {
+            // Nor does that one hear the leader any more, once it is back.
+            let at = now + self.rng.u64(500..1000) * MS;
+            self.later(at, Happens::Kill(dies, 20 * MS));
+            self.later(at, Happens::Cut(leader, dies, until));
+        }
     }
 
     /// One disk at a time, and not before the one before has caught up.
--- a/crates/rehearsal/tests/rehearsal.rs
+++ b/crates/rehearsal/tests/rehearsal.rs
@@ -1,7 +1,7 @@
 //! Seeds and defects. `rehearsal --seed N --story` plays a seed by hand.
 
 use googletest::prelude::*;
-use rehearsal::{play, play_pairs, Defect};
+use rehearsal::{is_long, play, play_pairs, Defect};
 use std::panic::catch_unwind;
 
 const SEEDS: u64 = 1000;
@@ -55,14 +55,20 @@
     });
 }
 
+/// These need moments of milliseconds, which worlds of seconds bring about far more often: the others are left out for them.
+const SECONDS: [Defect; 2] = [Defect::SendBeforeSync, Defect::NoSilenceAfterStart];
+
 #[gtest]
 fn every_defect_is_found() {
+    let played = |seed: &u64, d| !(is_long(*seed) && SECONDS.contains(&d));
     // A rule is broken, or an invariant, which ends the process.
     let breaks = |seed, d| catch_unwind(|| play(seed, Some(d)).is_err()).unwrap_or(true);
     let missed: Vec<String> = std::thread::scope(|s| {
         let all: Vec<_> = Defect::ALL
             .into_iter()
-            .map(|d| s.spawn(move || (d, (0..DEFECT_SEEDS).any(|seed| breaks(seed, d)))))
+            .map(|d| {
+                s.spawn(move || (d, (0..DEFECT_SEEDS).filter(|s| played(s, d)).any(|seed| breaks(seed, d))))
+            })
             .collect();
         let found = all.into_iter().map(|t| t.join().expect("a defect's end is caught"));
         found.filter(|(_, found)| !found).map(|(d, _)| d.name()).collect()
