--- a/crates/rehearsal/src/gateways.rs
+++ b/crates/rehearsal/src/gateways.rs
@@ -18,6 +18,7 @@
 
 pub struct Gateway {
     pub name: String,
+    setup: Setup,
     pub follow: Follow,
     pub link: Option<Link>,
     /// Tries so far.
@@ -41,9 +42,10 @@
         let ip = IpAddr::V4(Ipv4Addr::new(10, 9, 0, g as u8 + 1));
         let name = format!("g{g}");
         let setup = Setup { name: name.clone(), zone: zone.into(), ip };
-        Gateway {
+        let mut gateway = Gateway {
             name,
-            follow: Follow::new(setup),
+            follow: Follow::new(setup.clone()),
+            setup,
             link: None,
             number: 0,
             began: 0,
@@ -52,8 +54,23 @@
             asleep: 0,
             rate: None,
             busy: 0,
-            seeds: seeds.iter().filter_map(|n| address(*n).parse().ok()).collect(),
-        }
+            seeds: Vec::new(),
+        };
+        gateway.tell_seeds(seeds);
+        gateway
+    }
+
+    /// Three of these at the most.
+    pub fn tell_seeds(&mut self, seeds: &[usize]) {
+        self.seeds = seeds.iter().take(3).filter_map(|n| address(*n).parse().ok()).collect();
+    }
+
+    /// Another process of the same name. What was meant for the one before is nobody's.
+    pub fn begin_anew(&mut self) {
+        self.follow = Follow::new(self.setup.clone());
+        self.link = None;
+        self.number += 1;
+        self.busy = 0;
     }
 
     /// When it hears something of so many bytes that is sent now, behind what is on its way.
--- a/crates/rehearsal/src/long.rs
+++ b/crates/rehearsal/src/long.rs
@@ -829,6 +829,14 @@
         self.joined[n].is_some_and(|at| self.now >= at + CATCH_UP)
     }
 
+    /// A gateway has to catch up from now on.
+    pub fn gateway_struck(&mut self, g: usize) {
+        self.well[g] = self.now;
+        // Its settings file names some that are there.
+        let there: Vec<usize> = (0..self.machines.len()).filter(|m| !self.machines[*m].gone).collect();
+        self.gateways[g].tell_seeds(&there);
+    }
+
     /// Those that count: neither gone nor without a disk.
     pub fn voters(&self) -> Vec<usize> {
         (0..self.machines.len()).filter(|n| self.machines[*n].votes && !self.machines[*n].gone).collect()
--- a/crates/rehearsal/src/storm.rs
+++ b/crates/rehearsal/src/storm.rs
@@ -212,6 +212,12 @@
             21 => {
                 let (gateways, until) = (world.gateways.len(), self.until(now, lasts));
                 let g = world.rng.usize(..gateways);
+                if world.rng.u8(..3) == 0 {
+                    world.tell(|| format!("gateway {g} begins anew"));
+                    world.restart_gateway(g);
+                    world.gateway_struck(g);
+                    return Ok(());
+                }
                 world.tell(|| format!("gateway {g} reaches no prompter for {} ms", (until - now) / MS));
                 world.gateways[g].cut_until = until;
             }
--- a/crates/rehearsal/src/system.rs
+++ b/crates/rehearsal/src/system.rs
@@ -544,6 +544,17 @@
         self.at(now, Event::Dial(g));
     }
 
+    /// A gateway's process is killed and begins anew: it knows nothing.
+    pub fn restart_gateway(&mut self, g: usize) {
+        let now = self.now;
+        if let Some(link) = self.gateways[g].link {
+            self.at(now.max(self.gateways[g].cut_until) + MS, Event::Unlinked { link, g });
+        }
+        self.gateways[g].begin_anew();
+        let at = now + self.rng.u64(1..100) * MS;
+        self.at(at, Event::Dial(g));
+    }
+
     fn pulse(&mut self, g: usize, link: Link) -> Result<(), Broken> {
         let (n, now) = (link.at, self.now);
         if self.machines[n].life != link.life || !self.machines[n].is_up() {
