rehearsal: an exchange of voters excuses nothing that it could do

Change: it is excused only while no majority of the old voters is joined, which the joint entry names.

--- a/crates/rehearsal/src/long.rs
+++ b/crates/rehearsal/src/long.rs
@@ -17,7 +17,7 @@
 use fastrand::Rng;
 use std::collections::BTreeMap;
 use std::ops::{Deref, DerefMut};
-use understudy::{Core, Members, Stored};
+use understudy::{Members, Said, Stored};
 
 /// `contactMs`: so long after the last event the core is settled.
 const CONTACT: Time = 3_000 * MS;
@@ -729,10 +729,24 @@
         let all = |n: usize| (0..count).all(|m| m == n || !contact[m] || !contact[n] || joined(n, m));
         let enough = |n: usize| !contact[n] || most(n, &|m, _| contact[m]);
         let whole = contact.iter().any(|c| *c) && (0..count).all(|n| all(n) && enough(n));
-        // While voters are exchanged the old ones count too: who was just lost, and another meanwhile, are two.
-        let changes = |n: &usize| contact[*n] && self.machines[*n].core().is_some_and(Core::is_changing);
-        let lacks = |n: usize| !contact[n] && self.machines[n].votes && !self.machines[n].gone;
-        let whole = whole && !((0..count).any(|n| changes(&n)) && (0..count).any(lacks));
+        // While voters are exchanged a majority of the old ones is wanted too: a disk that was just lost, and another machine cut off
+        // meanwhile, are two.
+        let reaches_old = |n: usize| {
+            let Some(core) = self.machines[n].core().filter(|c| contact[n] && c.is_changing()) else {
+                return true;
+            };
+            let entries = core.stored().entries;
+            let old = entries.iter().rev().find_map(|e| match &e.said {
+                Said::Joint { old, .. } => Some(old),
+                _ => None,
+            });
+            let with = |(name, disk): &(&String, &u64)| {
+                let m = place(name);
+                self.machines[m].id.disk == **disk && (m == n || joined(m, n))
+            };
+            old.is_none_or(|old| 2 * old.iter().filter(with).count() > old.len())
+        };
+        let whole = whole && (0..count).all(reaches_old);
         let well = |n: usize| hears[n] && (0..count).all(|m| m == n || !runs[m] || joined(n, m));
         let joins: Vec<bool> = (0..count).map(well).collect();
         let slowed = (0..count).any(|n| self.net.is_slowed(n, now) || self.disks.is_bad(n, now));
