Calls that wait are bounded in a prompter; its paces are said once

Cause: reading the change again: a call whose caller has gone waits on for up to 0.85 s, so that the tables of reads and drains had no bound but the callers' rate; and the pulse's and the hello's pace stood in the parts that do I/O and once more in rehearsal. Change: 1,024 reads and orders, 1,024 drains; one more is told to come later, at once. PULSE and HELLO are promptdesk's.

--- a/crates/promptdesk/src/drains.rs
+++ b/crates/promptdesk/src/drains.rs
@@ -1,6 +1,6 @@
 //! Backends that leave: told to one prompter, agreed on by a majority before it is acknowledged.
 
-use crate::orders::ANSWERED;
+use crate::orders::{ANSWERED, WAITING};
 use crate::{Defect, Effect, Prompter, Reply, Time, MS};
 use promptbook::Word;
 use understudy::Input;
@@ -35,7 +35,7 @@
             return self.drained(drain);
         }
         // Who is cut off has nobody to agree with: the next gateway is called at once.
-        if !self.in_touch() {
+        if !self.in_touch() || self.drains.len() >= WAITING {
             return self.effects.push(Effect::Answer { call, reply: Reply::Later });
         }
         self.drains.push(drain);
--- a/crates/promptdesk/src/followers.rs
+++ b/crates/promptdesk/src/followers.rs
@@ -1,10 +1,12 @@
 //! Gateways that follow: a scene, then changes, the configuration in parts, a pulse, and their asks for rights.
 
-use crate::{Defect, Effect, Prompter, Time};
+use crate::{Defect, Effect, Prompter, Time, MS};
 use callboard::Place;
 use promptbook::{Sender, Word};
 use wings::message::{Down, Peer, Up};
 
+/// A gateway is told how fresh this prompter is so often.
+pub const PULSE: Time = 200 * MS;
 /// Gateways that one may miss.
 const MISSING: usize = 64;
 
--- a/crates/promptdesk/src/lib.rs
+++ b/crates/promptdesk/src/lib.rs
@@ -20,6 +20,8 @@
 
 pub use defect::Defect;
 pub use duty::Duty;
+pub use followers::PULSE;
+pub use peers::HELLO;
 pub use turns::{Work, LONG};
 
 use board::News;
--- a/crates/promptdesk/src/orders.rs
+++ b/crates/promptdesk/src/orders.rs
@@ -12,6 +12,8 @@
 pub(crate) const ANSWERED: Time = 850 * MS;
 /// So long is waited for what comes of a proposal, whoever still asks: a large one takes its time on a slow link.
 const PROPOSED: Time = 15_000 * MS;
+/// The most calls that wait at once: one whose caller is gone waits on. One more is told to come later.
+pub(crate) const WAITING: usize = 1024;
 /// The most orders under way at once.
 const ORDERS: usize = 32;
 
@@ -78,7 +80,7 @@
     /// the first.
     pub fn replace(&mut self, now: Time, call: u64, body: Bytes) {
         self.now = now;
-        if let Some(elsewhere) = self.elsewhere() {
+        if let Some(elsewhere) = self.elsewhere().or_else(|| self.is_full()) {
             return self.effects.push(Effect::Answer { call, reply: elsewhere });
         }
         let until = now + ANSWERED;
@@ -105,7 +107,7 @@
     /// An operator asks what stands.
     pub fn read(&mut self, now: Time, call: u64) {
         self.now = now;
-        if let Some(elsewhere) = self.elsewhere() {
+        if let Some(elsewhere) = self.elsewhere().or_else(|| self.is_full()) {
             return self.effects.push(Effect::Answer { call, reply: elsewhere });
         }
         self.orders.calls.insert(call, now + ANSWERED);
@@ -126,6 +128,11 @@
         Some(leader.map_or(Reply::Later, |l| Reply::Elsewhere(l.name.clone())))
     }
 
+    /// As many calls wait as may.
+    fn is_full(&self) -> Option<Reply> {
+        (self.orders.calls.len() >= WAITING).then_some(Reply::Later)
+    }
+
     /// Whether an order is sound, which was asked for with [`Effect::Check`]; none: nobody can say.
     pub fn checked(&mut self, now: Time, job: u64, read: Option<Result<Versions, String>>) {
         self.now = now;
--- a/crates/promptdesk/src/peers.rs
+++ b/crates/promptdesk/src/peers.rs
@@ -1,11 +1,13 @@
 //! What other prompters say: handed to the agreement, the cell, the office, the founding.
 
-use crate::{Defect, Prompter, Time};
+use crate::{Defect, Prompter, Time, MS};
 use curtain::Wall;
 use std::net::IpAddr;
 use understudy::{Id, Input};
 use wings::message::{Down, Peer};
 
+/// Other prompters are told who this one is so often.
+pub const HELLO: Time = 500 * MS;
 /// No fleet has so many prompters.
 const KNOWN: usize = 64;
 
--- a/crates/promptdesk/tests/alone.rs
+++ b/crates/promptdesk/tests/alone.rs
@@ -110,3 +110,19 @@
     let p = Prompter::new(setup, stored, Vec::new(), 0);
     assert!(p.prompters().iter().any(|(name, _)| name == "10.0.7.7"));
 }
+
+/// Callers that come and go at once leave calls behind, which wait for their time.
+#[test]
+fn what_waits_is_bounded_and_one_more_is_told_at_once() {
+    let mut p = prompter();
+    run(&mut p, 0, 100 * MS);
+    let members = [("10.0.0.1".to_string(), 1)].into();
+    let leader = Id { name: "10.0.0.2".into(), disk: 2 };
+    p.hear(100 * MS, &leader, Peer::Found { members });
+    run(&mut p, 100 * MS, 3000 * MS);
+    assert!(p.duty().is_leader, "a sole voter");
+    for call in 0..3000 {
+        p.read(3000 * MS, call);
+    }
+    assert_eq!(answers(&p.take_effects()).len(), 3000 - 1024);
+}
--- a/crates/prompter/src/followers.rs
+++ b/crates/prompter/src/followers.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::{Driver, Outlet};
 use callboard::Place;
+use promptdesk::PULSE;
 use std::future::ready;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +11,6 @@
 use wings::frame::{Reader, Writer};
 use wings::message::Up;
 
-const PULSE: Duration = Duration::from_millis(200);
 /// Answers that wait for a gateway; it asks again for what is lost.
 const QUEUE: usize = 64;
 
@@ -29,7 +29,7 @@
     driver.outlets.borrow_mut().insert(name.clone(), Outlet { link, handed, room: room.clone() });
     let tell = async {
         let mut changes = driver.news();
-        let mut pulse = interval(PULSE);
+        let mut pulse = interval(Duration::from_nanos(PULSE));
         pulse.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             // What is told and what has come since are seen in one step, so nothing is missed between them.
--- a/crates/prompter/src/links.rs
+++ b/crates/prompter/src/links.rs
@@ -2,6 +2,7 @@
 //! to say. What comes is handed to the prompter.
 
 use crate::driver::{wall, Driver};
+use promptdesk::HELLO;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +17,6 @@
 /// Messages that wait for a link; more are lost, as on a network.
 const QUEUE: usize = 512;
 const AGAIN: Duration = Duration::from_millis(100);
-const HELLO: Duration = Duration::from_millis(500);
 /// Prompters that have been heard of are looked at so often.
 const DIALS: Duration = Duration::from_millis(400);
 
@@ -64,7 +64,7 @@
                 }
                 while done.is_ok() {
                     if Instant::now() >= hello {
-                        hello = Instant::now() + HELLO;
+                        hello = Instant::now() + Duration::from_nanos(HELLO);
                         let hello = self.driver.prompter().hello(wall());
                         done = writer.write(&hello).await;
                         continue;
--- a/crates/rehearsal/src/system.rs
+++ b/crates/rehearsal/src/system.rs
@@ -13,17 +13,15 @@
 use curtain::Wall;
 use fastrand::Rng;
 use promptbook::{Place, Versions};
-use promptdesk::{Applied, Effect, Prompter, Reply};
+use promptdesk::{Applied, Effect, Prompter, Reply, HELLO, PULSE};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::IpAddr;
 use understudy::{Body, Id, Said};
 use wings::message::{Down, First, Peer, Up};
 
-/// Prompters say who they are so often; who is not linked yet is dialled each time a link is looked at.
-const HELLO: Time = 500 * MS;
+/// Who is not linked yet is dialled so often.
 const DIALS: Time = 100 * MS;
-const PULSE: Time = 200 * MS;
 /// A connection to a machine that says nothing is given up.
 const CONNECT: Time = 200 * MS;
 /// A gateway pauses where all prompters are shunned.
