--- a/crates/common/quota/src/throttle_queue.rs
+++ b/crates/common/quota/src/throttle_queue.rs
@@ -184,10 +184,10 @@
         if now >= self.full_speed_until {
             self.full_speed_ended = self.full_speed_ended.max(self.full_speed_until);
         }
-        // A change is announced for longer than that; a gateway that heard nothing for so long may have missed a time at full
-        // speed.
-        if sent_at > self.last_contact + ISOLATION_TIMEOUT {
-            self.full_speed_ended = self.full_speed_ended.max(sent_at);
+        // A time at full speed lasts longer than that; a gateway that heard nothing for so long may have missed one. What counts
+        // is when answers are heard: those to requests of short intervals may have been held up together.
+        if now > self.last_contact + ISOLATION_TIMEOUT {
+            self.full_speed_ended = self.full_speed_ended.max(now);
         }
         self.last_contact = sent_at;
         let valid_until = sent_at + ISOLATION_TIMEOUT;
--- a/crates/common/quota/tests/limits.rs
+++ b/crates/common/quota/tests/limits.rs
@@ -14,13 +14,13 @@
     (0..n).map(|g| format!("g{g}")).collect()
 }
 
-/// A tenant's requests at several nodes, some of them isolated from the storage for a while; the storage changes once.
+/// A tenant's requests at several clients, some of them isolated from the coordinator for a while; the coordinator changes once.
 /// How many passed in each 10 ms, and how many were turned away.
-fn configuration(rate: f64, asked: f64, cut: std::ops::Range<u64>, new_keeper: u64) -> (Vec<u32>, u32) {
+fn simulate(rate: f64, asked: f64, cut: std::ops::Range<u64>, new_keeper: u64) -> (Vec<u32>, u32) {
     let (all, limits) = (names(6), limits(rate, rate));
-    let mut storage = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::new(), &all);
-    let mut nodes: Vec<QuotaClient> = (0..6).map(|_| QuotaClient::new(0)).collect();
-    nodes.iter_mut().for_each(|d| {
+    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::new(), &all);
+    let mut clients: Vec<QuotaClient> = (0..6).map(|_| QuotaClient::new(0)).collect();
+    clients.iter_mut().for_each(|d| {
         d.set_limits(0, &limits);
         d.set_gateway_count(6);
     });
@@ -33,26 +33,26 @@
     for step in 0..3000u64 {
         let now = step * 10 * MS;
         if step == new_keeper {
-            storage = QuotaCoordinator::new(now, step, &limits, &BTreeSet::new(), &all);
+            coordinator = QuotaCoordinator::new(now, step, &limits, &BTreeSet::new(), &all);
         }
         let mut through = 0;
-        for (g, node) in nodes.iter_mut().enumerate() {
+        for (g, client) in clients.iter_mut().enumerate() {
             let reached = !(cut.contains(&step) && g < 2);
             let mut tries: Vec<Option<Time>> = waits[g].drain(..).map(Some).collect();
             if draw() < asked * 0.01 / 6.0 {
                 tries.push(None);
             }
             for since in tries {
-                match node.acquire(now, "t", draw(), since) {
+                match client.acquire(now, "t", draw(), since) {
                     Decision::Granted => through += 1,
                     Decision::Refused { .. } => refused += 1,
                     Decision::Wait { .. } => waits[g].push(since.unwrap_or(now)),
                     Decision::Throttled { .. } => unreachable!("it has no trial"),
                 }
             }
-            if let Some(ask) = node.next_request(now).filter(|_| reached) {
-                let lent = storage.grant(now, &format!("g{g}"), &ask).expect("it is known");
-                node.on_grant(now, &lent);
+            if let Some(ask) = client.next_request(now).filter(|_| reached) {
+                let lent = coordinator.grant(now, &format!("g{g}"), &ask).expect("it is known");
+                client.on_grant(now, &lent);
             }
         }
         passed.push(through);
@@ -67,7 +67,7 @@
 #[test]
 fn demand_beyond_the_limit_never_passes_despite_partitions_and_failover() {
     for rate in [10.0, 60.0] {
-        let (passed, refused) = configuration(rate, 5.0 * rate, 500..1500, 1200);
+        let (passed, refused) = simulate(rate, 5.0 * rate, 500..1500, 1200);
         let most = f64::from(most_in_five_seconds(&passed));
         assert!(most <= (5.0 * rate + rate) * 1.1 + 20.0, "{most} at {rate} a second");
         assert!(refused > 0);
@@ -79,27 +79,26 @@
 
 #[test]
 fn nearly_all_requests_pass_below_the_limit() {
-    let (passed, refused) = configuration(30.0, 30.0 / 1.6, 0..0, 9999);
+    let (passed, refused) = simulate(30.0, 30.0 / 1.6, 0..0, 9999);
     let passed: u32 = passed.iter().sum();
     assert!(f64::from(refused) <= 0.01 * f64::from(passed), "{refused} refused beside {passed}");
 }
 
 #[test]
 fn expired_units_are_returned() {
-    let mut node = QuotaClient::new(0);
-    node.set_limits(0, &limits(10.0, 10.0));
-    assert!(!matches!(node.acquire(0, "t", 0.5, None), Decision::Granted), "nothing is known yet");
-    let ask = node.next_request(0).expect("it is time");
-    node.on_grant(MS, &LeaseGrant { number: ask.number, ..LeaseGrant::default() });
-    assert!(matches!(node.acquire(MS, "t", 0.5, None), Decision::Wait { .. }));
-    let ask = node.next_request(MS).expect("somebody waits");
+    let mut client = QuotaClient::new(0);
+    client.set_limits(0, &limits(10.0, 10.0));
+    assert!(!matches!(client.acquire(0, "t", 0.5, None), Decision::Granted), "nothing is known yet");
+    let ask = client.next_request(0).expect("it is time");
+    client.on_grant(MS, &LeaseGrant { number: ask.number, ..LeaseGrant::default() });
+    assert!(matches!(client.acquire(MS, "t", 0.5, None), Decision::Wait { .. }));
+    let ask = client.next_request(MS).expect("somebody waits");
     let loan = UnitGrant { tenant: "t".into(), units: 3, remaining: 5.0, arrival_rate: 1.0 };
-    assert!(
-        node.on_grant(2 * MS, &LeaseGrant { number: ask.number, units: vec![loan], ..LeaseGrant::default() })
-    );
-    assert_eq!(node.acquire(3 * MS, "t", 0.5, Some(MS)), Decision::Granted);
-    // Awake from a freeze: the two others have ended, whatever the node thinks of the time between.
-    assert!(!matches!(node.acquire(S, "t", 0.5, None), Decision::Granted));
-    let ask = node.next_request(S).expect("it is time");
+    assert!(client
+        .on_grant(2 * MS, &LeaseGrant { number: ask.number, units: vec![loan], ..LeaseGrant::default() }));
+    assert_eq!(client.acquire(3 * MS, "t", 0.5, Some(MS)), Decision::Granted);
+    // Awake from a freeze: the two others have ended, whatever the client thinks of the time between.
+    assert!(!matches!(client.acquire(S, "t", 0.5, None), Decision::Granted));
+    let ask = client.next_request(S).expect("it is time");
     assert_eq!(ask.units[0].returned, 2);
 }
--- a/crates/common/quota/tests/trial_throttling.rs
+++ b/crates/common/quota/tests/trial_throttling.rs
@@ -3,7 +3,7 @@
 
 use quota::{
     Decision, LeaseGrant, Limit, QueueOutcome, QueuedRequest, QuotaClient, QuotaCoordinator, Time, TrialPace,
-    PHASE_GAP,
+    TrialPhase, TurnGrant, PHASE_GAP,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
@@ -58,7 +58,7 @@
     paced: Vec<(usize, Time, Time, bool)>,
 }
 
-fn configuration(p: &Play) -> Seen {
+fn simulate(p: &Play) -> Seen {
     let slow = TrialPace { rate: p.pace, max_wait: p.wait };
     let limit = Limit { after_trial: Some(slow), ..Limit::new(100.0, 100.0) };
     let limits = BTreeMap::from([("t".to_string(), limit)]);
@@ -66,9 +66,9 @@
     let agreed = |step: u64| -> BTreeSet<String> {
         p.over.iter().filter(|r| r.contains(&step)).map(|_| "t".to_string()).collect()
     };
-    let mut storage = QuotaCoordinator::new(0, 1, &limits, &agreed(0), &names);
-    let mut nodes: Vec<QuotaClient> = (0..GATEWAYS).map(|_| QuotaClient::new(0)).collect();
-    nodes.iter_mut().for_each(|d| {
+    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &agreed(0), &names);
+    let mut clients: Vec<QuotaClient> = (0..GATEWAYS).map(|_| QuotaClient::new(0)).collect();
+    clients.iter_mut().for_each(|d| {
         d.set_limits(0, &limits);
         d.set_gateway_count(GATEWAYS as u32);
     });
@@ -80,13 +80,13 @@
         let now = step * STEP;
         let over = agreed(step);
         if p.keepers.contains(&step) {
-            storage = QuotaCoordinator::new(now, step, &limits, &over, &names);
+            coordinator = QuotaCoordinator::new(now, step, &limits, &over, &names);
         }
         let nobody = p.keepers.iter().any(|k| (k.saturating_sub(S / 2)..*k).contains(&step));
-        storage.set_limits(now, &limits, &over);
+        coordinator.set_limits(now, &limits, &over);
         answers.retain(|(at, g, lent)| {
             if *at == step {
-                nodes[*g].on_grant(now, lent);
+                clients[*g].on_grant(now, lent);
             }
             *at > step
         });
@@ -98,7 +98,7 @@
                 tries.push(None);
             }
             for since in tries {
-                match nodes[g].acquire(now, "t", 1.0, since) {
+                match clients[g].acquire(now, "t", 1.0, since) {
                     Decision::Granted => seen.full.push((g, now)),
                     Decision::Refused { .. } => {}
                     Decision::Wait { .. } => waits[g].push(since.unwrap_or(now)),
@@ -108,29 +108,29 @@
                         let by = pressing.then_some(now + 400 * MS);
                         let waiter =
                             QueuedRequest { id: next, enqueued_at: now, deadline: now + wait, urgent_by: by };
-                        assert!(nodes[g].enqueue("t", waiter).is_ok());
+                        assert!(clients[g].enqueue("t", waiter).is_ok());
                         held.insert(next, (g, now, pressing));
                     }
                 }
             }
-            let slow = nodes[g].acquire(now, "t", 1.0, None);
+            let slow = clients[g].acquire(now, "t", 1.0, None);
             let is_slow = matches!(slow, Decision::Throttled { .. });
             if matches!(slow, Decision::Wait { .. }) {
-                nodes[g].cancel_wait("t");
+                clients[g].cancel_wait("t");
             }
-            while let Some((_, id, command)) = nodes[g].next_outcome(now) {
+            while let Some((_, id, outcome)) = clients[g].next_outcome(now) {
                 let (_, since, pressing) = held.remove(&id).expect("it waits");
-                match command {
+                match outcome {
                     QueueOutcome::Proceed if is_slow => seen.paced.push((g, since, now - since, pressing)),
                     QueueOutcome::Proceed => seen.full.push((g, now)),
                     QueueOutcome::Refused { retry_after: advice } => {
                         assert!(advice > 0 && now - since < p.wait, "{advice}, {}", now - since);
-                        seen.refused.push((g, now, !cut && !nodes[g].is_isolated(now)));
+                        seen.refused.push((g, now, !cut && !clients[g].is_isolated(now)));
                     }
                 }
             }
-            if let Some(ask) = nodes[g].next_request(now).filter(|_| !cut && !nobody) {
-                let lent = storage.grant(now, &format!("g{g}"), &ask).expect("it is known");
+            if let Some(ask) = clients[g].next_request(now).filter(|_| !cut && !nobody) {
+                let lent = coordinator.grant(now, &format!("g{g}"), &ask).expect("it is known");
                 answers.push((step + 1 + rng.u64(..4), g, lent));
             }
         }
@@ -165,7 +165,7 @@
 
 #[test]
 fn all_gateways_throttle_together_and_wait_alike() {
-    let seen = configuration(&Play::default());
+    let seen = simulate(&Play::default());
     never_both(&seen);
     let last = seen.full.iter().map(|f| f.1).max().unwrap();
     assert!((6 * S * STEP..6 * S * STEP + quota::PHASE_NOTICE).contains(&last), "{last}");
@@ -180,7 +180,7 @@
 
 #[test]
 fn nobody_is_refused_below_the_pace() {
-    let seen = configuration(&Play { asked: 14.0, ..Play::default() });
+    let seen = simulate(&Play { asked: 14.0, ..Play::default() });
     assert_eq!(seen.refused, []);
     let waited = waits(&seen, 8 * S, 16 * S);
     assert!(waited.iter().all(|w| *w < 150.0), "{waited:?}");
@@ -188,7 +188,7 @@
 
 #[test]
 fn single_gateway_gets_the_whole_pace() {
-    let seen = configuration(&Play { one: true, ..Play::default() });
+    let seen = simulate(&Play { one: true, ..Play::default() });
     let paced = seen.paced.iter().filter(|p| p.1 + p.2 > 8 * S * STEP).count() as f64;
     assert!(paced / (20.0 * 8.0) > 0.93, "{paced} in 8 s");
 }
@@ -197,7 +197,7 @@
 fn gateway_without_news_throttles_before_the_trial_ends() {
     for cut in [5 * S..9 * S, 6 * S - 10..9 * S, 6 * S + 20..9 * S] {
         let from = cut.start;
-        let seen = configuration(&Play { cut, ..Play::default() });
+        let seen = simulate(&Play { cut, ..Play::default() });
         never_both(&seen);
         let last = seen.full.iter().filter(|f| f.0 < 2).map(|f| f.1).max().unwrap();
         assert!(
@@ -209,12 +209,12 @@
 
 #[test]
 fn new_coordinator_keeps_the_pace_and_refuses_nobody_at_first() {
-    for storage in [6 * S + 10, 6 * S + 60, 8 * S] {
-        let seen = configuration(&Play { keepers: vec![storage], ..Play::default() });
+    for coordinator in [6 * S + 10, 6 * S + 60, 8 * S] {
+        let seen = simulate(&Play { keepers: vec![coordinator], ..Play::default() });
         never_both(&seen);
         let last = seen.full.iter().map(|f| f.1).max().unwrap();
         assert!(last < 6 * S * STEP + quota::PHASE_NOTICE, "{last}");
-        let settles = storage * STEP..storage * STEP + quota::PHASE_NOTICE;
+        let settles = coordinator * STEP..coordinator * STEP + quota::PHASE_NOTICE;
         assert!(!seen.refused.iter().any(|r| settles.contains(&r.1)));
         assert!(most_in(&seen, 5000 * MS) <= 20 * 5 + 20, "{}", most_in(&seen, 5000 * MS));
     }
@@ -223,7 +223,7 @@
 #[test]
 fn trial_extended_and_expired_within_a_second_reaches_all_gateways() {
     let over = vec![6 * S..7 * S, 7 * S + 40..7 * S + 100, 8 * S..u64::MAX];
-    let seen = configuration(&Play { over, ..Play::default() });
+    let seen = simulate(&Play { over, ..Play::default() });
     never_both(&seen);
     assert!(seen.full.iter().any(|f| f.1 > 7 * S * STEP + quota::PHASE_NOTICE), "fast again");
     assert!(seen.full.iter().all(|f| f.1 < 9 * S * STEP), "and slow again");
@@ -231,7 +231,7 @@
 
 #[test]
 fn urgent_work_goes_ahead_of_reads_within_the_pace() {
-    let seen = configuration(&Play { pressing: 0.2, ..Play::default() });
+    let seen = simulate(&Play { pressing: 0.2, ..Play::default() });
     let of = |pressing| seen.paced.iter().filter(move |p| p.3 == pressing && p.1 > 8 * S * STEP);
     let late = of(true).filter(|p| p.2 > 400 * MS).count();
     assert!(late * 20 <= of(true).count(), "{late} of {} waited for more than 400 ms", of(true).count());
@@ -248,22 +248,22 @@
         BTreeMap::from([("t".to_string(), Limit { after_trial: Some(slow), ..Limit::new(50.0, 50.0) })]);
     let names = BTreeSet::from(["g0".to_string()]);
     let over = BTreeSet::from(["t".to_string()]);
-    let mut storage = QuotaCoordinator::new(0, 1, &limits, &over, &names);
-    let mut node = QuotaClient::new(0);
-    node.set_limits(0, &limits);
-    node.set_gateway_count(1);
+    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &over, &names);
+    let mut client = QuotaClient::new(0);
+    client.set_limits(0, &limits);
+    client.set_gateway_count(1);
     let start = 1000 * MS;
     for id in [1, 2] {
         let waiter = QueuedRequest { id, enqueued_at: start, deadline: start + 2000 * MS, urgent_by: None };
-        node.enqueue("t", waiter).unwrap();
+        client.enqueue("t", waiter).unwrap();
     }
-    let ask = node.next_request(start).expect("somebody waits");
-    node.on_grant(start, &storage.grant(start, "g0", &ask).unwrap());
-    assert_eq!(node.next_outcome(start), Some(("t".into(), 1, QueueOutcome::Proceed)));
-    assert_eq!(node.next_outcome(start), None, "the second's turn is 40 ms later");
-    node.return_turn(start, "t");
-    assert_eq!(node.next_outcome(start), Some(("t".into(), 2, QueueOutcome::Proceed)));
-    let ask = node.next_request(start + 100 * MS).expect("it is time");
+    let ask = client.next_request(start).expect("somebody waits");
+    client.on_grant(start, &coordinator.grant(start, "g0", &ask).unwrap());
+    assert_eq!(client.next_outcome(start), Some(("t".into(), 1, QueueOutcome::Proceed)));
+    assert_eq!(client.next_outcome(start), None, "the second's turn is 40 ms later");
+    client.return_turn(start, "t");
+    assert_eq!(client.next_outcome(start), Some(("t".into(), 2, QueueOutcome::Proceed)));
+    let ask = client.next_request(start + 100 * MS).expect("it is time");
     assert_eq!(ask.turns[0].returned, 1, "the turn that nobody wants any more");
 }
 
@@ -274,10 +274,10 @@
     let limits =
         BTreeMap::from([("t".to_string(), Limit { after_trial: Some(slow), ..Limit::new(0.0, 0.0) })]);
     let names = BTreeSet::from(["g0".to_string()]);
-    let mut storage = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::from(["t".to_string()]), &names);
-    let mut node = QuotaClient::new(0);
-    node.set_limits(0, &limits);
-    node.set_gateway_count(1);
+    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::from(["t".to_string()]), &names);
+    let mut client = QuotaClient::new(0);
+    client.set_limits(0, &limits);
+    client.set_gateway_count(1);
     let (mut id, mut gone, mut polls) = (0, 0, 0);
     for step in 100..1100u64 {
         let now = step * 10 * MS;
@@ -285,16 +285,56 @@
             id += 1;
             let waiter = QueuedRequest { id, enqueued_at: now, deadline: now + 2000 * MS, urgent_by: None };
             // A full line is refused, and that is all.
-            let _ = node.enqueue("t", waiter);
+            let _ = client.enqueue("t", waiter);
         }
-        while let Some((_, _, command)) = node.next_outcome(now) {
+        while let Some((_, _, outcome)) = client.next_outcome(now) {
             polls += 1;
-            gone += u32::from(command == QueueOutcome::Proceed);
+            gone += u32::from(outcome == QueueOutcome::Proceed);
         }
-        if let Some(ask) = node.next_request(now) {
-            node.on_grant(now, &storage.grant(now, "g0", &ask).unwrap());
+        if let Some(ask) = client.next_request(now) {
+            client.on_grant(now, &coordinator.grant(now, "g0", &ask).unwrap());
         }
     }
     assert!((4500..5600).contains(&gone), "{gone} went in ten seconds");
     assert!(polls <= id as u32, "each is heard of once");
 }
+
+/// Seed 702212: answers that were held up for 0.7 s came at once, each to a request less than 300 ms after the one before. The
+/// tenant had been at full speed elsewhere until then.
+#[test]
+fn answers_that_were_held_up_do_not_hide_a_time_at_full_speed() {
+    let pace = TrialPace { rate: 25.0, max_wait: 2000 * MS };
+    let limit = Limit { after_trial: Some(pace), ..Limit::new(50.0, 50.0) };
+    let mut client = QuotaClient::new(0);
+    client.set_limits(0, &BTreeMap::from([("t".to_string(), limit)]));
+    client.set_gateway_count(1);
+    let throttled = |number| LeaseGrant {
+        number,
+        coordinator: 1,
+        phases: vec![TrialPhase {
+            tenant: "t".into(),
+            throttled: true,
+            changes_in_us: None,
+            rate: 25.0,
+            max_wait_us: 2_000_000,
+        }],
+        ..LeaseGrant::default()
+    };
+    let ask = client.next_request(1000 * MS).expect("the first");
+    client.on_grant(1010 * MS, &throttled(ask.number));
+    let mut sent: Vec<u64> = Vec::new();
+    for ms in (1100..1700).step_by(100) {
+        sent.push(client.next_request(ms * MS).expect("it is time").number);
+    }
+    let start = 1700 * MS;
+    let request = QueuedRequest { id: 1, enqueued_at: start, deadline: start + 2000 * MS, urgent_by: None };
+    client.enqueue("t", request).unwrap();
+    let last = client.next_request(start).expect("somebody waits").number;
+    let now = start + 5 * MS;
+    sent.into_iter().for_each(|number| drop(client.on_grant(now, &throttled(number))));
+    let no_turn =
+        TurnGrant { tenant: "t".into(), after_us: vec![], urgent_us: vec![], retry_after_us: Some(500_000) };
+    client.on_grant(now, &LeaseGrant { turns: vec![no_turn], ..throttled(last) });
+    assert_eq!(client.next_outcome(now), None, "another gateway may have been at full speed just now");
+    assert_eq!(client.next_outcome(now + 99 * MS), None);
+}
