--- a/crates/common/quota/src/lease.rs
+++ b/crates/common/quota/src/lease.rs
@@ -24,6 +24,14 @@
     pub arrivals: u32,
     /// Units that expired unused.
     pub returned: u32,
+    /// Units of the fallback share that were used since the gateway last asked: it did not hear the coordinator, which may
+    /// have heard it and kept nothing back. Absent if 0, as in the messages of versions that do not know the field.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub spent_fallback: u32,
+}
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 /// What a gateway wants of a throttled tenant's turns.
--- a/crates/common/quota/src/lib.rs
+++ b/crates/common/quota/src/lib.rs
@@ -8,13 +8,15 @@
 //! a unit that the coordinator took from the bucket and granted to this gateway, and that expires half a second after it was
 //! requested.
 //!
-//! Over any span of `t` seconds no more than rate × (t + 0.5) + burst of a tenant's requests pass on all gateways, frozen
-//! ones included. Where gateways lose the coordinator within the span, 0.7 of a second's rate may be added, and a quarter of
-//! the burst where the coordinator changes: with a burst of a second's rate, 6.45 rates in five seconds at the worst, of the
-//! 6.6 that the operators allow (`RULES.md`, quota).
+//! Over any span of `t` seconds no more than rate × (t + 0.2) + burst of a tenant's requests pass on all gateways, frozen
+//! ones included, and a quarter of the burst where the coordinator changes; what isolated gateways go on with is kept back
+//! at the coordinator. `docs/design/quota.md` has the argument, `tests/worst_case.rs` plays drawn worst cases.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod contact;
+mod decaying_rate;
+mod initial_fill;
 mod lease;
 mod limit;
 mod quota_client;
@@ -27,6 +29,7 @@
 mod trial_throttle;
 mod turn_assignment;
 
+pub use initial_fill::PreviousCoordinator;
 pub use lease::{LeaseGrant, LeaseRequest, TrialPhase, TurnGrant, TurnRequest, UnitGrant, UnitRequest};
 pub use limit::{Limit, TrialPace};
 pub use quota_client::{Decision, QuotaClient};
@@ -51,8 +54,11 @@
 pub const REQUEST_INTERVAL: Time = 100 * MS;
 /// A change of the coordinator takes about so long.
 pub const CONTINUATION_PERIOD: Time = 1000 * MS;
-/// What all isolated gateways go on with is in nobody's bucket: at most this part of the rate, for [`CONTINUATION_PERIOD`].
+/// An isolated gateway goes on at this part of the rate at which it was granted units, for [`CONTINUATION_PERIOD`]. The
+/// coordinator keeps as much back.
 pub const CONTINUATION_RATIO: f64 = 0.7;
+/// How long the rate at which a gateway is granted units is remembered, in seconds.
+const GRANT_RATE_WINDOW_S: f64 = 2.0;
 /// A change between full speed and throttling is announced so long before: longer than a gateway may go at full speed
 /// without hearing the coordinator, and by [`PHASE_GAP`] more.
 pub const PHASE_NOTICE: Time = ISOLATION_TIMEOUT + PHASE_GAP;
--- a/crates/common/quota/src/quota_coordinator.rs
+++ b/crates/common/quota/src/quota_coordinator.rs
@@ -1,16 +1,15 @@
 //! The coordinator of all quota: the leader of the control plane, for as long as its lease lasts.
 
+use crate::contact::GatewayContacts;
+use crate::initial_fill::PreviousCoordinator;
 use crate::lease::{LeaseGrant, LeaseRequest};
 use crate::limit::Limit;
 use crate::time::Time;
 use crate::token_bucket::TokenBucket;
 use crate::trial_throttle::{GatewayQueue, TrialThrottle};
-use crate::{FALLBACK_RESERVE_TIMEOUT, PHASE_NOTICE};
+use crate::PHASE_NOTICE;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// What a bucket holds that a new coordinator begins with, as a part of the burst.
-const INITIAL_FILL: f64 = 0.25;
-
 /// How a trial stands.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TrialStatus {
@@ -33,23 +32,23 @@
     buckets: BTreeMap<String, TokenBucket>,
     /// Tenants whose trial has expired, as replicated.
     expired_trials: BTreeSet<String>,
-    /// When each gateway was last heard.
-    gateways: BTreeMap<String, Option<Time>>,
+    gateways: GatewayContacts,
 }
 
 impl QuotaCoordinator {
     /// A coordinator that knows nothing of what the one before has granted in the last half second, nor of how full its
-    /// buckets were: they begin at a quarter of their burst, and all gateways count as silent until they are heard. So a
-    /// change of the coordinator adds a quarter of the burst to what may pass. `id`: no two coordinators have the same.
+    /// buckets were: what they begin with depends on that one's age. All gateways count as silent until they are heard.
+    /// `id`: no two coordinators have the same.
     pub fn new(
         now: Time,
         id: u64,
+        previous: PreviousCoordinator,
         limits: &BTreeMap<String, Limit>,
         expired_trials: &BTreeSet<String>,
         gateways: &BTreeSet<String>,
     ) -> Self {
         let bucket = |(tenant, limit): (&String, &Limit)| {
-            let mut bucket = TokenBucket::new(now, *limit, INITIAL_FILL * limit.burst);
+            let mut bucket = TokenBucket::new(now, *limit, previous.initial_fill() * limit.burst);
             // What the one before announced is not known: throttled, and at full speed once that has been announced.
             bucket.throttle = limit.after_trial.map(|pace| TrialThrottle::new(now, pace, true));
             (tenant.clone(), bucket)
@@ -59,7 +58,7 @@
             previous_grants_until: now + PHASE_NOTICE,
             buckets: limits.iter().map(bucket).collect(),
             expired_trials: expired_trials.clone(),
-            gateways: gateways.iter().map(|name| (name.clone(), None)).collect(),
+            gateways: GatewayContacts::new(now, gateways),
         };
         coordinator.advance_phases(now);
         coordinator
@@ -97,34 +96,24 @@
 
     /// These gateways exist.
     pub fn add_gateways(&mut self, all: &BTreeSet<String>) {
-        for name in all {
-            self.gateways.entry(name.clone()).or_insert(None);
-        }
+        self.gateways.add(all);
     }
 
     /// Whether a gateway is known.
     pub fn knows_gateway(&self, gateway: &str) -> bool {
-        self.gateways.contains_key(gateway)
-    }
-
-    /// The part of all rates that is available: silent gateways may be using their fallback shares.
-    fn available_share(&self, now: Time) -> f64 {
-        let is_silent =
-            |heard: &&Option<Time>| heard.is_none_or(|at| now.saturating_sub(at) >= FALLBACK_RESERVE_TIMEOUT);
-        let all = self.gateways.len().max(1);
-        1.0 - self.gateways.values().filter(is_silent).count() as f64 / all as f64
+        self.gateways.knows(gateway)
     }
 
     fn refill(&mut self, now: Time) {
-        let share = self.available_share(now);
-        self.buckets.values_mut().for_each(|bucket| bucket.refill(now, share));
+        let reserve = self.gateways.reserve(now);
+        self.buckets.values_mut().for_each(|bucket| bucket.refill(now, &reserve));
     }
 
     /// Makes the changes between full speed and throttling that are due.
     fn advance_phases(&mut self, now: Time) {
         // Where no gateway has been told anything for so long, none goes by it.
-        let is_silent = |at: &Option<Time>| at.is_none_or(|at| now.saturating_sub(at) >= PHASE_NOTICE);
-        let nobody_was_told = now >= self.previous_grants_until && self.gateways.values().all(is_silent);
+        let nobody_was_told =
+            now >= self.previous_grants_until && self.gateways.all_missed_announcements(now);
         for (tenant, bucket) in &mut self.buckets {
             let is_over = bucket.is_trial_over(self.expired_trials.contains(tenant));
             let has_trial = bucket.limit.after_trial.is_some();
@@ -146,12 +135,15 @@
         }
         self.refill(now);
         self.advance_phases(now);
-        self.gateways.insert(gateway.to_string(), Some(now));
+        self.gateways.record(now, gateway);
         let mut units = Vec::with_capacity(request.units.len());
         for wanted in &request.units {
-            units.extend(self.buckets.get_mut(&wanted.tenant).map(|bucket| bucket.grant_units(wanted)));
+            units.extend(
+                self.buckets.get_mut(&wanted.tenant).map(|bucket| bucket.grant_units(now, gateway, wanted)),
+            );
         }
-        let share = if now < self.previous_grants_until { 0.0 } else { self.available_share(now) };
+        let share =
+            if now < self.previous_grants_until { 0.0 } else { self.gateways.reserve(now).available_share() };
         let turns = request.turns.iter().filter_map(|wanted| {
             let bucket = self.buckets.get_mut(&wanted.tenant)?;
             bucket.throttle.as_mut()?.record_queue(now, gateway, wanted);
--- a/crates/common/quota/src/tenant_quota.rs
+++ b/crates/common/quota/src/tenant_quota.rs
@@ -1,14 +1,13 @@
 //! One tenant's quota at a gateway: the units that it was granted, its fallback share, its refusal probability.
 
+use crate::decaying_rate::DecayingRate;
 use crate::lease::{UnitGrant, UnitRequest};
 use crate::limit::Limit;
 use crate::throttle_queue::ThrottleQueue;
 use crate::time::{to_seconds, Time};
-use crate::{CONTINUATION_PERIOD, CONTINUATION_RATIO};
+use crate::{CONTINUATION_PERIOD, CONTINUATION_RATIO, GRANT_RATE_WINDOW_S};
 use std::collections::VecDeque;
 
-/// How long the rate of granted units is remembered, in seconds.
-const GRANT_RATE_WINDOW_S: f64 = 2.0;
 /// Units are requested ahead for so long, in seconds.
 const PREFETCH_S: f64 = 0.2;
 /// How long the gateway's own demand is remembered, in seconds.
@@ -37,13 +36,13 @@
     /// What the fallback share has saved up.
     fallback_units: f64,
     fallback_updated: Time,
+    /// Fallback units that were used since the last request to the coordinator.
+    spent_fallback: u32,
     pub refusal_probability: f64,
     /// Requests a second that come past the refusal probability here.
-    demand: f64,
-    demand_updated: Time,
+    demand: DecayingRate,
     /// Granted units a second that were used here.
-    grant_rate: f64,
-    grant_rate_updated: Time,
+    grant_rate: DecayingRate,
     /// Requests that wait for a unit.
     pub waiting: u32,
     /// Requests that came past the refusal probability since the last request to the coordinator.
@@ -62,11 +61,10 @@
             grants: VecDeque::new(),
             fallback_units: 0.0,
             fallback_updated: now,
+            spent_fallback: 0,
             refusal_probability: 0.0,
-            demand: 0.0,
-            demand_updated: now,
-            grant_rate: 0.0,
-            grant_rate_updated: now,
+            demand: DecayingRate::new(now, DEMAND_WINDOW_S),
+            grant_rate: DecayingRate::new(now, GRANT_RATE_WINDOW_S),
             waiting: 0,
             arrivals: 0,
             returned: 0,
@@ -85,14 +83,9 @@
         }
     }
 
-    fn demand(&self, now: Time) -> f64 {
-        self.demand * (-to_seconds(now.saturating_sub(self.demand_updated)) / DEMAND_WINDOW_S).exp()
-    }
-
     /// A request came past the refusal probability.
     pub fn record_arrival(&mut self, now: Time) {
-        self.demand = self.demand(now) + 1.0 / DEMAND_WINDOW_S;
-        self.demand_updated = now;
+        self.demand.record(now, 1);
         self.arrivals += 1;
     }
 
@@ -111,10 +104,7 @@
         if first.units == 0 {
             self.grants.pop_front();
         }
-        let elapsed = to_seconds(now.saturating_sub(self.grant_rate_updated));
-        let kept = (-elapsed / GRANT_RATE_WINDOW_S).exp();
-        self.grant_rate = self.grant_rate * kept + 1.0 / GRANT_RATE_WINDOW_S;
-        self.grant_rate_updated = now;
+        self.grant_rate.record(now, 1);
         true
     }
 
@@ -129,17 +119,17 @@
             (self.fallback_units, self.fallback_updated) = (0.0, isolated_since);
         }
         let fallback_rate = self.limit.rate * share;
-        // While the gateway is isolated nothing is granted, so that the grant rate stays what it was.
-        let continued_rate = (CONTINUATION_RATIO * self.grant_rate).max(fallback_rate);
+        let continued_rate = (CONTINUATION_RATIO * self.grant_rate.at(isolated_since)).max(fallback_rate);
         let continues_until = (isolated_since + CONTINUATION_PERIOD).clamp(self.fallback_updated, now);
         let gained = continued_rate * to_seconds(continues_until - self.fallback_updated)
             + fallback_rate * to_seconds(now - continues_until);
-        let max_units = max_saved.max(CONTINUATION_RATIO * self.grant_rate);
+        let max_units = max_saved.max(continued_rate);
         self.fallback_units = (self.fallback_units + gained).min(max_units);
         self.fallback_updated = now;
         let is_available = self.fallback_units >= 1.0;
         if is_available {
             self.fallback_units -= 1.0;
+            self.spent_fallback += 1;
         }
         is_available
     }
@@ -147,15 +137,17 @@
     /// What to ask the coordinator for, if there is anything to say. `waiting`: requests that wait for a unit.
     pub fn unit_request(&mut self, now: Time, tenant: &str, waiting: u32) -> Option<UnitRequest> {
         let granted: u32 = self.grants.iter().map(|grant| grant.units).sum();
-        let ahead = (self.demand(now) * PREFETCH_S) as u32;
+        let ahead = (self.demand.at(now) * PREFETCH_S) as u32;
         let units = if waiting > 0 { (waiting + ahead).saturating_sub(granted) } else { 0 };
-        let has_news = units > 0 || self.arrivals > 0 || self.returned > 0 || self.refusal_probability > 0.0;
+        let has_used = self.arrivals + self.returned + self.spent_fallback > 0;
+        let has_news = units > 0 || has_used || self.refusal_probability > 0.0;
         if !has_news {
             return None;
         }
         let arrivals = std::mem::take(&mut self.arrivals);
         let returned = std::mem::take(&mut self.returned);
-        Some(UnitRequest { tenant: tenant.into(), units, arrivals, returned })
+        let spent_fallback = std::mem::take(&mut self.spent_fallback);
+        Some(UnitRequest { tenant: tenant.into(), units, arrivals, returned, spent_fallback })
     }
 
     /// Takes the coordinator's grant. Whether a request that waits may go on.
--- a/crates/common/quota/src/token_bucket.rs
+++ b/crates/common/quota/src/token_bucket.rs
@@ -1,9 +1,13 @@
 //! A tenant's bucket at the coordinator.
 
+use crate::contact::Reserve;
+use crate::decaying_rate::DecayingRate;
 use crate::lease::{TurnGrant, TurnRequest, UnitGrant, UnitRequest};
 use crate::limit::Limit;
 use crate::time::{from_micros, from_seconds, to_micros, to_seconds, Time};
 use crate::trial_throttle::TrialThrottle;
+use crate::{CONTINUATION_RATIO, GRANT_RATE_WINDOW_S};
+use std::collections::BTreeMap;
 
 /// How long the meter remembers arrivals, in seconds.
 const ARRIVAL_WINDOW_S: f64 = 0.7;
@@ -12,14 +16,21 @@
 /// So many seconds' turns are granted at once, and one at least: who wants more asks again, 25 times a second, so that what
 /// many gateways ask for at the same moment is dealt out in turn.
 const TURN_BATCH_S: f64 = 0.06;
+/// The most that gateways may use beyond what the bucket holds, in seconds of the rate.
+const MAX_DEBT_S: f64 = 1.0;
+/// A gateway that was granted fewer units a second than this is forgotten.
+const MIN_GRANT_RATE: f64 = 0.1;
 
 #[derive(Clone, Debug)]
 pub(crate) struct TokenBucket {
     pub limit: Limit,
+    /// Below 0: silent gateways may have used more than the bucket held.
     pub level: f64,
     updated: Time,
     /// Requests a second that came past the refusal probability.
     arrival_rate: f64,
+    /// Units a second that each gateway was granted lately.
+    grant_rates: BTreeMap<String, DecayingRate>,
     /// Of a tenant with a trial.
     pub throttle: Option<TrialThrottle>,
 }
@@ -27,7 +38,14 @@
 impl TokenBucket {
     /// A bucket that holds `level` units.
     pub fn new(now: Time, limit: Limit, level: f64) -> Self {
-        TokenBucket { limit, level, updated: now, arrival_rate: 0.0, throttle: None }
+        TokenBucket {
+            limit,
+            level,
+            updated: now,
+            arrival_rate: 0.0,
+            grant_rates: BTreeMap::new(),
+            throttle: None,
+        }
     }
 
     /// Whether the tenant's trial has expired, by the configuration and what is replicated.
@@ -35,21 +53,58 @@
         self.limit.after_trial.is_some() && is_expired
     }
 
-    /// `share`: the part of the rate that is available.
-    pub fn refill(&mut self, now: Time, share: f64) {
+    /// Fills the bucket at the part of the rate that no silent gateway may be using.
+    pub fn refill(&mut self, now: Time, reserve: &Reserve) {
         let elapsed = to_seconds(now.saturating_sub(self.updated));
         self.updated = self.updated.max(now);
-        self.level = (self.level + elapsed * self.limit.rate * share).min(self.limit.burst);
+        let available_rate = self.limit.rate * reserve.available_share() - self.continued_rate(reserve);
+        let level = self.level + elapsed * available_rate;
+        self.level = level.clamp(-self.max_debt(), self.limit.burst);
         self.arrival_rate *= (-elapsed / ARRIVAL_WINDOW_S).exp();
     }
 
+    /// How far below 0 the level may go.
+    fn max_debt(&self) -> f64 {
+        self.limit.burst.max(self.limit.rate * MAX_DEBT_S)
+    }
+
+    /// What silent gateways may go on with, beyond their fallback shares, in units a second.
+    fn continued_rate(&self, reserve: &Reserve) -> f64 {
+        let fallback_rate = self.limit.rate * reserve.fallback_share;
+        let beyond_fallback = |rate: f64, gateways: usize| {
+            (CONTINUATION_RATIO * rate - fallback_rate * gateways as f64).max(0.0)
+        };
+        let recently_silent = reserve.recently_silent.iter().map(|gateway| {
+            let granted = self.grant_rates.get(&gateway.name);
+            granted.map_or(0.0, |rate| beyond_fallback(rate.at(gateway.heard_at), 1))
+        });
+        let unheard =
+            if reserve.unheard_may_continue { beyond_fallback(self.limit.rate, reserve.silent) } else { 0.0 };
+        recently_silent.sum::<f64>() + unheard
+    }
+
+    fn record_grant(&mut self, now: Time, gateway: &str, units: u32) {
+        if let Some(rate) = self.grant_rates.get_mut(gateway) {
+            rate.record(now, units);
+            return;
+        }
+        self.grant_rates.retain(|_, rate| rate.at(now) >= MIN_GRANT_RATE);
+        let mut rate = DecayingRate::new(now, GRANT_RATE_WINDOW_S);
+        rate.record(now, units);
+        self.grant_rates.insert(gateway.to_string(), rate);
+    }
+
     /// Grants as many units as are there; none to a throttled tenant, whose requests need turns.
-    pub fn grant_units(&mut self, request: &UnitRequest) -> UnitGrant {
+    pub fn grant_units(&mut self, now: Time, gateway: &str, request: &UnitRequest) -> UnitGrant {
         self.arrival_rate += f64::from(request.arrivals) / ARRIVAL_WINDOW_S;
         self.level = (self.level + f64::from(request.returned)).min(self.limit.burst);
+        self.level = (self.level - f64::from(request.spent_fallback)).max(-self.max_debt());
         let is_throttled = self.throttle.as_ref().is_some_and(|throttle| throttle.throttled);
         let units = if is_throttled { 0 } else { request.units.min(self.level.max(0.0) as u32) };
         self.level -= f64::from(units);
+        if units > 0 {
+            self.record_grant(now, gateway, units);
+        }
         UnitGrant {
             tenant: request.tenant.clone(),
             units,
--- a/crates/common/quota/tests/limits.rs
+++ b/crates/common/quota/tests/limits.rs
@@ -1,6 +1,8 @@
 //! A tenant's limit over several gateways, with partitions and a change of the coordinator.
 
-use quota::{Decision, LeaseGrant, Limit, QuotaClient, QuotaCoordinator, Time, UnitGrant};
+use quota::{
+    Decision, LeaseGrant, Limit, PreviousCoordinator, QuotaClient, QuotaCoordinator, Time, UnitGrant,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Time = 1_000_000;
@@ -18,7 +20,8 @@
 /// How many passed in each 10 ms, and how many were turned away.
 fn simulate(rate: f64, asked: f64, cut: std::ops::Range<u64>, new_keeper: u64) -> (Vec<u32>, u32) {
     let (all, limits) = (names(6), limits(rate, rate));
-    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::new(), &all);
+    let mut coordinator =
+        QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &all);
     let mut clients: Vec<QuotaClient> = (0..6).map(|_| QuotaClient::new(0)).collect();
     clients.iter_mut().for_each(|d| {
         d.set_limits(0, &limits);
@@ -33,7 +36,14 @@
     for step in 0..3000u64 {
         let now = step * 10 * MS;
         if step == new_keeper {
-            coordinator = QuotaCoordinator::new(now, step, &limits, &BTreeSet::new(), &all);
+            coordinator = QuotaCoordinator::new(
+                now,
+                step,
+                PreviousCoordinator::LongAgo,
+                &limits,
+                &BTreeSet::new(),
+                &all,
+            );
         }
         let mut through = 0;
         for (g, client) in clients.iter_mut().enumerate() {
--- a/crates/common/quota/tests/trial_throttling.rs
+++ b/crates/common/quota/tests/trial_throttling.rs
@@ -2,8 +2,8 @@
 //! kept, whoever is isolated, and whoever keeps.
 
 use quota::{
-    Decision, LeaseGrant, Limit, QueueOutcome, QueuedRequest, QuotaClient, QuotaCoordinator, Time, TrialPace,
-    TrialPhase, TurnGrant, PHASE_GAP,
+    Decision, LeaseGrant, Limit, PreviousCoordinator, QueueOutcome, QueuedRequest, QuotaClient,
+    QuotaCoordinator, Time, TrialPace, TrialPhase, TurnGrant, PHASE_GAP,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
@@ -66,7 +66,8 @@
     let agreed = |step: u64| -> BTreeSet<String> {
         p.over.iter().filter(|r| r.contains(&step)).map(|_| "t".to_string()).collect()
     };
-    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &agreed(0), &names);
+    let mut coordinator =
+        QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &agreed(0), &names);
     let mut clients: Vec<QuotaClient> = (0..GATEWAYS).map(|_| QuotaClient::new(0)).collect();
     clients.iter_mut().for_each(|d| {
         d.set_limits(0, &limits);
@@ -80,7 +81,8 @@
         let now = step * STEP;
         let over = agreed(step);
         if p.keepers.contains(&step) {
-            coordinator = QuotaCoordinator::new(now, step, &limits, &over, &names);
+            coordinator =
+                QuotaCoordinator::new(now, step, PreviousCoordinator::LongAgo, &limits, &over, &names);
         }
         let nobody = p.keepers.iter().any(|k| (k.saturating_sub(S / 2)..*k).contains(&step));
         coordinator.set_limits(now, &limits, &over);
@@ -248,7 +250,7 @@
         BTreeMap::from([("t".to_string(), Limit { after_trial: Some(slow), ..Limit::new(50.0, 50.0) })]);
     let names = BTreeSet::from(["g0".to_string()]);
     let over = BTreeSet::from(["t".to_string()]);
-    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &over, &names);
+    let mut coordinator = QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &over, &names);
     let mut client = QuotaClient::new(0);
     client.set_limits(0, &limits);
     client.set_gateway_count(1);
@@ -274,7 +276,14 @@
     let limits =
         BTreeMap::from([("t".to_string(), Limit { after_trial: Some(slow), ..Limit::new(0.0, 0.0) })]);
     let names = BTreeSet::from(["g0".to_string()]);
-    let mut coordinator = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::from(["t".to_string()]), &names);
+    let mut coordinator = QuotaCoordinator::new(
+        0,
+        1,
+        PreviousCoordinator::LongAgo,
+        &limits,
+        &BTreeSet::from(["t".to_string()]),
+        &names,
+    );
     let mut client = QuotaClient::new(0);
     client.set_limits(0, &limits);
     client.set_gateway_count(1);
@@ -331,7 +340,9 @@
     client.enqueue("t", request).unwrap();
     let last = client.next_request(start).expect("somebody waits").number;
     let now = start + 5 * MS;
-    sent.into_iter().for_each(|number| drop(client.on_grant(now, &throttled(number))));
+    for number in sent {
+        client.on_grant(now, &throttled(number));
+    }
     let no_turn =
         TurnGrant { tenant: "t".into(), after_us: vec![], urgent_us: vec![], retry_after_us: Some(500_000) };
     client.on_grant(now, &LeaseGrant { turns: vec![no_turn], ..throttled(last) });
--- a/crates/control/control-node/src/leadership.rs
+++ b/crates/control/control-node/src/leadership.rs
@@ -1,6 +1,7 @@
 //! Who leads, as consensus said last.
 
 use crate::effect::Effect;
+use crate::leader_history::LeaderHistory;
 use crate::{ControlNode, Time, MS};
 use consensus::{NodeId, Term, VoterSet};
 
@@ -22,6 +23,7 @@
     pub(crate) quorum_contact: Option<Time>,
     /// The voters, as this node knows them.
     pub voters: VoterSet,
+    pub(crate) history: LeaderHistory,
 }
 
 impl ControlNode {
@@ -35,6 +37,9 @@
         leadership.is_leader = raft.is_leader();
         leadership.term = raft.term();
         leadership.lease_until = raft.lease_until();
+        if raft.leader().is_some() {
+            leadership.history.record(self.now, raft.term());
+        }
         if has_changed {
             leadership.leader = raft.leader().cloned();
             let leader = leadership.leader.as_ref().map_or("none".into(), NodeId::to_string);
--- a/crates/control/control-node/src/lib.rs
+++ b/crates/control/control-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod drains;
 mod effect;
 mod heartbeats;
+mod leader_history;
 mod leadership;
 mod node;
 mod persistence;
--- a/crates/control/control-node/src/quota_grants.rs
+++ b/crates/control/control-node/src/quota_grants.rs
@@ -109,7 +109,9 @@
             Some(current) => current,
             None => {
                 log::info!("quota: coordinating in term {term}");
-                let coordinator = QuotaCoordinator::new(now, term, &terms.limits, &expired, gateways);
+                let previous = self.leadership.history.previous_coordinator(now, term);
+                let coordinator =
+                    QuotaCoordinator::new(now, term, previous, &terms.limits, &expired, gateways);
                 CoordinatorTerm { term, coordinator, inputs }
             }
         };
--- a/crates/testing/compatibility/tests/messages.rs
+++ b/crates/testing/compatibility/tests/messages.rs
@@ -39,7 +39,13 @@
 fn ask() -> LeaseRequest {
     LeaseRequest {
         number: 9,
-        units: vec![UnitRequest { tenant: "t1".into(), units: 5, arrivals: 6, returned: 1 }],
+        units: vec![UnitRequest {
+            tenant: "t1".into(),
+            units: 5,
+            arrivals: 6,
+            returned: 1,
+            spent_fallback: 0,
+        }],
         turns: vec![TurnRequest {
             tenant: "t2".into(),
             reads: 2,
@@ -52,6 +58,13 @@
     }
 }
 
+/// A request of a gateway that used its fallback share: one field more, which is absent while it is 0.
+fn ask_after_isolation() -> LeaseRequest {
+    let mut request = ask();
+    request.units[0].spent_fallback = 2;
+    request
+}
+
 fn lent() -> LeaseGrant {
     LeaseGrant {
         number: 9,
@@ -194,6 +207,7 @@
     let mut golden = Golden::open("gateway");
     let up = [
         ("up-ask", GatewayMessage::LeaseRequest(ask())),
+        ("up-ask-with-spent-fallback", GatewayMessage::LeaseRequest(ask_after_isolation())),
         ("up-missing", GatewayMessage::MissingGateways { missing: vec!["edge-2".into()] }),
         ("up-received", GatewayMessage::ChunkReceived { index: 6, received: 16_384 }),
         ("up-lacks", GatewayMessage::BaseMissing),
--- a/crates/testing/control-sim/src/growth.rs
+++ b/crates/testing/control-sim/src/growth.rs
@@ -5,7 +5,7 @@
 
 use control_state::CommittedConfiguration;
 use messages::{ControlMessage, FleetChange, FleetSnapshot, GatewayMessage, GatewayUpdate};
-use quota::{Decision, LeaseRequest, Limit, QuotaClient, QuotaCoordinator};
+use quota::{Decision, LeaseRequest, Limit, PreviousCoordinator, QuotaClient, QuotaCoordinator};
 use registry::Heartbeat;
 use rustix::time::{clock_gettime, ClockId};
 use serde::Serialize;
@@ -145,7 +145,8 @@
 /// time in ms.
 fn rights(names: &BTreeSet<String>, tenants: usize) -> (f64, f64) {
     let limits = limits(tenants);
-    let mut keeper = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::new(), names);
+    let mut keeper =
+        QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), names);
     let mut clients: Vec<(usize, &String, QuotaClient)> =
         names.iter().enumerate().take(QUOTA_CLIENTS).map(|(n, g)| (n, g, QuotaClient::new(0))).collect();
     let (mut sent, mut asks, mut all, mut back) = (0, 0, 0, 0.0);
--- a/crates/testing/control-sim/src/growth/pieces.rs
+++ b/crates/testing/control-sim/src/growth/pieces.rs
@@ -5,7 +5,7 @@
 use consensus::{Entry, EntryPayload, Message, MessageBody, NodeId, PreviousEntry, VoterSet};
 use control_state::{body_digest, Command, CommittedConfiguration, ControlState, Delta, DeltaHistory};
 use messages::{ControlMessage, FleetChange, FleetSnapshot, GatewayUpdate};
-use quota::{Decision, LeaseRequest, QuotaClient, QuotaCoordinator, UnitRequest};
+use quota::{Decision, LeaseRequest, PreviousCoordinator, QuotaClient, QuotaCoordinator, UnitRequest};
 use registry::{HeartbeatOutcome, ZoneRegistry};
 use std::collections::BTreeSet;
 use std::hint::black_box;
@@ -90,7 +90,14 @@
     for (tenants, limits) in &limits {
         let size = format!("{tenants} tenants, {} gateways", names.len());
         held("the keeper", size, NOW, &|| {
-            Box::new(QuotaCoordinator::new(0, 1, limits, &BTreeSet::new(), &names))
+            Box::new(QuotaCoordinator::new(
+                0,
+                1,
+                PreviousCoordinator::LongAgo,
+                limits,
+                &BTreeSet::new(),
+                &names,
+            ))
         });
     }
     held("backends", format!("{}", facts.len()), NOW, &|| {
@@ -242,7 +249,8 @@
         GATEWAYS.map(|g| (g, 1000)).into_iter().chain(TENANTS.map(|t| (100, t))).chain([(1000, 38_000)]);
     for (all, tenants) in sizes {
         let (names, limits) = (gateways(all), limits(tenants));
-        let mut keeper = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::new(), &names);
+        let mut keeper =
+            QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &names);
         let (mut now, mut number) = (0, 0usize);
         let one = micros(|| {
             number += 1;
@@ -252,6 +260,7 @@
                 units: 1,
                 arrivals: 1,
                 returned: 0,
+                spent_fallback: 0,
             };
             let wants = (0..REQUESTS / 10).map(want).collect();
             let ask = LeaseRequest { number: number as u64, units: wants, turns: Vec::new() };
@@ -277,7 +286,14 @@
     let mut lines = head("A gateway's client", &columns);
     for tenants in TENANTS {
         let limits = limits(tenants);
-        let mut keeper = QuotaCoordinator::new(0, 1, &limits, &BTreeSet::new(), &gateways(1));
+        let mut keeper = QuotaCoordinator::new(
+            0,
+            1,
+            PreviousCoordinator::LongAgo,
+            &limits,
+            &BTreeSet::new(),
+            &gateways(1),
+        );
         let mut client = QuotaClient::new(0);
         client.set_limits(0, &limits);
         client.set_gateway_count(1);
--- a/crates/testing/test-harness/src/scale/hollow.rs
+++ b/crates/testing/test-harness/src/scale/hollow.rs
@@ -283,7 +283,7 @@
                     number += 1;
                     lock(&book.tally).asks += 1;
                     let tenant = |_| tenant(rng.usize(0..book.lent.len()));
-                    let want = |tenant| UnitRequest { tenant, units: 1, arrivals: 1, returned: 0 };
+                    let want = |tenant| UnitRequest { tenant, units: 1, arrivals: 1, returned: 0, spent_fallback: 0 };
                     let units = (0..WANTS).map(tenant).map(want).collect();
                     GatewayMessage::LeaseRequest(LeaseRequest { number, units, turns: Vec::new() })
                 }
