--- a/crates/common/quota/src/contact.rs
+++ b/crates/common/quota/src/contact.rs
@@ -34,65 +34,94 @@
     }
 }
 
-/// When each gateway was last heard.
+/// What is known of one gateway's contact with this coordinator.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    /// When this coordinator began, or learnt of the gateway.
+    known_since: Time,
+    /// When it was last heard, if it ever was.
+    heard_at: Option<Time>,
+}
+
+impl Contact {
+    fn silence(&self, now: Time) -> Time {
+        now.saturating_sub(self.heard_at.unwrap_or(self.known_since))
+    }
+}
+
+/// The gateways, and when each was last heard.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayContacts {
-    /// When the coordinator began.
-    since: Time,
-    heard: BTreeMap<String, Option<Time>>,
+    contacts: BTreeMap<String, Contact>,
+    /// Gateways that are being removed: they are not answered until they are added again.
+    leaving: BTreeSet<String>,
 }
 
 impl GatewayContacts {
     /// None has been heard yet.
-    pub fn new(since: Time, names: &BTreeSet<String>) -> Self {
-        GatewayContacts { since, heard: names.iter().map(|name| (name.clone(), None)).collect() }
+    pub fn new(now: Time, names: &BTreeSet<String>) -> Self {
+        let mut all = GatewayContacts { contacts: BTreeMap::new(), leaving: BTreeSet::new() };
+        all.set_names(now, names);
+        all
     }
 
-    /// These gateways exist.
-    pub fn add(&mut self, names: &BTreeSet<String>) {
+    /// These gateways exist, and no others.
+    pub fn set_names(&mut self, now: Time, names: &BTreeSet<String>) {
+        self.contacts.retain(|name, _| names.contains(name));
+        self.leaving.retain(|name| names.contains(name));
         for name in names {
-            self.heard.entry(name.clone()).or_insert(None);
+            self.contacts.entry(name.clone()).or_insert(Contact { known_since: now, heard_at: None });
         }
     }
 
-    /// Whether a gateway is known.
-    pub fn knows(&self, name: &str) -> bool {
-        self.heard.contains_key(name)
+    /// Whether a gateway is known, and is to be answered.
+    pub fn answers(&self, name: &str) -> bool {
+        self.contacts.contains_key(name) && !self.leaving.contains(name)
     }
 
     /// A gateway is heard now.
     pub fn record(&mut self, now: Time, name: &str) {
-        self.heard.insert(name.to_string(), Some(now));
+        if let Some(contact) = self.contacts.get_mut(name) {
+            contact.heard_at = Some(now);
+        }
+    }
+
+    /// The gateways that were silent for so long, and all that were named here before: from now on they are not answered
+    /// until they are removed, and added again.
+    pub fn begin_removals(&mut self, now: Time, silence: Time) -> &BTreeSet<String> {
+        let silent = self.contacts.iter().filter(|(_, contact)| contact.silence(now) >= silence);
+        self.leaving.extend(silent.map(|(name, _)| name.clone()));
+        &self.leaving
     }
 
     /// Whether no gateway can go by anything that it was told of a phase.
     pub fn all_missed_announcements(&self, now: Time) -> bool {
-        self.heard.values().all(|at| at.is_none_or(|at| now.saturating_sub(at) >= PHASE_NOTICE))
+        let has_missed =
+            |contact: &Contact| contact.heard_at.is_none_or(|at| now.saturating_sub(at) >= PHASE_NOTICE);
+        self.contacts.values().all(has_missed)
     }
 
     /// What gateways that are not heard may be using now.
     pub fn reserve(&self, now: Time) -> Reserve {
         let mut reserve = Reserve {
-            fallback_share: 1.0 / self.heard.len().max(1) as f64,
+            fallback_share: 1.0 / self.contacts.len().max(1) as f64,
             silent: 0,
             recently_silent: Vec::new(),
             unheard_may_continue: false,
         };
-        for (name, heard_at) in &self.heard {
-            let silent_since = heard_at.unwrap_or(self.since);
-            let silence = now.saturating_sub(silent_since);
+        for (name, contact) in &self.contacts {
+            let silence = contact.silence(now);
+            if contact.heard_at.is_some() && silence < FALLBACK_RESERVE_TIMEOUT {
+                continue;
+            }
+            reserve.silent += 1;
             let may_continue = silence < CONTINUATION_ENDS;
-            match heard_at {
-                Some(_) if silence < FALLBACK_RESERVE_TIMEOUT => {}
-                Some(at) if may_continue => {
-                    reserve.silent += 1;
-                    reserve.recently_silent.push(RecentlySilent { name: name.clone(), heard_at: *at });
-                }
-                Some(_) => reserve.silent += 1,
-                None => {
-                    reserve.silent += 1;
-                    reserve.unheard_may_continue |= may_continue;
+            match contact.heard_at {
+                Some(heard_at) if may_continue => {
+                    reserve.recently_silent.push(RecentlySilent { name: name.clone(), heard_at });
                 }
+                Some(_) => {}
+                None => reserve.unheard_may_continue |= may_continue,
             }
         }
         reserve
--- a/crates/common/quota/src/lib.rs
+++ b/crates/common/quota/src/lib.rs
@@ -50,6 +50,9 @@
 /// The coordinator keeps back the fallback share of a gateway that it has not heard for so long: sooner than the gateway may
 /// use it.
 pub const FALLBACK_RESERVE_TIMEOUT: Time = 200 * MS;
+/// A gateway has no fallback share any more once no coordinator has answered it for so long: longer than regions lose each
+/// other. `docs/design/gone.md`.
+pub const FALLBACK_LIFETIME: Time = 90 * 60 * 1000 * MS;
 /// A gateway sends a request at least this often, so that the coordinator hears it.
 pub const REQUEST_INTERVAL: Time = 100 * MS;
 /// A change of the coordinator takes about so long.
--- a/crates/common/quota/src/quota_client.rs
+++ b/crates/common/quota/src/quota_client.rs
@@ -6,7 +6,7 @@
 use crate::tenant_quota::{retry_after, TenantQuota};
 use crate::throttle_queue::{CoordinatorContact, QueueOutcome, QueuedRequest, ThrottleQueue};
 use crate::time::{from_micros, Time, MS};
-use crate::{GRANT_LIFETIME, ISOLATION_TIMEOUT, REQUEST_INTERVAL};
+use crate::{FALLBACK_LIFETIME, GRANT_LIFETIME, ISOLATION_TIMEOUT, REQUEST_INTERVAL};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A request waits so long for a unit at most: a little longer than it takes to know that the gateway is isolated.
@@ -62,6 +62,8 @@
     tenants: BTreeMap<String, TenantQuota>,
     /// Among how many gateways fallback shares are divided; 0 while this one is none of them.
     gateway_count: u32,
+    /// The fallback share ends when no coordinator has answered for so long.
+    fallback_lifetime: Time,
     /// When the latest request was sent that was answered.
     last_contact: Option<Time>,
     coordinator: Coordinator,
@@ -77,6 +79,7 @@
         QuotaClient {
             tenants: BTreeMap::new(),
             gateway_count: 0,
+            fallback_lifetime: FALLBACK_LIFETIME,
             last_contact: None,
             coordinator: Coordinator::default(),
             last_request: 0,
@@ -100,6 +103,27 @@
         self.gateway_count = gateway_count;
     }
 
+    /// The fallback share ends after so long without an answer, in place of [`FALLBACK_LIFETIME`].
+    pub fn set_fallback_lifetime(&mut self, lifetime: Time) {
+        self.fallback_lifetime = lifetime;
+    }
+
+    /// Among how many gateways fallback shares are divided; 0 if this one has none: it is none of them, no coordinator has
+    /// answered this process yet, or none for so long that the coordinator may have given the share away.
+    fn fallback_divisor(&self, now: Time) -> u32 {
+        let has_share = self.last_contact.is_some_and(|at| now.saturating_sub(at) < self.fallback_lifetime);
+        if has_share {
+            self.gateway_count
+        } else {
+            0
+        }
+    }
+
+    /// Whether this process may use its fallback share when it is isolated.
+    pub fn has_fallback_share(&self, now: Time) -> bool {
+        self.fallback_divisor(now) > 0
+    }
+
     /// Whether it has its fallback share alone.
     pub fn is_isolated(&self, now: Time) -> bool {
         self.last_contact.is_none_or(|at| now.saturating_sub(at) >= ISOLATION_TIMEOUT)
@@ -117,6 +141,7 @@
     /// Takes a unit for a tenant's request. `draw`: 0 to 1, at random; `since`: when it was first tried, if it waited.
     pub fn acquire(&mut self, now: Time, tenant: &str, draw: f64, since: Option<Time>) -> Decision {
         let (is_isolated, isolated_at) = (self.is_isolated(now), self.isolated_at());
+        let fallback_divisor = self.fallback_divisor(now);
         let Some(quota) = self.tenants.get_mut(tenant) else { return Decision::Granted };
         if since.is_some() {
             quota.waiting = quota.waiting.saturating_sub(1);
@@ -136,7 +161,7 @@
             quota.record_arrival(now);
         }
         let is_granted = quota.take_granted_unit(now)
-            || is_isolated && quota.take_fallback_unit(now, isolated_at, self.gateway_count);
+            || is_isolated && quota.take_fallback_unit(now, isolated_at, fallback_divisor);
         if is_granted {
             return Decision::Granted;
         }
@@ -175,7 +200,7 @@
     pub fn next_outcome(&mut self, now: Time) -> Option<(String, u64, QueueOutcome)> {
         let contact = CoordinatorContact {
             isolated_since: self.isolated_since(now),
-            gateway_count: self.gateway_count,
+            gateway_count: self.fallback_divisor(now),
         };
         for (tenant, quota) in &mut self.tenants {
             let Some(queue) = quota.throttle.as_mut().filter(|queue| !queue.is_empty()) else { continue };
--- a/crates/common/quota/src/quota_coordinator.rs
+++ b/crates/common/quota/src/quota_coordinator.rs
@@ -7,9 +7,13 @@
 use crate::time::Time;
 use crate::token_bucket::TokenBucket;
 use crate::trial_throttle::{GatewayQueue, TrialThrottle};
-use crate::PHASE_NOTICE;
+use crate::{ISOLATION_TIMEOUT, PHASE_NOTICE};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A silent gateway is removed after this many tenths of the time after which its own share ends: clocks that differ by less
+/// than a tenth are borne.
+const REMOVAL_MARGIN_TENTHS: Time = 11;
+
 /// How a trial stands.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TrialStatus {
@@ -94,14 +98,17 @@
         self.advance_phases(now);
     }
 
-    /// These gateways exist.
-    pub fn add_gateways(&mut self, all: &BTreeSet<String>) {
-        self.gateways.add(all);
+    /// These gateways exist, and no others.
+    pub fn set_gateways(&mut self, now: Time, all: &BTreeSet<String>) {
+        self.refill(now);
+        self.gateways.set_names(now, all);
     }
 
-    /// Whether a gateway is known.
-    pub fn knows_gateway(&self, gateway: &str) -> bool {
-        self.gateways.knows(gateway)
+    /// The gateways that are to be removed: they were silent for so long that they do not use their fallback shares any
+    /// more, whose lifetime is `fallback_lifetime`. They are not answered from now on until they are removed and added again.
+    pub fn begin_removals(&mut self, now: Time, fallback_lifetime: Time) -> &BTreeSet<String> {
+        let silence = (fallback_lifetime + ISOLATION_TIMEOUT) / 10 * REMOVAL_MARGIN_TENTHS;
+        self.gateways.begin_removals(now, silence)
     }
 
     fn refill(&mut self, now: Time) {
@@ -128,9 +135,10 @@
         }
     }
 
-    /// Answers a gateway's request. None to a gateway that is not known: its fallback share is not kept back yet.
+    /// Answers a gateway's request. None to a gateway that is not known, whose fallback share is not kept back yet, or that is
+    /// being removed.
     pub fn grant(&mut self, now: Time, gateway: &str, request: &LeaseRequest) -> Option<LeaseGrant> {
-        if !self.knows_gateway(gateway) {
+        if !self.gateways.answers(gateway) {
             return None;
         }
         self.refill(now);
--- a/crates/control/control-node/src/change_feed.rs
+++ b/crates/control/control-node/src/change_feed.rs
@@ -3,6 +3,7 @@
 use crate::effect::Effect;
 use crate::{ControlNode, Defect};
 use change_log::{ChangeLog, Offset};
+use consensus::Term;
 use control_state::{Applied, Command, CommittedConfiguration, ControlState, DeltaHistory, LogIndex};
 use messages::{FleetChange, FleetSnapshot, GatewayUpdate};
 use std::sync::Arc;
@@ -51,12 +52,15 @@
     }
 
     /// Applies a committed command, and publishes what it changes.
-    pub(crate) fn apply_command(&mut self, index: LogIndex, bytes: &[u8]) -> Applied {
+    pub(crate) fn apply_command(&mut self, index: LogIndex, term: Term, bytes: &[u8]) -> Applied {
         self.quorum_contact.on_applied(index);
         let Some(mut command) = Command::decode(bytes) else {
             log::error!("state: the entry at {index} is no command; it changes nothing");
             return Applied::Unchanged;
         };
+        if !command.is_valid_in(term) && !self.has_defect(Defect::RemovalOfAnyTerm) {
+            return Applied::Unchanged;
+        }
         if self.has_defect(Defect::BaseIgnored) {
             if let Command::ReplaceConfiguration { base, .. } = &mut command {
                 *base = self.state.version();
@@ -84,7 +88,8 @@
                 self.effects.push(Effect::NotifySubscribers);
             }
             Command::Drain { instance } => self.publish(FleetChange::BackendDraining(instance)),
-            Command::AddGateway { .. } => {
+            Command::AddGateway { .. } | Command::RemoveGateway { .. } => {
+                self.quota.gateways_generation += 1;
                 let all = self.state.gateways().iter().cloned().collect();
                 self.publish(FleetChange::Gateways(all));
             }
@@ -112,6 +117,7 @@
         let old = std::mem::replace(&mut self.state, state);
         self.record_delta(old.configuration().cloned());
         self.quorum_contact.on_applied(index);
+        self.quota.gateways_generation += 1;
         self.change_feed.restart_log();
         self.effects.push(Effect::NotifySubscribers);
         self.complete_committed_drains();
--- a/crates/control/control-node/src/commit.rs
+++ b/crates/control/control-node/src/commit.rs
@@ -24,7 +24,7 @@
                     }
                 }
                 Output::Apply { index, term, command } => {
-                    let applied = self.apply_committed(index, &command);
+                    let applied = self.apply_committed(index, term, &command);
                     self.resolve_proposals(index, term, applied);
                 }
                 Output::InstallSnapshot { index, state } => self.install_snapshot(index, &state),
@@ -35,11 +35,11 @@
     }
 
     /// Applies a committed command.
-    pub(crate) fn apply_committed(&mut self, index: LogIndex, command: &[u8]) -> Applied {
+    pub(crate) fn apply_committed(&mut self, index: LogIndex, term: Term, command: &[u8]) -> Applied {
         self.persistence.applied_index = index;
         #[cfg(feature = "simulation")]
         self.applied_records.push(crate::AppliedRecord::Command(index, command.to_vec()));
-        self.apply_command(index, command)
+        self.apply_command(index, term, command)
     }
 
     /// The replicated state is this, as of an index.
--- a/crates/control/control-node/src/defect.rs
+++ b/crates/control/control-node/src/defect.rs
@@ -51,12 +51,18 @@
     HeartbeatHidesNewest,
     /// No node but the first voters ever becomes one.
     LearnerNeverVotes,
+    /// A silent gateway is removed after a tenth of the time.
+    RemovedTooSoon,
+    /// A gateway is answered while its removal is on its way.
+    AnsweredWhileRemoved,
+    /// A leader of long ago goes on removing gateways, and the removals count.
+    RemovalOfAnyTerm,
 }
 
 #[cfg(feature = "simulation")]
 impl Defect {
     /// All of them.
-    pub const ALL: [Defect; 24] = [
+    pub const ALL: [Defect; 27] = [
         Defect::SendBeforeSync,
         Defect::ReadWithoutQuorum,
         Defect::AcknowledgeBeforeCommit,
@@ -81,5 +87,8 @@
         Defect::SnapshotForgetsDrains,
         Defect::HeartbeatHidesNewest,
         Defect::LearnerNeverVotes,
+        Defect::RemovedTooSoon,
+        Defect::AnsweredWhileRemoved,
+        Defect::RemovalOfAnyTerm,
     ];
 }
--- a/crates/control/control-node/src/lib.rs
+++ b/crates/control/control-node/src/lib.rs
@@ -14,6 +14,7 @@
 mod defect;
 mod drains;
 mod effect;
+mod gateway_removal;
 mod heartbeats;
 mod leader_history;
 mod leadership;
--- a/crates/control/control-node/src/node.rs
+++ b/crates/control/control-node/src/node.rs
@@ -38,6 +38,8 @@
     pub heartbeat_interval: Time,
     /// Reads what a configuration says of tenants.
     pub read_terms: fn(&[u8]) -> TenantTerms,
+    /// How long a gateway's fallback share lasts without an answer: [`quota::FALLBACK_LIFETIME`], or less in a simulation.
+    pub fallback_lifetime: Time,
     /// Random: of election time-outs, and of this process's change log.
     pub seed: u64,
 }
@@ -162,8 +164,8 @@
             self.install_snapshot(snapshot.index, &snapshot.state);
         }
         for output in self.raft.committed_outputs() {
-            if let Output::Apply { index, command, .. } = output {
-                self.apply_committed(index, &command);
+            if let Output::Apply { index, term, command } = output {
+                self.apply_committed(index, term, &command);
             }
         }
     }
@@ -186,6 +188,7 @@
             self.next_contact_request,
             self.next_sweep,
             self.quota.next_due(),
+            self.quota.next_removal_poll,
             bootstrap,
             self.next_leave_request.unwrap_or(Time::MAX),
         ];
@@ -201,6 +204,7 @@
         self.request_contact();
         self.forward_heartbeats();
         self.expire_trials();
+        self.remove_gone_gateways();
         self.try_bootstrap();
         self.repeat_leave_request();
         self.expire_calls_and_changes();
--- a/crates/control/control-node/src/quota_grants.rs
+++ b/crates/control/control-node/src/quota_grants.rs
@@ -16,14 +16,15 @@
 struct QuotaInputs {
     configuration_index: LogIndex,
     last_expiry_index: LogIndex,
-    gateway_count: usize,
+    /// Counts changes of the replicated gateways.
+    gateways_generation: u64,
 }
 
 /// The coordinator of one of this leader's terms.
 #[derive(Debug)]
-struct CoordinatorTerm {
-    term: Term,
-    coordinator: QuotaCoordinator,
+pub(crate) struct CoordinatorTerm {
+    pub term: Term,
+    pub coordinator: QuotaCoordinator,
     inputs: QuotaInputs,
 }
 
@@ -37,11 +38,14 @@
 /// A node's part in quota and trials.
 #[derive(Debug)]
 pub(crate) struct QuotaState {
-    coordinator: Option<CoordinatorTerm>,
+    pub(crate) coordinator: Option<CoordinatorTerm>,
     terms: IndexedTerms,
     /// What control nodes say of the time of day.
     pub clocks: ClockReadings,
     pub next_trial_poll: Time,
+    pub next_removal_poll: Time,
+    /// Counts changes of the replicated gateways.
+    pub gateways_generation: u64,
 }
 
 impl QuotaState {
@@ -52,6 +56,8 @@
             terms: IndexedTerms::default(),
             clocks: ClockReadings::default(),
             next_trial_poll: now + crate::trial_expiry::IDLE_POLL_INTERVAL,
+            next_removal_poll: now + crate::gateway_removal::POLL_INTERVAL,
+            gateways_generation: 0,
         }
     }
 
@@ -83,7 +89,7 @@
         QuotaInputs {
             configuration_index: self.state.configuration().map_or(0, |current| current.index),
             last_expiry_index: self.state.last_expiry_index(),
-            gateway_count: self.state.gateways().len(),
+            gateways_generation: self.quota.gateways_generation,
         }
     }
 
@@ -118,7 +124,7 @@
         let current = self.quota.coordinator.insert(current);
         if std::mem::replace(&mut current.inputs, inputs) != inputs {
             current.coordinator.set_limits(now, &terms.limits, &expired);
-            current.coordinator.add_gateways(gateways);
+            current.coordinator.set_gateways(now, gateways);
         }
         #[cfg(feature = "simulation")]
         if self.defect == Some(Defect::FallbackSharesGranted) {
--- a/crates/control/control-node/tests/isolated_node.rs
+++ b/crates/control/control-node/tests/isolated_node.rs
@@ -19,6 +19,7 @@
         seeds: vec!["10.0.0.1".into(), "10.0.0.2".into(), "10.0.0.3".into()],
         heartbeat_interval: HEARTBEAT_INTERVAL,
         read_terms: |_| TenantTerms::default(),
+        fallback_lifetime: quota::FALLBACK_LIFETIME,
         seed: 7,
     };
     ControlNode::new(setup, PersistedState::default(), Vec::new(), 0)
@@ -121,6 +122,7 @@
         seeds: vec!["10.0.0.9".into()],
         heartbeat_interval: HEARTBEAT_INTERVAL,
         read_terms: |_| TenantTerms::default(),
+        fallback_lifetime: quota::FALLBACK_LIFETIME,
         seed: 7,
     };
     let p = ControlNode::new(setup, stored, Vec::new(), 0);
--- a/crates/control/control-plane/src/driver/tests.rs
+++ b/crates/control/control-plane/src/driver/tests.rs
@@ -78,6 +78,7 @@
             seeds: Vec::new(),
             heartbeat_interval: 1_000_000_000,
             read_terms: |_| trial::TenantTerms::default(),
+            fallback_lifetime: quota::FALLBACK_LIFETIME,
             seed: self.starts,
         };
         let driver =
--- a/crates/control/control-plane/src/main.rs
+++ b/crates/control/control-plane/src/main.rs
@@ -127,6 +127,7 @@
         read_terms: |body| {
             Configuration::parse(body).map(|c| TenantTerms::from_configuration(&c)).unwrap_or_default()
         },
+        fallback_lifetime: quota::FALLBACK_LIFETIME,
         seed,
     }
 }
--- a/crates/control/control-plane/src/storage/role_directory_tests.rs
+++ b/crates/control/control-plane/src/storage/role_directory_tests.rs
@@ -67,6 +67,7 @@
         seeds: vec![NAME.into()],
         heartbeat_interval: SECOND,
         read_terms: |_| TenantTerms::default(),
+        fallback_lifetime: quota::FALLBACK_LIFETIME,
         seed: 7,
     };
     let mut node = ControlNode::new(config, loaded.stored, Vec::new(), 0);
--- a/crates/control/control-state/src/command.rs
+++ b/crates/control/control-state/src/command.rs
@@ -50,6 +50,13 @@
         /// The gateway's name.
         name: String,
     },
+    /// This gateway is gone for good. Its name may be added again.
+    RemoveGateway {
+        /// The gateway's name.
+        name: String,
+        /// The term of the leader that has not heard it for long: an entry of any other term changes nothing.
+        term: u64,
+    },
     /// A tenant's trial has expired.
     #[serde(rename = "TrialOver")]
     ExpireTrial {
@@ -75,6 +82,14 @@
         Command::ConfigurationDelta { base: *base, version: *version, digest: body_digest(body), delta }
     }
 
+    /// Whether it may be applied from an entry of this term.
+    pub fn is_valid_in(&self, entry_term: u64) -> bool {
+        match self {
+            Command::RemoveGateway { term, .. } => *term == entry_term,
+            _ => true,
+        }
+    }
+
     /// Its bytes in the log.
     pub fn encode(&self) -> Vec<u8> {
         rmp_serde::to_vec(self).expect("a command has no value that cannot be encoded")
--- a/crates/control/control-state/src/state.rs
+++ b/crates/control/control-state/src/state.rs
@@ -155,6 +155,7 @@
             }
             Command::Drain { instance } => self.drain(index, instance),
             Command::AddGateway { name } => self.add_gateway(name),
+            Command::RemoveGateway { name, .. } => self.remove_gateway(name),
             Command::ExpireTrial { tenant, ends_at } => self.expire_trial(index, tenant, *ends_at),
         }
     }
@@ -199,6 +200,14 @@
         Applied::Changed
     }
 
+    fn remove_gateway(&mut self, name: &str) -> Applied {
+        if self.gateways.remove(name) {
+            Applied::Changed
+        } else {
+            Applied::Unchanged
+        }
+    }
+
     fn expire_trial(&mut self, index: LogIndex, tenant: &str, ends_at: u64) -> Applied {
         if self.is_trial_expired(tenant, ends_at) {
             return Applied::Unchanged;
--- a/crates/control/control-state/tests/gateways.rs
+++ b/crates/control/control-state/tests/gateways.rs
@@ -1,4 +1,4 @@
-//! Gateways are agreed on, as many as there may be.
+//! Gateways are replicated, as many as there may be, until they are removed.
 
 use control_state::{Applied, Command, ControlState};
 
@@ -18,3 +18,24 @@
     assert_eq!(state.apply(index + 1, &Command::AddGateway { name: "one more".into() }), Applied::Unchanged);
     assert_eq!(ControlState::decode(&state.encode()), Some(state));
 }
+
+#[test]
+fn removed_gateway_makes_room_and_may_be_added_again() {
+    let add = Command::AddGateway { name: "edge-1".into() };
+    let remove = Command::RemoveGateway { name: "edge-1".into(), term: 7 };
+    let mut state = ControlState::new();
+    assert_eq!(state.apply(1, &remove), Applied::Unchanged, "there is none");
+    assert_eq!(state.apply(2, &add), Applied::Changed);
+    assert_eq!(state.apply(3, &remove), Applied::Changed);
+    assert!(state.gateways().is_empty() && state.can_add_gateway("edge-1"));
+    assert_eq!(state.apply(4, &remove), Applied::Unchanged, "it was removed already");
+    assert_eq!(state.apply(5, &add), Applied::Changed);
+}
+
+#[test]
+fn removal_counts_in_the_term_of_the_leader_that_proposed_it_alone() {
+    let remove = Command::RemoveGateway { name: "edge-1".into(), term: 7 };
+    assert!(remove.is_valid_in(7));
+    assert!(!remove.is_valid_in(6) && !remove.is_valid_in(8));
+    assert!(Command::AddGateway { name: "edge-1".into() }.is_valid_in(8));
+}
--- a/crates/data/subscription/src/subscription.rs
+++ b/crates/data/subscription/src/subscription.rs
@@ -167,6 +167,10 @@
     pub fn on_connected(&mut self, now: Time, ip: IpAddr, is_direct: bool) -> Greeting {
         self.missing.clear();
         self.view.on_connected(now);
+        if self.view.has_unproven_gateways() {
+            // What this node proves says nothing of what another one told: it is to tell all anew.
+            self.position = FollowPosition::default();
+        }
         let receiver = ConfigurationReceiver::default();
         self.connection = Some(Connection { ip, is_direct, started: now, receiver, next_sweep: now });
         Greeting::Gateway {
@@ -248,7 +252,7 @@
                 match self.position.on_changes(from, changes.len()) {
                     FollowOutcome::SkipFirst(known) => {
                         let new = changes.into_iter().skip(known);
-                        let changes = new.flat_map(|change| self.view.apply_change(change)).collect();
+                        let changes = new.flat_map(|change| self.view.apply_change(now, change)).collect();
                         effects.push(Effect::Changed(changes));
                     }
                     FollowOutcome::NeedsSnapshot => {
@@ -271,6 +275,7 @@
                 self.known_nodes.extend(parsed);
                 let age = u64::from(quorum_contact_ms) * MS;
                 self.freshness.on_heartbeat(contact_number, age, newest_configuration);
+                effects.push(Effect::Changed(self.on_proof(now)));
                 if let Some(reason) = self.reason_to_leave(now, quorum_contact_ms) {
                     return Err(reason);
                 }
@@ -281,6 +286,19 @@
         Ok(())
     }
 
+    /// What the control node that is followed now has proven to be no older than what is known.
+    fn on_proof(&mut self, now: Time) -> Vec<ViewChange> {
+        let connected_at = self.connection.as_ref().map(|connection| connection.started);
+        let proven_at = self.freshness.last_quorum_contact();
+        match connected_at.zip(proven_at) {
+            // What was proven before the connection was by another node.
+            Some((connected_at, proven_at)) if proven_at >= connected_at => {
+                self.view.on_proven(now, proven_at)
+            }
+            _ => Vec::new(),
+        }
+    }
+
     fn on_chunk(
         &mut self,
         chunk: ConfigurationChunk,
--- a/crates/data/subscription/src/view.rs
+++ b/crates/data/subscription/src/view.rs
@@ -47,6 +47,11 @@
     /// The same, in the order in which they were heard of.
     drain_order: VecDeque<String>,
     gateways: Vec<String>,
+    /// When these gateways were accepted: they were committed by then.
+    gateways_accepted_at: Time,
+    /// Other gateways, no more than those, that the control node which is followed now tells: fewer are newer if one was
+    /// removed, and older if one was added.
+    unproven_gateways: Option<Vec<String>>,
 }
 
 impl View {
@@ -84,18 +89,18 @@
                 backend.doubtful_since.get_or_insert(now);
             }
         }
-        self.set_gateways(snapshot.gateways, &mut changes);
+        self.set_gateways(now, snapshot.gateways, &mut changes);
         changes
     }
 
     /// A change that a control node tells.
-    pub fn apply_change(&mut self, change: FleetChange) -> Vec<ViewChange> {
+    pub fn apply_change(&mut self, now: Time, change: FleetChange) -> Vec<ViewChange> {
         let mut changes = Vec::new();
         match change {
             FleetChange::Backend(heartbeat) => self.record_backend(heartbeat, &mut changes),
             FleetChange::BackendRemoved(id) => self.remove_backend(id, &mut changes),
             FleetChange::BackendDraining(id) => self.record_drain(id, &mut changes),
-            FleetChange::Gateways(gateways) => self.set_gateways(gateways, &mut changes),
+            FleetChange::Gateways(gateways) => self.set_gateways(now, gateways, &mut changes),
         }
         changes
     }
@@ -186,11 +191,35 @@
         }
     }
 
-    fn set_gateways(&mut self, gateways: Vec<String>, changes: &mut Vec<ViewChange>) {
-        // Gateways are only ever added: fewer are older news.
+    /// More gateways are taken at once: a share of too few would be too much.
+    fn set_gateways(&mut self, now: Time, gateways: Vec<String>, changes: &mut Vec<ViewChange>) {
+        self.unproven_gateways = None;
         if gateways.len() > self.gateways.len() {
-            self.gateways = gateways;
-            changes.push(ViewChange::Gateways);
+            self.accept_gateways(now, gateways, changes);
+        } else if gateways != self.gateways {
+            self.unproven_gateways = Some(gateways);
         }
     }
+
+    fn accept_gateways(&mut self, now: Time, gateways: Vec<String>, changes: &mut Vec<ViewChange>) {
+        (self.gateways, self.gateways_accepted_at) = (gateways, now);
+        changes.push(ViewChange::Gateways);
+    }
+
+    /// The control node that is followed now has told all that was committed by then: its gateways are no older than those
+    /// that were accepted before.
+    pub fn on_proven(&mut self, now: Time, proven_at: Time) -> Vec<ViewChange> {
+        let mut changes = Vec::new();
+        if proven_at >= self.gateways_accepted_at {
+            if let Some(gateways) = self.unproven_gateways.take() {
+                self.accept_gateways(now, gateways, &mut changes);
+            }
+        }
+        changes
+    }
+
+    /// Whether gateways were told that are neither accepted nor known to be older.
+    pub fn has_unproven_gateways(&self) -> bool {
+        self.unproven_gateways.is_some()
+    }
 }
--- a/crates/testing/compatibility/tests/state.rs
+++ b/crates/testing/compatibility/tests/state.rs
@@ -23,6 +23,7 @@
         ),
         ("drain", Command::Drain { instance: "i-1".into() }),
         ("gateway", Command::AddGateway { name: "edge-1".into() }),
+        ("gateway-removed", Command::RemoveGateway { name: "edge-1".into(), term: 7 }),
         ("trial-expired", Command::ExpireTrial { tenant: "t1".into(), ends_at: 1_798_758_000_000 }),
     ];
     for (name, word) in &words {
--- a/crates/testing/control-sim/src/defect.rs
+++ b/crates/testing/control-sim/src/defect.rs
@@ -19,6 +19,8 @@
     PaceIgnored,
     /// At its start one takes its snapshot and nothing of the log behind it.
     LogTruncatedAtStart,
+    /// A gateway's fallback share has no end.
+    FallbackWithoutEnd,
 }
 
 impl Defect {
@@ -32,6 +34,7 @@
             Defect::RefusedAtOnce,
             Defect::PaceIgnored,
             Defect::LogTruncatedAtStart,
+            Defect::FallbackWithoutEnd,
         ];
         control_node::Defect::ALL.into_iter().map(Defect::ControlNode).chain(own)
     }
--- a/crates/testing/control-sim/src/lib.rs
+++ b/crates/testing/control-sim/src/lib.rs
@@ -4,6 +4,9 @@
 //! plays it again.
 #![forbid(unsafe_code)]
 
+/// Fallback shares end after so long in simulated worlds, so that gateways are removed within their seconds.
+const FALLBACK_LIFETIME: Time = 1500 * MS;
+
 mod backends;
 mod change_history;
 mod cluster;
--- a/crates/testing/control-sim/src/machine.rs
+++ b/crates/testing/control-sim/src/machine.rs
@@ -135,6 +135,7 @@
             seeds: self.settings.seeds.clone(),
             heartbeat_interval: HEARTBEAT_INTERVAL,
             read_terms: self.settings.terms,
+            fallback_lifetime: crate::FALLBACK_LIFETIME,
             seed,
         };
         let planted = self.defect.and_then(Defect::planted);
--- a/crates/testing/control-sim/src/rules.rs
+++ b/crates/testing/control-sim/src/rules.rs
@@ -60,6 +60,8 @@
     LifeUnknown { gateway: usize, id: String },
     /// A gateway lacks what was acknowledged long ago, though all was calm.
     GatewayBehind { gateway: usize, version: u32, acknowledged: u32 },
+    /// A gateway that was removed may use its fallback share, which has gone to the others.
+    ShareTwice { gateway: usize },
     /// Nobody answered this though the core was settled for long.
     NotAnswered(String),
     /// All have been back for long, and the voters are not those that there are.
@@ -138,7 +140,7 @@
                 }
             }
             Command::Drain { instance } => drop(self.drains.insert(instance.clone())),
-            Command::AddGateway { .. } | Command::ExpireTrial { .. } => {}
+            Command::AddGateway { .. } | Command::RemoveGateway { .. } | Command::ExpireTrial { .. } => {}
         }
         Ok(())
     }
--- a/crates/testing/control-sim/src/short_workload.rs
+++ b/crates/testing/control-sim/src/short_workload.rs
@@ -134,7 +134,7 @@
         ShortWorkload {
             wiped_at: vec![None; system.machines.len()],
             system,
-            quota_clients: (0..GATEWAYS).map(|_| QuotaClient::new(0)).collect(),
+            quota_clients: (0..GATEWAYS).map(|_| quota_client(0, defect)).collect(),
             waiting_for_units: vec![Vec::new(); GATEWAYS],
             trial_tenant: TrialTenant::new(GATEWAYS),
             trial_request_rate,
@@ -422,6 +422,7 @@
             }
             _ => self.wipe(n, lasts),
         }
+        self.restart_a_gateway();
         // The unlucky gateways.
         let g = self.rng.usize(..GATEWAYS);
         if self.rng.u8(..3) == 0 {
@@ -435,6 +436,35 @@
         }
     }
 
+    /// Another process of the same name: it knows nothing, and nothing that was granted is its own.
+    fn restart_a_gateway(&mut self) {
+        let now = self.now;
+        let g = self.rng.usize(..GATEWAYS);
+        if self.rng.u8(..8) > 0 || !self.is_open {
+            return;
+        }
+        self.log(format!("gateway {g} begins anew"));
+        self.system.gateways[g].restart();
+        self.quota_clients[g] = quota_client(now, self.defect);
+        self.waiting_for_units[g].clear();
+        self.trial_tenant.restart(g);
+    }
+
+    /// A removed gateway's fallback share is the others': its process must not use it any more.
+    fn check_fallback_shares(&self) -> Result<(), Violation> {
+        let now = self.now;
+        let awake = self.machines.iter().filter(|n| n.frozen_until <= now);
+        let coordinators = awake.filter_map(|n| n.node().filter(|node| node.coordinator_term(now).is_some()));
+        for coordinator in coordinators {
+            let has_share = |g: &usize| self.quota_clients[*g].has_fallback_share(now);
+            let is_removed = |g: &usize| !coordinator.state().gateways().contains(&self.gateways[*g].name);
+            if let Some(gateway) = (0..GATEWAYS).filter(has_share).find(is_removed) {
+                return Err(Violation::ShareTwice { gateway });
+            }
+        }
+        Ok(())
+    }
+
     /// One machine's time of day jumps, by seconds or by hours; never those of so many that they are a majority.
     fn step_a_clock(&mut self, n: usize) {
         let stepped = self.machines.iter().any(|n| n.skew.abs() > 20);
@@ -506,6 +536,7 @@
     fn gateways(&mut self) -> Result<(), Violation> {
         let now = self.now;
         self.later(now + 10 * MS, WorkloadEvent::Gateway);
+        self.check_fallback_shares()?;
         let defect = self.defect;
         // Before a gateway knows what tenants may do it refuses them all.
         let knows = |g: &Gateway| {
@@ -513,7 +544,9 @@
         };
         self.is_open |= self.system.gateways.iter().all(knows);
         for g in 0..GATEWAYS {
-            if !self.is_open || self.system.gateways[g].suspended_until > now {
+            let gateway = &self.system.gateways[g];
+            let knows_limits = gateway.subscription.configuration_index() > 0;
+            if !self.is_open || !knows_limits || gateway.suspended_until > now {
                 continue;
             }
             let rng = &mut self.system.rng;
@@ -549,6 +582,14 @@
     }
 }
 
+fn quota_client(now: Time, defect: Option<Defect>) -> QuotaClient {
+    let mut client = QuotaClient::new(now);
+    let lifetime =
+        if defect == Some(Defect::FallbackWithoutEnd) { Time::MAX } else { crate::FALLBACK_LIFETIME };
+    client.set_fallback_lifetime(lifetime);
+    client
+}
+
 /// At which machine something happens that it may die of.
 fn at_which(event: &Event<WorkloadEvent>) -> Option<usize> {
     match event {
--- a/crates/testing/control-sim/src/trial_tenant.rs
+++ b/crates/testing/control-sim/src/trial_tenant.rs
@@ -70,6 +70,13 @@
         TrialTenant { unaware: (0..gateways).collect(), ..TrialTenant::default() }
     }
 
+    /// Another process begins at this gateway: whoever waited there is gone, and it knows of no trial.
+    pub fn restart(&mut self, g: usize) {
+        self.queued.retain(|_, gateway| *gateway != g);
+        self.waiting_for_units.remove(&g);
+        self.unaware.insert(g);
+    }
+
     /// One gateway's turn: `comes`: a new request does.
     pub fn turn(
         &mut self,
