--- a/crates/common/quota/src/contact.rs
+++ b/crates/common/quota/src/contact.rs
@@ -23,8 +23,8 @@
     pub silent: usize,
     /// Those of them that may go on at the rate of their last grants.
     pub recently_silent: Vec<RecentlySilent>,
-    /// Gateways that this coordinator has never heard may go on at rates that the one before granted.
-    pub unheard_may_continue: bool,
+    /// What gateways that this coordinator has never heard may go on with, as granted by the one before: a part of any rate.
+    pub unheard_share: f64,
 }
 
 impl Reserve {
@@ -53,14 +53,17 @@
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayContacts {
     contacts: BTreeMap<String, Contact>,
+    /// What is kept back for those that were never heard, as long as they may go on.
+    unheard_reserve: f64,
     /// Gateways that are being removed: they are not answered until they are added again.
     leaving: BTreeSet<String>,
 }
 
 impl GatewayContacts {
-    /// None has been heard yet.
-    pub fn new(now: Time, names: &BTreeSet<String>) -> Self {
-        let mut all = GatewayContacts { contacts: BTreeMap::new(), leaving: BTreeSet::new() };
+    /// None has been heard yet; `unheard_reserve`: what is kept back for them, as a part of any rate.
+    pub fn new(now: Time, unheard_reserve: f64, names: &BTreeSet<String>) -> Self {
+        let (contacts, leaving) = (BTreeMap::new(), BTreeSet::new());
+        let mut all = GatewayContacts { contacts, unheard_reserve, leaving };
         all.set_names(now, names);
         all
     }
@@ -107,7 +110,7 @@
             fallback_share: 1.0 / self.contacts.len().max(1) as f64,
             silent: 0,
             recently_silent: Vec::new(),
-            unheard_may_continue: false,
+            unheard_share: 0.0,
         };
         for (name, contact) in &self.contacts {
             let silence = contact.silence(now);
@@ -121,7 +124,8 @@
                     reserve.recently_silent.push(RecentlySilent { name: name.clone(), heard_at });
                 }
                 Some(_) => {}
-                None => reserve.unheard_may_continue |= may_continue,
+                None if may_continue => reserve.unheard_share = self.unheard_reserve,
+                None => {}
             }
         }
         reserve
--- a/crates/common/quota/src/quota_coordinator.rs
+++ b/crates/common/quota/src/quota_coordinator.rs
@@ -52,7 +52,7 @@
         gateways: &BTreeSet<String>,
     ) -> Self {
         let bucket = |(tenant, limit): (&String, &Limit)| {
-            let mut bucket = TokenBucket::new(now, *limit, previous.initial_fill() * limit.burst);
+            let mut bucket = TokenBucket::new(now, *limit, previous.initial_level(limit));
             // What the one before announced is not known: throttled, and at full speed once that has been announced.
             bucket.throttle = limit.after_trial.map(|pace| TrialThrottle::new(now, pace, true));
             (tenant.clone(), bucket)
@@ -62,7 +62,7 @@
             previous_grants_until: now + PHASE_NOTICE,
             buckets: limits.iter().map(bucket).collect(),
             expired_trials: expired_trials.clone(),
-            gateways: GatewayContacts::new(now, gateways),
+            gateways: GatewayContacts::new(now, previous.unheard_reserve(), gateways),
         };
         coordinator.advance_phases(now);
         coordinator
--- a/crates/common/quota/src/token_bucket.rs
+++ b/crates/common/quota/src/token_bucket.rs
@@ -71,16 +71,12 @@
     /// What silent gateways may go on with, beyond their fallback shares, in units a second.
     fn continued_rate(&self, reserve: &Reserve) -> f64 {
         let fallback_rate = self.limit.rate * reserve.fallback_share;
-        let beyond_fallback = |rate: f64, gateways: usize| {
-            (CONTINUATION_RATIO * rate - fallback_rate * gateways as f64).max(0.0)
-        };
         let recently_silent = reserve.recently_silent.iter().map(|gateway| {
-            let granted = self.grant_rates.get(&gateway.name);
-            granted.map_or(0.0, |rate| beyond_fallback(rate.at(gateway.heard_at), 1))
+            let granted = self.grant_rates.get(&gateway.name).map_or(0.0, |rate| rate.at(gateway.heard_at));
+            (CONTINUATION_RATIO * granted - fallback_rate).max(0.0)
         });
-        let unheard =
-            if reserve.unheard_may_continue { beyond_fallback(self.limit.rate, reserve.silent) } else { 0.0 };
-        recently_silent.sum::<f64>() + unheard
+        let unheard = self.limit.rate * reserve.unheard_share - fallback_rate * reserve.silent as f64;
+        recently_silent.sum::<f64>() + unheard.max(0.0)
     }
 
     fn record_grant(&mut self, now: Time, gateway: &str, units: u32) {
--- a/crates/control/control-node/src/leader_history.rs
+++ b/crates/control/control-node/src/leader_history.rs
@@ -36,7 +36,8 @@
             Some(led) if led.term + 1 == term => {
                 PreviousCoordinator::began_before(now.saturating_sub(led.first_seen))
             }
-            _ => PreviousCoordinator::Recent,
+            Some(_) => PreviousCoordinator::Recent,
+            None => PreviousCoordinator::Unknown,
         }
     }
 }
