--- a/crates/common/quota/src/lib.rs
+++ b/crates/common/quota/src/lib.rs
@@ -28,6 +28,7 @@
 mod token_bucket;
 mod trial_throttle;
 mod turn_assignment;
+mod turn_fairness;
 
 pub use initial_fill::PreviousCoordinator;
 pub use lease::{LeaseGrant, LeaseRequest, TrialPhase, TurnGrant, TurnRequest, UnitGrant, UnitRequest};
--- a/crates/common/quota/src/quota_coordinator.rs
+++ b/crates/common/quota/src/quota_coordinator.rs
@@ -155,7 +155,7 @@
         let turns = request.turns.iter().filter_map(|wanted| {
             let bucket = self.buckets.get_mut(&wanted.tenant)?;
             bucket.throttle.as_mut()?.record_queue(now, gateway, wanted);
-            bucket.grant_turns(now, wanted, share)
+            bucket.grant_turns(now, gateway, wanted, share)
         });
         let turns = turns.collect();
         let phases = self
--- a/crates/common/quota/src/token_bucket.rs
+++ b/crates/common/quota/src/token_bucket.rs
@@ -110,7 +110,13 @@
     }
 
     /// Grants the next turns, as many as are wanted and come within the maximum wait, of the available share of the pace.
-    pub fn grant_turns(&mut self, now: Time, request: &TurnRequest, share: f64) -> Option<TurnGrant> {
+    pub fn grant_turns(
+        &mut self,
+        now: Time,
+        gateway: &str,
+        request: &TurnRequest,
+        share: f64,
+    ) -> Option<TurnGrant> {
         let throttle = self.throttle.as_mut().filter(|throttle| throttle.throttled)?;
         let pace = throttle.pace;
         let mut grant = TurnGrant {
@@ -127,6 +133,7 @@
         throttle.next_turn = throttle.next_turn.saturating_sub(interval * Time::from(returned));
         self.level = (self.level + f64::from(returned)).min(self.limit.burst);
         let max_turns = (pace.rate * TURN_BATCH_S).ceil() as usize;
+        throttle.fairness.record_demand(now, gateway, request.urgent + request.reads);
         // Urgent work first.
         let urgent_first = (0..request.urgent).map(|_| true).chain((0..request.reads).map(|_| false));
         for is_urgent in urgent_first.take(max_turns) {
@@ -138,7 +145,8 @@
                 at = at.max(now + from_seconds((1.0 - self.level) / (self.limit.rate * share)));
             }
             let furthest = now + 2 * pace.max_wait;
-            if at > now + pace.max_wait || next > furthest {
+            let is_anothers = !goes_ahead && !throttle.fairness.is_next(now, gateway);
+            if is_anothers || at > now + pace.max_wait || next > furthest {
                 let too_late_by = at.saturating_sub(now + pace.max_wait).max(next.saturating_sub(furthest));
                 grant.retry_after_us = Some(to_micros(too_late_by.max(interval)));
                 break;
@@ -147,10 +155,12 @@
                 throttle.next_urgent_turn = at + interval;
             }
             throttle.next_turn = next + interval;
+            throttle.fairness.on_granted(now, gateway);
             self.level -= 1.0;
             let turns = if is_urgent { &mut grant.urgent_us } else { &mut grant.after_us };
             turns.push(to_micros(at - now));
         }
+        throttle.fairness.on_answered(now, gateway, grant.retry_after_us.is_some());
         grant.urgent_us.sort_unstable();
         Some(grant)
     }
--- a/crates/common/quota/src/trial_throttle.rs
+++ b/crates/common/quota/src/trial_throttle.rs
@@ -3,6 +3,7 @@
 use crate::lease::{TrialPhase, TurnRequest};
 use crate::limit::TrialPace;
 use crate::time::{to_micros, Time};
+use crate::turn_fairness::TurnFairness;
 use crate::PHASE_NOTICE;
 use std::collections::BTreeMap;
 
@@ -29,6 +30,8 @@
     pub next_turn: Time,
     /// When the next turn for urgent work is free.
     pub next_urgent_turn: Time,
+    /// Whose turn is next when there are too few.
+    pub fairness: TurnFairness,
     /// By gateway.
     pub gateways: BTreeMap<String, GatewayQueue>,
 }
@@ -42,6 +45,7 @@
             changes_at: None,
             next_turn: now,
             next_urgent_turn: now,
+            fairness: TurnFairness::default(),
             gateways: BTreeMap::new(),
         }
     }
--- a/crates/common/quota/tests/trial_throttling.rs
+++ b/crates/common/quota/tests/trial_throttling.rs
@@ -349,3 +349,44 @@
     assert_eq!(client.next_outcome(now), None, "another gateway may have been at full speed just now");
     assert_eq!(client.next_outcome(now + 99 * MS), None);
 }
+
+/// Gateways whose requests to the coordinator come shortly after one another, always in the same order: beyond the pace
+/// each still gets its part of the turns.
+#[test]
+fn gateways_that_always_ask_last_get_their_part_of_the_turns() {
+    let pace = TrialPace { rate: 20.0, max_wait: 1000 * MS };
+    let limit = Limit { after_trial: Some(pace), ..Limit::new(300.0, 300.0) };
+    let limits = BTreeMap::from([("t".to_string(), limit)]);
+    let names: BTreeSet<String> = (0..3).map(|n| format!("g{n}")).collect();
+    let over = BTreeSet::from(["t".to_string()]);
+    let mut coordinator = QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &over, &names);
+    let mut clients: Vec<QuotaClient> = (0..3).map(|_| QuotaClient::new(0)).collect();
+    for client in &mut clients {
+        client.set_limits(0, &limits);
+        client.set_gateway_count(3);
+    }
+    let (mut id, mut served, mut refused) = (0, [0u32; 3], [0u32; 3]);
+    for ms in 0..20_000u64 {
+        for (n, client) in clients.iter_mut().enumerate() {
+            let now = ms * MS;
+            if ms % 20 == 0 {
+                id += 1;
+                let deadline = now + pace.max_wait;
+                let request = QueuedRequest { id, enqueued_at: now, deadline, urgent_by: None };
+                let _ = client.enqueue("t", request);
+            }
+            while let Some((_, _, outcome)) = client.next_outcome(now) {
+                let counted = if outcome == QueueOutcome::Proceed { &mut served } else { &mut refused };
+                counted[n] += u32::from(ms > 5_000);
+            }
+            // All three ask within three milliseconds, 25 times a second.
+            if ms % 40 == n as u64 {
+                if let Some(request) = client.next_request(now) {
+                    let grant = coordinator.grant(now, &format!("g{n}"), &request).expect("it is known");
+                    client.on_grant(now, &grant);
+                }
+            }
+        }
+    }
+    assert!(served.iter().all(|count| *count >= 90), "{served:?} of 300, {refused:?} refused");
+}
