--- a/crates/testing/control-sim/src/growth.rs
+++ b/crates/testing/control-sim/src/growth.rs
@@ -99,11 +99,14 @@
     (0..tenants).map(|t| (tenant(t), Limit::new(146.0, 146.0))).collect()
 }
 
+/// A backend's heartbeat comes this often, in seconds, to one of the control nodes.
+const HEARTBEAT_INTERVAL_S: f64 = 1.5;
+
 /// Tables, a line each fleet or size.
 pub fn table() -> Vec<String> {
     let mut lines = vec![
-        "| gateways, backends, tenants, routes | scene, B | changed backend, B | rights a gateway, B/s | keeper a second, ms \
-         | beats a node tells another, B/s | scenes to half at once, s |"
+        "| gateways, backends, tenants, routes | snapshot, B | changed backend, B | quota a gateway, B/s \
+         | quota coordinator, ms a second | heartbeats forwarded to a node, B/s | snapshots to half at once, s |"
             .to_string(),
         "| --- | --- | --- | --- | --- | --- | --- |".to_string(),
     ];
@@ -116,36 +119,38 @@
 
 fn table_row((gateways, backends, tenants, routes): (usize, usize, usize, usize)) -> String {
     let names = self::gateways(gateways);
-    let scene = FleetSnapshot {
+    let snapshot = FleetSnapshot {
         backends: (0..backends).map(fact).collect(),
         complete: true,
         draining: (0..8).map(|n| format!("i-{n:08x}")).collect(),
         gateways: names.iter().cloned().collect(),
     };
-    // The configuration comes behind it, in parts of its bytes.
-    let scene =
-        bytes(&GatewayUpdate::Snapshot { offset: change_log::Offset::default(), snapshot: Box::new(scene) })
-            + configuration(routes, tenants).body.len();
-    let from = change_log::Offset::default();
-    let change = bytes(&GatewayUpdate::Changes { from, changes: vec![FleetChange::Backend(fact(3))] });
-    let prompters = pieces::control_nodes(gateways);
-    let beats: Vec<(String, u64)> = (0..backends / prompters).map(|n| (fact(n).instance, 40)).collect();
-    // A backend's heartbeat comes each 1.5 s, to one of the control nodes, which tell the others each 400 ms.
-    let beats = bytes(&ControlMessage::Heartbeats { changed: Vec::new(), unchanged: beats }) as f64 / 1.5;
-    let (rights, keeper) = rights(&names, tenants);
-    // Its own link, or the control node's, which sends to its part of them.
-    let theirs = scene as f64 * 8.0 * gateways as f64 / 2.0 / prompters as f64 / CONTROL_NODE_LINK;
-    let all = (scene as f64 * 8.0 / LINK).max(theirs);
+    let offset = change_log::Offset::default();
+    let update = GatewayUpdate::Snapshot { offset, snapshot: Box::new(snapshot) };
+    // The configuration follows in chunks of its bytes.
+    let snapshot_bytes = bytes(&update) + configuration(routes, tenants).body.len();
+    let changes = vec![FleetChange::Backend(fact(3))];
+    let change_bytes = bytes(&GatewayUpdate::Changes { from: offset, changes });
+    let control_nodes = pieces::control_nodes(gateways);
+    let unchanged = (0..backends / control_nodes).map(|n| (fact(n).instance, 40)).collect();
+    let heartbeats = ControlMessage::Heartbeats { changed: Vec::new(), unchanged };
+    let heartbeat_bytes_per_s = bytes(&heartbeats) as f64 / HEARTBEAT_INTERVAL_S;
+    let (quota_bytes_per_s, coordinator_ms) = quota_costs(&names, tenants);
+    // The gateway's own link, or that of the control node, which sends to its part of them.
+    let bits_at_control_node = snapshot_bytes as f64 * 8.0 * gateways as f64 / 2.0 / control_nodes as f64;
+    let link_s = snapshot_bytes as f64 * 8.0 / LINK;
+    let snapshots_s = link_s.max(bits_at_control_node / CONTROL_NODE_LINK);
     format!(
-        "| {gateways}, {backends}, {tenants}, {routes} | {scene} | {change} | {rights:.0} | {keeper:.1} | {beats:.0} | {all:.2} |"
+        "| {gateways}, {backends}, {tenants}, {routes} | {snapshot_bytes} | {change_bytes} | {quota_bytes_per_s:.0} \
+         | {coordinator_ms:.1} | {heartbeat_bytes_per_s:.0} | {snapshots_s:.2} |"
     )
 }
 
-/// A second of all gateways' asks, each with twelve tenants at work: bytes a gateway both ways, and the coordinator's
+/// A second of all gateways' requests for quota, each with twelve tenants at work: bytes a gateway both ways, and the coordinator's
 /// time in ms.
-fn rights(names: &BTreeSet<String>, tenants: usize) -> (f64, f64) {
+fn quota_costs(names: &BTreeSet<String>, tenants: usize) -> (f64, f64) {
     let limits = limits(tenants);
-    let mut keeper =
+    let mut coordinator =
         QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), names);
     let mut clients: Vec<(usize, &String, QuotaClient)> =
         names.iter().enumerate().take(QUOTA_CLIENTS).map(|(n, g)| (n, g, QuotaClient::new(0))).collect();
@@ -165,7 +170,7 @@
                 }
             }
             let Some(ask) = client.next_request(now) else { continue };
-            let (told, spent) = requests_per_client(&mut keeper, now, name, &ask, Some(client));
+            let (told, spent) = requests_per_client(&mut coordinator, now, name, &ask, Some(client));
             last = ask;
             all += usize::from(tick >= 10);
             if tick >= 10 {
@@ -174,7 +179,7 @@
         }
         for name in names.iter().skip(QUOTA_CLIENTS) {
             if asks < LEASE_REQUESTS || tick < 10 && asks == 0 && all < LEASE_REQUESTS {
-                let (_, spent) = requests_per_client(&mut keeper, now, name, &last, None);
+                let (_, spent) = requests_per_client(&mut coordinator, now, name, &last, None);
                 if tick >= 10 {
                     (asks, back) = (asks + 1, back + spent);
                 }
@@ -187,14 +192,14 @@
 }
 
 fn requests_per_client(
-    keeper: &mut QuotaCoordinator,
+    coordinator: &mut QuotaCoordinator,
     now: u64,
     name: &str,
     ask: &LeaseRequest,
     client: Option<&mut QuotaClient>,
 ) -> (usize, f64) {
     let began = spent();
-    let lent = keeper.grant(now, name, ask);
+    let lent = coordinator.grant(now, name, ask);
     let spent = spent() - began;
     let Some(lent) = lent else { return (0, spent) };
     if let Some(client) = client {
--- a/crates/testing/control-sim/src/growth/pieces.rs
+++ b/crates/testing/control-sim/src/growth/pieces.rs
@@ -89,7 +89,7 @@
     }
     for (tenants, limits) in &limits {
         let size = format!("{tenants} tenants, {} gateways", names.len());
-        held("the keeper", size, NOW, &|| {
+        held("the coordinator", size, NOW, &|| {
             Box::new(QuotaCoordinator::new(
                 0,
                 1,
@@ -243,13 +243,13 @@
 
 /// A coordinator's ask of as many wants as a gateway of the operators' size has in a tenth of a second.
 fn coordinators() -> Vec<String> {
-    let columns = ["gateways, tenants", "an ask, us", "all asks, ten a second a gateway, cores"];
-    let mut lines = head("The keeper of rights", &columns);
+    let columns = ["gateways, tenants", "a request, us", "all requests, ten a second a gateway, cores"];
+    let mut lines = head("The quota coordinator", &columns);
     let sizes =
         GATEWAYS.map(|g| (g, 1000)).into_iter().chain(TENANTS.map(|t| (100, t))).chain([(1000, 38_000)]);
     for (all, tenants) in sizes {
         let (names, limits) = (gateways(all), limits(tenants));
-        let mut keeper =
+        let mut coordinator =
             QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &names);
         let (mut now, mut number) = (0, 0usize);
         let one = micros(|| {
@@ -265,7 +265,7 @@
             let wants = (0..REQUESTS / 10).map(want).collect();
             let ask = LeaseRequest { number: number as u64, units: wants, turns: Vec::new() };
             let name = format!("edge-long-bien-{}", number % all);
-            black_box(keeper.grant(now, &name, &ask));
+            black_box(coordinator.grant(now, &name, &ask));
         });
         lines.push(format!("| {all}, {tenants} | {one:.1} | {:.3} |", one * 10.0 * all as f64 / 1e6));
     }
@@ -286,7 +286,7 @@
     let mut lines = head("A gateway's client", &columns);
     for tenants in TENANTS {
         let limits = limits(tenants);
-        let mut keeper = QuotaCoordinator::new(
+        let mut coordinator = QuotaCoordinator::new(
             0,
             1,
             PreviousCoordinator::LongAgo,
@@ -314,7 +314,7 @@
             let before = spent();
             let Some(ask) = client.next_request(now) else { continue };
             made += spent() - before;
-            let Some(lent) = keeper.grant(now, "edge-long-bien-0", &ask) else { continue };
+            let Some(lent) = coordinator.grant(now, "edge-long-bien-0", &ask) else { continue };
             told += bytes(&messages::GatewayMessage::LeaseRequest(ask))
                 + bytes(&GatewayUpdate::LeaseGrant(lent.clone()));
             let before = spent();
@@ -438,7 +438,7 @@
         "a sweep, us",
         "all of them, B",
     ];
-    let mut lines = head("Backends at a prompter", &columns);
+    let mut lines = head("Backends at a control node", &columns);
     for count in BACKENDS {
         let (mut cell, mut known, began) = (ZoneRegistry::new(1500 * MS, 0), 0, spent());
         for n in 0..count {
@@ -476,7 +476,7 @@
         "of 9,200 backends: beats a node tells all others, B/s out",
         "of 9,200 backends: a node that comes is told, B",
     ];
-    let mut lines = head("Prompters among themselves", &columns);
+    let mut lines = head("Control nodes among themselves", &columns);
     for count in CONTROL_NODES {
         let id = |n: usize| NodeId { name: format!("10.{n}.0.5"), disk_id: 0x7a5b_1c2d_3e4f_5061 };
         let said = |body| ControlMessage::Consensus(Message { from: id(1), to: id(2), term: 3, body });
--- a/crates/testing/control-sim/src/main.rs
+++ b/crates/testing/control-sim/src/main.rs
@@ -9,27 +9,28 @@
 
 fn main() -> ExitCode {
     let mut options = getopts::Options::new();
-    options.optflag("h", "help", "print this and end");
-    options.optflag("l", "list-defects", "print the defects' names and end");
-    options.optopt("s", "seed", "the first seed (0)", "N");
-    options.optopt("n", "seeds", "how many (1)", "N");
-    options.optopt("j", "jobs", "seeds played at a time (1)", "N");
-    options.optflag("", "pairs", "worlds of minutes alone, with several machines replaced at a time");
-    options.optopt("d", "defect", "plant this one", "NAME");
-    options.optflag("", "growth", "print what grows with the fleet and end");
-    options.optflag("", "story", "print what happened also where no rule was broken");
+    options.optflag("h", "help", "print this help and exit");
+    options.optflag("l", "list-defects", "list the defects that can be planted and exit");
+    options.optopt("s", "seed", "the first seed (default 0)", "N");
+    options.optopt("n", "seeds", "how many seeds to simulate (default 1)", "N");
+    options.optopt("j", "jobs", "seeds simulated in parallel (default 1)", "N");
+    options.optflag("", "pairs", "only worlds of minutes in which several machines are replaced at a time");
+    options.optopt("d", "defect", "plant this defect; exit 1 means that it was found", "NAME");
+    options.optflag("", "growth", "print how sizes and costs grow with the fleet and exit");
+    options.optflag("", "story", "print each event also where no rule was broken");
     let told = match options.parse(std::env::args().skip(1)) {
         Ok(told) => told,
         Err(e) => {
-            eprintln!("rehearsal: {e}");
+            eprintln!("control-sim: {e}");
             return ExitCode::FAILURE;
         }
     };
     if told.opt_present("h") {
         print!(
             "{}",
-            options
-                .usage("rehearsal: the control plane on a simulated network.\n\nUsage: rehearsal [options]")
+            options.usage(
+                "control-sim: the control plane on a simulated network.\n\nUsage: control-sim [options]"
+            )
         );
         return ExitCode::SUCCESS;
     }
@@ -43,17 +44,17 @@
     }
     let number = |name: &str, usual: u64| told.opt_get_default(name, usual);
     let (Ok(first), Ok(count)) = (number("seed", 0), number("seeds", 1)) else {
-        eprintln!("rehearsal: a seed is a number");
+        eprintln!("control-sim: --seed and --seeds take a number");
         return ExitCode::FAILURE;
     };
     let defect = told.opt_str("defect");
     let planted = defect.as_ref().and_then(|name| Defect::all().find(|d| d.name() == *name));
     if defect.is_some() && planted.is_none() {
-        eprintln!("rehearsal: no such defect; --list-defects names them");
+        eprintln!("control-sim: no defect of this name; --list-defects lists them");
         return ExitCode::FAILURE;
     }
     let Ok(jobs) = number("jobs", 1) else {
-        eprintln!("rehearsal: how many at a time is a number");
+        eprintln!("control-sim: --jobs takes a number");
         return ExitCode::FAILURE;
     };
     let seeds = (first..first.saturating_add(count), told.opt_present("story"));
