--- a/crates/testing/control-sim/src/lib.rs
+++ b/crates/testing/control-sim/src/lib.rs
@@ -19,6 +19,7 @@
 mod machine;
 mod network;
 mod operators;
+mod restless_reader;
 mod rules;
 mod short_workload;
 mod trial_tenant;
--- a/crates/testing/control-sim/src/main.rs
+++ b/crates/testing/control-sim/src/main.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
 fn main() -> ExitCode {
     let mut options = getopts::Options::new();
     options.optflag("h", "help", "print this help and exit");
@@ -85,6 +87,7 @@
     again: u64,
     refused: u64,
     minutes: f64,
+    recovery_times: Vec<u64>,
 }
 
 impl Sums {
@@ -97,14 +100,32 @@
         self.again += u64::from(story.again);
         self.refused += u64::from(story.refused);
         self.minutes += story.lasted as f64 / 60e9;
+        self.recovery_times.extend(&story.recovery_times);
+    }
+
+    /// How long it took from the end of a fault to the first read that was answered.
+    fn recovery(&self) -> String {
+        let mut times = self.recovery_times.clone();
+        times.sort_unstable();
+        let quantile = |part: f64| {
+            let n = (times.len().saturating_sub(1) as f64 * part) as usize;
+            times.get(n).copied().unwrap_or(0) / NANOS_PER_MILLI
+        };
+        format!(
+            "first read answered behind {} faults: p50 {} ms, p99 {} ms, most {} ms",
+            times.len(),
+            quantile(0.5),
+            quantile(0.99),
+            quantile(1.0)
+        )
     }
 
     fn summary(&self) -> String {
         let [full, paced, refused] = self.trial;
         format!(
             "{} steps, {} acknowledged\non trial: {full} at full speed, {paced} in turn, {refused} refused for the pace\n\
-             worlds of minutes: {}, of {:.0} minutes together; {} orders acknowledged again, {} refused",
-            self.steps, self.acknowledged, self.longs, self.minutes, self.again, self.refused
+             worlds of minutes: {}, of {:.0} minutes together; {} orders acknowledged again, {} refused\n{}",
+            self.steps, self.acknowledged, self.longs, self.minutes, self.again, self.refused, self.recovery()
         )
     }
 }
--- a/crates/testing/control-sim/src/short_workload.rs
+++ b/crates/testing/control-sim/src/short_workload.rs
@@ -6,6 +6,7 @@
 use crate::defect::Defect;
 use crate::gateways::Gateway;
 use crate::machine::{address, MachineSettings};
+use crate::restless_reader::{RestlessReader, READ_INTERVAL};
 use crate::rules::{Observations, Violation};
 use crate::trial_tenant::{self, TrialTenant};
 use crate::{Time, MS};
@@ -37,6 +38,7 @@
     Operator,
     Fault,
     Gateway,
+    RestlessReader,
 }
 
 /// A call that waits for its answer.
@@ -44,7 +46,7 @@
 enum Call {
     Change { base: u32, version: u32, body: Vec<u8> },
     Drain { instance: String },
-    Read { acknowledged: u32, drains: BTreeSet<String> },
+    Read { acknowledged: u32, drains: BTreeSet<String>, is_restless: bool },
 }
 
 /// What happened, a line each.
@@ -64,6 +66,8 @@
     /// Drains that were acknowledged, and configurations that were agreed on as a change of what stood.
     pub drains: u32,
     pub changes: u32,
+    /// From the end of each fault to the first read of the configuration that is answered.
+    pub recovery_times: Vec<Time>,
 }
 
 pub struct ShortWorkload {
@@ -77,6 +81,7 @@
     stepped: Time,
     wiped_at: Vec<Option<Time>>,
     observations: Observations,
+    reader: RestlessReader,
     /// What operators know of.
     known: u32,
     version: u32,
@@ -140,6 +145,7 @@
             trial_request_rate,
             stepped: 0,
             observations: Observations::default(),
+            reader: RestlessReader::default(),
             known: 0,
             version: 0,
             instance: 0,
@@ -172,6 +178,7 @@
 
     fn end(mut self) -> Story {
         self.story.trial = self.observations.trial_counts();
+        self.story.recovery_times = std::mem::take(&mut self.reader).into_recovery_times();
         let Observations { acknowledged, reads, through, .. } = self.observations;
         (self.story.acknowledged, self.story.reads, self.story.through) = (acknowledged, reads, through);
         self.story
@@ -187,6 +194,7 @@
             self.later(200 * MS, event);
         }
         self.later(FOUNDED, WorkloadEvent::Fault);
+        self.later(FOUNDED, WorkloadEvent::RestlessReader);
         while let Some(event) = self.pop() {
             if self.now > LENGTH {
                 break;
@@ -259,6 +267,7 @@
                 Ok(())
             }
             WorkloadEvent::Gateway => self.gateways(),
+            WorkloadEvent::RestlessReader => self.read_restlessly(),
         }
     }
 
@@ -339,12 +348,39 @@
             }
             _ => {
                 let (acknowledged, drains) = (self.observations.newest(), self.observations.drains());
-                self.calls.insert(call, Call::Read { acknowledged, drains });
+                self.calls.insert(call, Call::Read { acknowledged, drains, is_restless: false });
                 self.with(n, |p| p.read_configuration(now, call))
             }
         }
     }
 
+    /// One more read, at the next machine.
+    fn read_restlessly(&mut self) -> Result<(), Violation> {
+        let now = self.now;
+        self.later(now + READ_INTERVAL, WorkloadEvent::RestlessReader);
+        let is_healthy = self.is_healthy();
+        self.reader.observe_health(now, is_healthy);
+        let n = self.reader.next_machine(self.system.machines.len());
+        if !self.machines[n].runs(now) {
+            return Ok(());
+        }
+        self.call += 1;
+        let call = self.call;
+        let (acknowledged, drains) = (self.observations.newest(), self.observations.drains());
+        self.calls.insert(call, Call::Read { acknowledged, drains, is_restless: true });
+        self.with(n, |p| p.read_configuration(now, call))
+    }
+
+    /// Whether a majority of those that may vote runs, and all that run are connected both ways.
+    fn is_healthy(&self) -> bool {
+        let now = self.now;
+        let running: Vec<usize> = (0..self.machines.len()).filter(|n| self.machines[*n].runs(now)).collect();
+        let electorate = self.machines.iter().filter(|machine| machine.can_vote).count();
+        let voters_running = running.iter().filter(|n| self.machines[**n].can_vote).count();
+        let are_connected = |a: &usize| running.iter().all(|b| a == b || self.net.is_connected(*a, *b, now));
+        voters_running > electorate / 2 && running.iter().all(are_connected)
+    }
+
     fn answered(&mut self, n: usize, call: u64, reply: Reply) -> Result<(), Violation> {
         match (self.calls.remove(&call), reply) {
             (Some(Call::Change { base, version, body }), Reply::Acknowledged) => {
@@ -356,9 +392,13 @@
                 self.last_ack = self.now;
                 self.observations.acknowledge(&Command::Drain { instance })
             }
-            (Some(Call::Read { acknowledged, drains }), Reply::Current(held)) => {
+            (Some(Call::Read { acknowledged, drains, is_restless }), Reply::Current(held)) => {
                 let version = held.map_or(0, |c| c.version);
-                (self.known, self.last_ack) = (self.known.max(version), self.now);
+                if is_restless {
+                    self.reader.on_answer(self.now);
+                } else {
+                    (self.known, self.last_ack) = (self.known.max(version), self.now);
+                }
                 let state = self.system.machines[n].state();
                 let knows = |d: &str| state.is_some_and(|b| b.is_draining(d));
                 self.observations.read(version, acknowledged, knows, &drains)
