--- a/crates/control/consensus/src/node.rs
+++ b/crates/control/consensus/src/node.rs
@@ -48,6 +48,8 @@
     leader_heard_at: Option<Time>,
     /// It campaigns then, unless it hears the leader before.
     election_deadline: Time,
+    /// When a pre-vote that was not granted is asked for again.
+    pre_vote_resend_at: Time,
     /// It may have heard a leader just before it was restarted, and must not vote for another so soon.
     vote_grant_blocked_until: Time,
     incoming_transfer: Option<IncomingTransfer>,
@@ -75,6 +77,7 @@
             leader: None,
             leader_heard_at: None,
             election_deadline: 0,
+            pre_vote_resend_at: 0,
             vote_grant_blocked_until: if may_have_promised { now + MIN_ELECTION_TIMEOUT } else { 0 },
             incoming_transfer: None,
             shutting_down: false,
@@ -190,6 +193,7 @@
         match &self.role {
             Role::Leader(leader) => leader.next_heartbeat,
             _ if !self.is_voter_in_log() || !self.storage_healthy => Time::MAX,
+            Role::Candidate { pre_vote: true, .. } => self.election_deadline.min(self.pre_vote_resend_at),
             _ => self.election_deadline,
         }
     }
@@ -222,6 +226,8 @@
             self.tick_as_leader(now, out);
         } else if now >= self.election_deadline && self.is_voter_in_log() && self.storage_healthy {
             self.campaign(now, CampaignKind::PreVote, out);
+        } else {
+            self.resend_pre_vote(now, out);
         }
     }
 
--- a/crates/control/consensus/src/node/election.rs
+++ b/crates/control/consensus/src/node/election.rs
@@ -8,7 +8,7 @@
 use crate::message::{Message, MessageBody};
 use crate::types::{LogPosition, NodeId, Term, Time};
 use crate::voter_configuration::VoterConfiguration;
-use crate::MIN_ELECTION_TIMEOUT;
+use crate::{HEARTBEAT_INTERVAL, MIN_ELECTION_TIMEOUT};
 use std::collections::BTreeSet;
 
 /// Why and how a node campaigns.
@@ -43,9 +43,29 @@
         for to in self.other_voters() {
             self.send(to, term, MessageBody::RequestVote { pre_vote, leadership_transfer, last_entry }, out);
         }
+        self.pre_vote_resend_at = now + HEARTBEAT_INTERVAL;
         self.count_votes(now, out);
     }
 
+    /// Asks the voters for pre-votes again that have not granted theirs. After a restart of all the first one up asks those
+    /// that may not vote yet; another election time-out would be lost. A pre-vote binds nobody, so it may be asked for often.
+    pub(super) fn resend_pre_vote(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Role::Candidate { pre_vote: true, granted } = &self.role else { return };
+        if now < self.pre_vote_resend_at || !self.storage_healthy {
+            return;
+        }
+        let missing: Vec<NodeId> =
+            self.other_voters().into_iter().filter(|voter| !granted.contains(voter)).collect();
+        let body = MessageBody::RequestVote {
+            pre_vote: true,
+            leadership_transfer: false,
+            last_entry: self.log.last_position(),
+        };
+        let term = self.term + 1;
+        missing.into_iter().for_each(|to| self.send(to, term, body.clone(), out));
+        self.pre_vote_resend_at = now + HEARTBEAT_INTERVAL;
+    }
+
     fn count_votes(&mut self, now: Time, out: &mut Vec<Output>) {
         let Role::Candidate { pre_vote, granted } = &self.role else { return };
         let mut voters = self.log.voters();
--- a/crates/testing/control-sim/src/restless_reader.rs
+++ b/crates/testing/control-sim/src/restless_reader.rs
@@ -32,12 +32,12 @@
         }
     }
 
-    /// A read was answered with a configuration.
-    pub fn on_answer(&mut self, now: Time) {
-        if let Some(since) = self.healthy_since.filter(|_| !self.was_answered) {
-            self.was_answered = true;
-            self.recovery_times.push(now - since);
-        }
+    /// A read was answered with a configuration. How long after the end of a fault, if it is the first behind one.
+    pub fn on_answer(&mut self, now: Time) -> Option<Time> {
+        let since = self.healthy_since.filter(|_| !self.was_answered)?;
+        self.was_answered = true;
+        self.recovery_times.push(now - since);
+        Some(now - since)
     }
 
     /// From the end of each fault to the first answer behind it.
--- a/crates/testing/control-sim/src/short_workload.rs
+++ b/crates/testing/control-sim/src/short_workload.rs
@@ -395,7 +395,9 @@
             (Some(Call::Read { acknowledged, drains, is_restless }), Reply::Current(held)) => {
                 let version = held.map_or(0, |c| c.version);
                 if is_restless {
-                    self.reader.on_answer(self.now);
+                    if let Some(time) = self.reader.on_answer(self.now) {
+                        self.log(format!("first read answered {} ms behind the last fault", time / MS));
+                    }
                 } else {
                     (self.known, self.last_ack) = (self.known.max(version), self.now);
                 }
