--- a/crates/testing/control-sim/src/lib.rs
+++ b/crates/testing/control-sim/src/lib.rs
@@ -4,8 +4,9 @@
 //! plays it again.
 #![forbid(unsafe_code)]
 
-/// Fallback shares end after so long in simulated worlds, so that gateways are removed within their seconds.
-const FALLBACK_LIFETIME: Time = 1500 * MS;
+/// Fallback shares end after so long in half of the worlds of seconds, so that gateways are removed within them. In the other
+/// half they last as in the program, and isolated gateways go on with theirs.
+const SHORT_FALLBACK_LIFETIME: Time = 1500 * MS;
 
 mod backends;
 mod change_history;
--- a/crates/testing/control-sim/src/long_workload.rs
+++ b/crates/testing/control-sim/src/long_workload.rs
@@ -170,6 +170,7 @@
             zone: String::new(),
             terms,
             snapshot_threshold: fold,
+            fallback_lifetime: quota::FALLBACK_LIFETIME,
         };
         // The last has no disk.
         for n in 0..=voters {
--- a/crates/testing/control-sim/src/machine.rs
+++ b/crates/testing/control-sim/src/machine.rs
@@ -36,6 +36,8 @@
     pub terms: fn(&[u8]) -> TenantTerms,
     /// The log is folded into the state at so many entries.
     pub snapshot_threshold: usize,
+    /// How long a gateway's fallback share lasts without an answer.
+    pub fallback_lifetime: Time,
 }
 
 pub struct Machine {
@@ -135,7 +137,7 @@
             seeds: self.settings.seeds.clone(),
             heartbeat_interval: HEARTBEAT_INTERVAL,
             read_terms: self.settings.terms,
-            fallback_lifetime: crate::FALLBACK_LIFETIME,
+            fallback_lifetime: self.settings.fallback_lifetime,
             seed,
         };
         let planted = self.defect.and_then(Defect::planted);
--- a/crates/testing/control-sim/src/short_workload.rs
+++ b/crates/testing/control-sim/src/short_workload.rs
@@ -9,12 +9,12 @@
 use crate::restless_reader::{RestlessReader, READ_INTERVAL};
 use crate::rules::{Observations, Violation};
 use crate::trial_tenant::{self, TrialTenant};
-use crate::{Time, MS};
+use crate::{Time, MS, SHORT_FALLBACK_LIFETIME};
 use control_node::Reply;
 use control_state::Command;
 use fastrand::Rng;
 use messages::GatewayMessage;
-use quota::{Decision, QuotaClient};
+use quota::{Decision, QuotaClient, FALLBACK_LIFETIME};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::{Deref, DerefMut};
 use subscription::ViewChange;
@@ -73,6 +73,7 @@
 pub struct ShortWorkload {
     system: Cluster<WorkloadEvent>,
     quota_clients: Vec<QuotaClient>,
+    fallback_lifetime: Time,
     waiting_for_units: Vec<Vec<Time>>,
     trial_tenant: TrialTenant,
     /// Requests of the trial tenant's a second.
@@ -118,6 +119,8 @@
         let count = if rng.bool() { 3 } else { 5 };
         let (trial_request_rate, hot) = (5.0 + rng.f64() * 90.0, rng.f64() * 5.0 * trial_tenant::HOT_RATE);
         let hot_from = if rng.bool() { 0 } else { rng.u64(3_000..9_000) * MS };
+        let is_short = rng.bool();
+        let fallback_lifetime = if is_short { SHORT_FALLBACK_LIFETIME } else { FALLBACK_LIFETIME };
         let mut system = Cluster::new(rng, defect, check);
         (system.net.wild, system.began) = (true, trial_tenant::START_OF_TIME);
         let seeds = (0..3).map(address).collect();
@@ -127,6 +130,7 @@
             zone: String::new(),
             terms: trial_tenant::terms,
             snapshot_threshold: 24,
+            fallback_lifetime,
         };
         // The last has no disk.
         for n in 0..=count {
@@ -139,7 +143,8 @@
         ShortWorkload {
             wiped_at: vec![None; system.machines.len()],
             system,
-            quota_clients: (0..GATEWAYS).map(|_| quota_client(0, defect)).collect(),
+            fallback_lifetime,
+            quota_clients: (0..GATEWAYS).map(|_| quota_client(0, fallback_lifetime, defect)).collect(),
             waiting_for_units: vec![Vec::new(); GATEWAYS],
             trial_tenant: TrialTenant::new(GATEWAYS),
             trial_request_rate,
@@ -487,7 +492,7 @@
         }
         self.log(format!("gateway {g} begins anew"));
         self.system.gateways[g].restart();
-        self.quota_clients[g] = quota_client(now, self.defect);
+        self.quota_clients[g] = quota_client(now, self.fallback_lifetime, self.defect);
         self.waiting_for_units[g].clear();
         self.trial_tenant.restart(g);
     }
@@ -628,11 +633,10 @@
     }
 }
 
-fn quota_client(now: Time, defect: Option<Defect>) -> QuotaClient {
+fn quota_client(now: Time, fallback_lifetime: Time, defect: Option<Defect>) -> QuotaClient {
     let mut client = QuotaClient::new(now);
-    let lifetime =
-        if defect == Some(Defect::FallbackWithoutEnd) { Time::MAX } else { crate::FALLBACK_LIFETIME };
-    client.set_fallback_lifetime(lifetime);
+    let is_endless = defect == Some(Defect::FallbackWithoutEnd);
+    client.set_fallback_lifetime(if is_endless { Time::MAX } else { fallback_lifetime });
     client
 }
 
