--- a/crates/testing/control-sim/src/lib.rs
+++ b/crates/testing/control-sim/src/lib.rs
@@ -23,12 +23,15 @@
 mod restless_reader;
 mod rules;
 mod short_workload;
+mod story;
+mod trial_configuration;
 mod trial_tenant;
 
 pub use defect::Defect;
 use long_workload::LongWorkload;
 pub use rules::Violation;
-pub use short_workload::{ShortWorkload, Story};
+pub use short_workload::ShortWorkload;
+pub use story::Story;
 
 /// Nanoseconds.
 pub type Time = u64;
--- a/crates/testing/control-sim/src/long_workload.rs
+++ b/crates/testing/control-sim/src/long_workload.rs
@@ -11,7 +11,7 @@
 use crate::machine::{address, machine_index, Machine, MachineSettings};
 use crate::operators::{Next, Operator, CALL_TIMEOUT};
 use crate::rules::Violation;
-use crate::short_workload::Story;
+use crate::story::Story;
 use crate::{Time, MS};
 use consensus::{EntryPayload, PersistedState, VoterSet};
 use fastrand::Rng;
--- a/crates/testing/control-sim/src/rules.rs
+++ b/crates/testing/control-sim/src/rules.rs
@@ -1,6 +1,6 @@
 //! What must hold after each step.
 
-use crate::{trial_tenant, Time};
+use crate::{trial_configuration, Time};
 use control_state::{Command, LogIndex};
 use quota::{TrialPace, PHASE_GAP, PHASE_NOTICE, REQUEST_INTERVAL};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -113,7 +113,7 @@
                 if base == self.trial_tenant.version =>
             {
                 self.trial_tenant.version = version;
-                self.trial_tenant.moved(now, trial_tenant::trial_end(&body));
+                self.trial_tenant.moved(now, trial_configuration::trial_end(&body));
                 Ok(())
             }
             _ => Ok(()),
@@ -219,7 +219,8 @@
     /// At the end of a world that was calm for long.
     pub fn trial_at_the_end(&self, now: Time) -> Result<(), Violation> {
         let g = &self.trial_tenant;
-        let passed = g.ends.is_some_and(|ends| ends + 2000 < trial_tenant::START_OF_TIME + now / 1_000_000);
+        let passed =
+            g.ends.is_some_and(|ends| ends + 2000 < trial_configuration::START_OF_TIME + now / 1_000_000);
         let long = now.saturating_sub(g.moved_at) > 2_000_000_000;
         if passed && long && g.over_since.is_none() {
             return Err(Violation::NeverOver);
@@ -250,7 +251,7 @@
 
 impl TrialObservations {
     fn over(&mut self, now: Time, ends: UnixMillis) -> Result<(), Violation> {
-        let true_now = trial_tenant::START_OF_TIME + now / 1_000_000;
+        let true_now = trial_configuration::START_OF_TIME + now / 1_000_000;
         if ends > true_now + SKEW_MS {
             return Err(Violation::TooEarly { by: ends - true_now });
         }
--- a/crates/testing/control-sim/src/short_workload.rs
+++ b/crates/testing/control-sim/src/short_workload.rs
@@ -8,14 +8,16 @@
 use crate::machine::{address, MachineSettings};
 use crate::restless_reader::{RestlessReader, READ_INTERVAL};
 use crate::rules::{Observations, Violation};
-use crate::trial_tenant::{self, TrialTenant};
+use crate::story::Story;
+use crate::trial_configuration;
+use crate::trial_tenant::TrialTenant;
 use crate::{Time, MS, SHORT_FALLBACK_LIFETIME};
 use control_node::Reply;
 use control_state::Command;
 use fastrand::Rng;
 use messages::GatewayMessage;
 use quota::{Decision, QuotaClient, FALLBACK_LIFETIME};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Deref, DerefMut};
 use subscription::ViewChange;
 
@@ -49,27 +51,6 @@
     Read { acknowledged: u32, drains: BTreeSet<String>, is_restless: bool },
 }
 
-/// What happened, a line each.
-#[derive(Debug, Default)]
-pub struct Story {
-    pub lines: VecDeque<String>,
-    pub steps: u64,
-    pub acknowledged: u32,
-    pub reads: u32,
-    pub through: u32,
-    /// Of the tenant on trial: at full speed, in turn, refused for the pace.
-    pub trial: (u32, u32, u32),
-    /// Of worlds of minutes: acknowledged again, refused, and how long they lasted.
-    pub again: u32,
-    pub refused: u32,
-    pub lasted: Time,
-    /// Drains that were acknowledged, and configurations that were agreed on as a change of what stood.
-    pub drains: u32,
-    pub changes: u32,
-    /// From the end of each fault to the first read of the configuration that is answered.
-    pub recovery_times: Vec<Time>,
-}
-
 pub struct ShortWorkload {
     system: Cluster<WorkloadEvent>,
     quota_clients: Vec<QuotaClient>,
@@ -117,18 +98,19 @@
     pub fn new(seed: u64, defect: Option<Defect>) -> Self {
         let mut rng = Rng::with_seed(seed);
         let count = if rng.bool() { 3 } else { 5 };
-        let (trial_request_rate, hot) = (5.0 + rng.f64() * 90.0, rng.f64() * 5.0 * trial_tenant::HOT_RATE);
+        let (trial_request_rate, hot) =
+            (5.0 + rng.f64() * 90.0, rng.f64() * 5.0 * trial_configuration::HOT_RATE);
         let hot_from = if rng.bool() { 0 } else { rng.u64(3_000..9_000) * MS };
         let is_short = rng.bool();
         let fallback_lifetime = if is_short { SHORT_FALLBACK_LIFETIME } else { FALLBACK_LIFETIME };
         let mut system = Cluster::new(rng, defect, check);
-        (system.net.wild, system.began) = (true, trial_tenant::START_OF_TIME);
+        (system.net.wild, system.began) = (true, trial_configuration::START_OF_TIME);
         let seeds = (0..3).map(address).collect();
         let told = MachineSettings {
             seeds,
             is_initial_start: true,
             zone: String::new(),
-            terms: trial_tenant::terms,
+            terms: trial_configuration::terms,
             snapshot_threshold: 24,
             fallback_lifetime,
         };
@@ -298,12 +280,12 @@
         let now = self.now;
         match news {
             ViewChange::Configuration(c) => {
-                if trial_tenant::trial_end(&c.body).is_some() {
+                if trial_configuration::trial_end(&c.body).is_some() {
                     self.trial_tenant.unaware.remove(&g);
                 } else {
                     self.trial_tenant.unaware.insert(g);
                 }
-                self.quota_clients[g].set_limits(now, &trial_tenant::terms(&c.body).limits);
+                self.quota_clients[g].set_limits(now, &trial_configuration::terms(&c.body).limits);
             }
             ViewChange::Gateways => {
                 let gateway = &self.system.gateways[g];
@@ -336,12 +318,13 @@
                 self.version += 1;
                 let old = self.rng.u8(..4) == 0;
                 let state = self.machines[n].state();
-                let held =
-                    state.and_then(|b| b.configuration()).and_then(|c| trial_tenant::trial_end(&c.body));
+                let held = state
+                    .and_then(|b| b.configuration())
+                    .and_then(|c| trial_configuration::trial_end(&c.body));
                 let base = if old { self.known } else { self.machines[n].version() };
-                let ends = trial_tenant::next_trial_end(&mut self.rng, now, held);
+                let ends = trial_configuration::next_trial_end(&mut self.rng, now, held);
                 let version = self.version.max(base + 1);
-                let body = trial_tenant::body(base, version, ends);
+                let body = trial_configuration::body(base, version, ends);
                 self.calls.insert(call, Call::Change { base, version, body: body.clone() });
                 self.with(n, |p| p.replace_configuration(now, call, body.into()))
             }
@@ -611,14 +594,16 @@
             }
             for since in tries {
                 let draw = rng.f64();
-                let mut verdict = client.acquire(now, trial_tenant::HOT, draw, since);
+                let mut verdict = client.acquire(now, trial_configuration::HOT, draw, since);
                 if defect == Some(Defect::AloneAndFree) && client.is_isolated(now) {
                     verdict = Decision::Granted;
                 }
                 match verdict {
-                    Decision::Granted => {
-                        self.observations.pass(now, trial_tenant::HOT_RATE, trial_tenant::HOT_RATE)?
-                    }
+                    Decision::Granted => self.observations.pass(
+                        now,
+                        trial_configuration::HOT_RATE,
+                        trial_configuration::HOT_RATE,
+                    )?,
                     Decision::Refused { .. } | Decision::Throttled { .. } => {}
                     Decision::Wait { .. } => self.waiting_for_units[g].push(since.unwrap_or(now)),
                 }
