--- a/review/standins/silent_backends.rs
+++ b/review/standins/silent_backends.rs
@@ -7,7 +7,6 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -20,15 +19,9 @@
 /// Between a payment's head and its body.
 const READ_SILENCE: Duration = Duration::from_millis(1500);
 const PAYMENT_BYTES: usize = 400 << 10;
-/// "small windows: a peer that does not read holds the writer up" (DEPLOY.md, Network).
-const WINDOW_BYTES: i32 = 64 << 10;
 const LOOKUPS: usize = 6;
 const PAYMENTS: usize = 2;
 
-extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-}
-
 /// What a backend has seen of a request.
 #[derive(Clone, Copy)]
 struct Run {
@@ -117,10 +110,7 @@
 }
 
 fn start_backend(n: usize, record: &Record, runs: &Runs, trouble: bool, controls: &[SocketAddr]) -> Result<(), String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    // SAFETY: a plain system call on an open socket (SOL_SOCKET, SO_RCVBUF).
-    unsafe { setsockopt(listener.as_raw_fd(), 1, 8, &WINDOW_BYTES, 4) };
+    let (listener, address) = listen_with_small_window()?;
     let id = format!("i-{n:08x}");
     let backend = Arc::new(Backend { id: id.clone(), record: record.clone(), runs: runs.clone(), trouble });
     spawn(move || backend.serve(listener));
--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -20,6 +21,19 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
+/// "small windows: a peer that does not read holds the writer up" (DEPLOY.md, Network).
+const WINDOW_BYTES: i32 = 64 << 10;
+
+/// A backend's listening socket, with its address.
+pub fn listen_with_small_window() -> Result<(TcpListener, SocketAddr), String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    // SAFETY: a plain system call on an open socket (SOL_SOCKET, SO_RCVBUF).
+    unsafe { setsockopt(listener.as_raw_fd(), 1, 8, &WINDOW_BYTES, 4) };
+    Ok((listener, address))
 }
 
 pub fn ms(milliseconds: u64) -> Duration {
@@ -284,7 +298,7 @@
     pub body: Vec<u8>,
 }
 
-fn read_answer(reader: &mut impl BufRead) -> io::Result<Answer> {
+pub fn read_answer(reader: &mut impl BufRead) -> io::Result<Answer> {
     let head = read_head(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     let status = head.start.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
     let body = if head.get("transfer-encoding") == "chunked" {
