--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,7 +2,7 @@
 //! Usage: `standins SCENARIO FOLDER`, from the repository's root. It writes FOLDER/record.txt and exits with 1 if the
 //! rule was broken, 0 if it held, 2 if the scenario could not run. `TROUBLE=0`: the same without the disruption.
 
-mod early_answers;
+mod repeated_name;
 mod silent_backends;
 mod system;
 
@@ -11,13 +11,13 @@
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     if arguments.len() != 3 {
-        eprintln!("usage: standins silent-backends|early-answers FOLDER");
+        eprintln!("usage: standins silent-backends|repeated-name FOLDER");
         exit(2);
     }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match arguments[1].as_str() {
         "silent-backends" => silent_backends::run,
-        "early-answers" => early_answers::run,
+        "repeated-name" => repeated_name::run,
         other => {
             eprintln!("{other}: no such scenario");
             exit(2);
