--- a/crates/common/quota/src/contact.rs
+++ b/crates/common/quota/src/contact.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// How many gateways are known.
+    pub fn len(&self) -> usize {
+        self.contacts.len()
+    }
+
     /// Whether a gateway is known, and is to be answered.
     pub fn answers(&self, name: &str) -> bool {
         self.contacts.contains_key(name) && !self.leaving.contains(name)
--- a/crates/common/quota/src/lib.rs
+++ b/crates/common/quota/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod contact;
 mod decaying_rate;
+mod figures;
 mod initial_fill;
 mod lease;
 mod limit;
@@ -30,6 +31,7 @@
 mod turn_assignment;
 mod turn_fairness;
 
+pub use figures::{AdmissionCounts, CoordinatorStanding, GrantCounts};
 pub use initial_fill::PreviousCoordinator;
 pub use lease::{LeaseGrant, LeaseRequest, TrialPhase, TurnGrant, TurnRequest, UnitGrant, UnitRequest};
 pub use limit::{Limit, TrialPace};
--- a/crates/common/quota/src/quota_client.rs
+++ b/crates/common/quota/src/quota_client.rs
@@ -1,6 +1,7 @@
 //! A gateway's side of quota: admits requests by granted units, by refusal probability, and by the fallback share while it
 //! hears nothing.
 
+use crate::figures::AdmissionCounts;
 use crate::lease::{LeaseGrant, LeaseRequest, TrialPhase};
 use crate::limit::{Limit, TrialPace};
 use crate::tenant_quota::{retry_after, TenantQuota};
@@ -74,6 +75,7 @@
     sent: VecDeque<SentRequest>,
     next_request_at: Time,
     urgent: bool,
+    counts: AdmissionCounts,
 }
 
 impl QuotaClient {
@@ -90,9 +92,15 @@
             sent: VecDeque::new(),
             next_request_at: now,
             urgent: false,
+            counts: AdmissionCounts::default(),
         }
     }
 
+    /// What became of requests since this was last taken.
+    pub fn take_counts(&mut self) -> AdmissionCounts {
+        std::mem::take(&mut self.counts)
+    }
+
     /// Takes new limits.
     pub fn set_limits(&mut self, now: Time, limits: &BTreeMap<String, Limit>) {
         self.tenants.retain(|name, _| limits.contains_key(name));
@@ -167,18 +175,28 @@
         if since.is_none() {
             if draw < quota.refusal_probability && !is_isolated {
                 // Only requests that come past the probability count as demand.
+                self.counts.refused_by_probability += 1;
                 let retry_after = retry_after(&quota.limit, quota.refusal_probability);
                 return Decision::Refused { retry_after };
             }
             quota.record_arrival(now);
         }
-        let is_granted = quota.take_granted_unit(now)
-            || is_isolated && quota.take_fallback_unit(now, isolated_at, fallback_divisor);
-        if is_granted {
+        if quota.take_granted_unit(now) {
+            self.counts.granted += 1;
+            return Decision::Granted;
+        }
+        if is_isolated && quota.take_fallback_unit(now, isolated_at, fallback_divisor) {
+            self.counts.fallback += 1;
             return Decision::Granted;
         }
         let deadline = since.unwrap_or(now) + MAX_UNIT_WAIT;
         if now >= deadline {
+            let refused = if is_isolated {
+                &mut self.counts.refused_isolated
+            } else {
+                &mut self.counts.refused_without_unit
+            };
+            *refused += 1;
             return Decision::Refused { retry_after: retry_after(&quota.limit, 0.0) };
         }
         quota.waiting += 1;
@@ -272,6 +290,7 @@
             somebody_waits |= waiting > 0;
             request.units.extend(quota.unit_request(now, tenant, waiting));
         }
+        self.counts.lease_requests += 1;
         self.last_request = number;
         self.sent.push_back(SentRequest { number, sent_at: now });
         if self.sent.len() > MAX_TRACKED_REQUESTS {
@@ -287,6 +306,10 @@
         // What answers a request that is not remembered has expired.
         let Some(n) = self.sent.iter().position(|sent| sent.number == grant.number) else { return false };
         let Some(SentRequest { sent_at, .. }) = self.sent.remove(n) else { return false };
+        let round_trip = now.saturating_sub(sent_at);
+        self.counts.lease_grants += 1;
+        self.counts.late_grants += u64::from(round_trip >= ISOLATION_TIMEOUT);
+        self.counts.slowest_grant = self.counts.slowest_grant.max(round_trip);
         let is_newest = self.last_contact.is_none_or(|at| sent_at >= at);
         if is_newest && grant.coordinator != self.coordinator.id {
             self.coordinator = Coordinator { id: grant.coordinator, since: now };
--- a/crates/common/quota/src/quota_coordinator.rs
+++ b/crates/common/quota/src/quota_coordinator.rs
@@ -1,6 +1,7 @@
 //! The coordinator of all quota: the leader of the control plane, for as long as its lease lasts.
 
 use crate::contact::GatewayContacts;
+use crate::figures::{CoordinatorStanding, GrantCounts};
 use crate::initial_fill::PreviousCoordinator;
 use crate::lease::{LeaseGrant, LeaseRequest};
 use crate::limit::Limit;
@@ -37,6 +38,7 @@
     /// Tenants whose trial has expired, as replicated.
     expired_trials: BTreeSet<String>,
     gateways: GatewayContacts,
+    counts: GrantCounts,
 }
 
 impl QuotaCoordinator {
@@ -63,6 +65,7 @@
             buckets: limits.iter().map(bucket).collect(),
             expired_trials: expired_trials.clone(),
             gateways: GatewayContacts::new(now, previous.unheard_reserve(), gateways),
+            counts: GrantCounts::default(),
         };
         coordinator.advance_phases(now);
         coordinator
@@ -139,16 +142,21 @@
     /// being removed.
     pub fn grant(&mut self, now: Time, gateway: &str, request: &LeaseRequest) -> Option<LeaseGrant> {
         if !self.gateways.answers(gateway) {
+            self.counts.unanswered += 1;
             return None;
         }
+        self.counts.requests += 1;
         self.refill(now);
         self.advance_phases(now);
         self.gateways.record(now, gateway);
         let mut units = Vec::with_capacity(request.units.len());
         for wanted in &request.units {
-            units.extend(
-                self.buckets.get_mut(&wanted.tenant).map(|bucket| bucket.grant_units(now, gateway, wanted)),
-            );
+            let Some(bucket) = self.buckets.get_mut(&wanted.tenant) else { continue };
+            let granted = bucket.grant_units(now, gateway, wanted);
+            self.counts.units_requested += u64::from(wanted.units);
+            self.counts.units_granted += u64::from(granted.units);
+            self.counts.fallback_units_charged += u64::from(wanted.spent_fallback);
+            units.push(granted);
         }
         let share =
             if now < self.previous_grants_until { 0.0 } else { self.gateways.reserve(now).available_share() };
@@ -166,6 +174,26 @@
         Some(LeaseGrant { number: request.number, coordinator: self.id, units, phases, turns })
     }
 
+    /// What it was asked for and gave since this was last taken.
+    pub fn take_counts(&mut self) -> GrantCounts {
+        std::mem::take(&mut self.counts)
+    }
+
+    /// How it stands now.
+    pub fn standing(&self, now: Time) -> CoordinatorStanding {
+        let reserve = self.gateways.reserve(now);
+        let total_rate: f64 = self.buckets.values().map(|bucket| bucket.limit.rate).sum();
+        let available: f64 = self.buckets.values().map(|bucket| bucket.available_rate(&reserve)).sum();
+        CoordinatorStanding {
+            gateways: self.gateways.len(),
+            silent: reserve.silent,
+            recently_silent: reserve.recently_silent.len(),
+            kept_back: 1.0 - available / total_rate.max(1.0),
+            buckets: self.buckets.len(),
+            empty_buckets: self.buckets.values().filter(|bucket| bucket.level < 1.0).count(),
+        }
+    }
+
     /// How all trials stand.
     pub fn trial_status(&self, now: Time) -> Vec<TrialStatus> {
         let status = |(tenant, bucket): (&String, &TokenBucket)| {
--- a/crates/common/quota/src/token_bucket.rs
+++ b/crates/common/quota/src/token_bucket.rs
@@ -57,12 +57,16 @@
     pub fn refill(&mut self, now: Time, reserve: &Reserve) {
         let elapsed = to_seconds(now.saturating_sub(self.updated));
         self.updated = self.updated.max(now);
-        let available_rate = self.limit.rate * reserve.available_share() - self.continued_rate(reserve);
-        let level = self.level + elapsed * available_rate;
+        let level = self.level + elapsed * self.available_rate(reserve);
         self.level = level.clamp(-self.max_debt(), self.limit.burst);
         self.arrival_rate *= (-elapsed / ARRIVAL_WINDOW_S).exp();
     }
 
+    /// What no silent gateway may be using, in units a second; below 0 while more may be in use than the limit.
+    pub fn available_rate(&self, reserve: &Reserve) -> f64 {
+        self.limit.rate * reserve.available_share() - self.continued_rate(reserve)
+    }
+
     /// How far below 0 the level may go.
     fn max_debt(&self) -> f64 {
         self.limit.burst.max(self.limit.rate * MAX_DEBT_S)
--- a/crates/control/control-node/src/lib.rs
+++ b/crates/control/control-node/src/lib.rs
@@ -22,6 +22,7 @@
 mod persistence;
 mod quorum_contact;
 mod quota_grants;
+mod quota_report;
 mod storage_health;
 mod subscribers;
 mod trial_expiry;
--- a/crates/control/control-node/src/node.rs
+++ b/crates/control/control-node/src/node.rs
@@ -189,6 +189,7 @@
             self.next_sweep,
             self.quota.next_due(),
             self.quota.next_removal_poll,
+            self.quota.next_report,
             bootstrap,
             self.next_leave_request.unwrap_or(Time::MAX),
         ];
@@ -205,6 +206,7 @@
         self.forward_heartbeats();
         self.expire_trials();
         self.remove_gone_gateways();
+        self.report_quota();
         self.try_bootstrap();
         self.repeat_leave_request();
         self.expire_calls_and_changes();
--- a/crates/control/control-node/src/quota_grants.rs
+++ b/crates/control/control-node/src/quota_grants.rs
@@ -44,6 +44,7 @@
     pub clocks: ClockReadings,
     pub next_trial_poll: Time,
     pub next_removal_poll: Time,
+    pub next_report: Time,
     /// Counts changes of the replicated gateways.
     pub gateways_generation: u64,
 }
@@ -57,6 +58,7 @@
             clocks: ClockReadings::default(),
             next_trial_poll: now + crate::trial_expiry::IDLE_POLL_INTERVAL,
             next_removal_poll: now + crate::gateway_removal::POLL_INTERVAL,
+            next_report: now + crate::quota_report::REPORT_INTERVAL,
             gateways_generation: 0,
         }
     }
--- a/crates/control/control-plane/src/driver.rs
+++ b/crates/control/control-plane/src/driver.rs
@@ -1,6 +1,7 @@
 //! The driver of the one value that decides here, [`ControlNode`]: hands it what arrives, with the time, and carries out
 //! what it wants done, with storage, links to other nodes, gateways that subscribe, callers.
 
+mod load;
 #[cfg(test)]
 mod tests;
 
@@ -9,6 +10,7 @@
 use configuration::ConfigurationError;
 use control_node::{ControlNode, Effect, Reply, Time};
 use control_state::DeclaredVersions;
+use load::Load;
 use messages::{ControlMessage, GatewayUpdate};
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -64,6 +66,7 @@
     /// The node wants to advance sooner than [`Driver::run`] sleeps.
     wake: Notify,
     sleeping_until: Cell<Time>,
+    load: Load,
 }
 
 /// This machine's time of day, in Unix milliseconds. Alone it decides nothing.
@@ -88,6 +91,7 @@
             changes: watch::Sender::new(()),
             wake: Notify::new(),
             sleeping_until: Cell::new(0),
+            load: Load::default(),
         })
     }
 
@@ -115,6 +119,7 @@
         let now = self.now();
         let result = act(&mut self.node.borrow_mut(), now);
         self.perform_effects();
+        self.load.record_work(now, self.now());
         result
     }
 
@@ -132,7 +137,8 @@
     pub async fn run(self: Rc<Self>) {
         let mut writing = None;
         loop {
-            self.sleeping_until.set(0);
+            let due = self.sleeping_until.replace(0);
+            self.load.record_advance(self.now(), due);
             self.with(|node, now| node.advance(now, unix_millis()));
             if let Some(write) = self.pending_write.borrow_mut().take() {
                 writing = Some(write);
--- a/crates/data/data-plane/src/main.rs
+++ b/crates/data/data-plane/src/main.rs
@@ -102,6 +102,7 @@
     let backends = Backends::new(&backend_limits(sockets), Box::new(protocol));
     let driver = new_driver(&settings, &gateway, &backends, seed)?;
     gateway.set_driver(driver.clone());
+    spawn_local(quota.clone().report());
     spawn_local(quota.run());
     let membership = Membership::open(&settings)?;
     spawn_control_side(&settings, &gateway, membership.clone())?;
--- a/crates/data/data-plane/src/tenant_quota.rs
+++ b/crates/data/data-plane/src/tenant_quota.rs
@@ -9,7 +9,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch, Notify};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+
+/// What became of requests is logged this often.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
 /// How a request that is admitted goes on.
 pub enum Admission {
@@ -165,6 +168,17 @@
         }
     }
 
+    /// Logs what became of requests lately, while there are any.
+    pub async fn report(self: Rc<Self>) {
+        loop {
+            sleep(REPORT_INTERVAL).await;
+            let counts = self.client.borrow_mut().take_counts();
+            if counts.decisions() > 0 {
+                log::info!("quota: {} ms: {counts}", REPORT_INTERVAL.as_millis());
+            }
+        }
+    }
+
     fn next_due(&self) -> u64 {
         let client = self.client.borrow();
         let next_request = client.next_due();
