--- a/crates/common/quota/src/quota_client.rs
+++ b/crates/common/quota/src/quota_client.rs
@@ -72,6 +72,9 @@
     last_contact: Option<Time>,
     coordinator: Coordinator,
     last_request: u64,
+    /// The latest request that was answered.
+    last_answered: u64,
+    last_sent_at: Option<Time>,
     sent: VecDeque<SentRequest>,
     next_request_at: Time,
     urgent: bool,
@@ -89,6 +92,8 @@
             last_contact: None,
             coordinator: Coordinator::default(),
             last_request: 0,
+            last_answered: 0,
+            last_sent_at: None,
             sent: VecDeque::new(),
             next_request_at: now,
             urgent: false,
@@ -263,11 +268,18 @@
 
     /// When [`QuotaClient::next_request`] is next due.
     pub fn next_due(&self) -> Time {
-        if self.urgent {
-            0
-        } else {
-            self.next_request_at
-        }
+        let wanted_at = if self.urgent { 0 } else { self.next_request_at };
+        wanted_at.max(self.earliest_request())
+    }
+
+    /// No request is sent sooner: a coordinator that is late is not asked more often than an idle gateway asks.
+    fn earliest_request(&self) -> Time {
+        let interval = match self.last_request - self.last_answered {
+            0 => 0,
+            1 => URGENT_REQUEST_INTERVAL,
+            _ => REQUEST_INTERVAL,
+        };
+        self.last_sent_at.map_or(0, |at| at + interval)
     }
 
     /// What to ask the coordinator for now, if it is time.
@@ -292,6 +304,7 @@
         }
         self.counts.lease_requests += 1;
         self.last_request = number;
+        self.last_sent_at = Some(now);
         self.sent.push_back(SentRequest { number, sent_at: now });
         if self.sent.len() > MAX_TRACKED_REQUESTS {
             self.sent.pop_front();
@@ -306,6 +319,7 @@
         // What answers a request that is not remembered has expired.
         let Some(n) = self.sent.iter().position(|sent| sent.number == grant.number) else { return false };
         let Some(SentRequest { sent_at, .. }) = self.sent.remove(n) else { return false };
+        self.last_answered = self.last_answered.max(grant.number);
         let round_trip = now.saturating_sub(sent_at);
         self.counts.lease_grants += 1;
         self.counts.late_grants += u64::from(round_trip >= ISOLATION_TIMEOUT);
@@ -325,9 +339,11 @@
         let still_lacks = |quota: &TenantQuota| {
             quota.waiting > 0 || quota.throttle.as_ref().is_some_and(ThrottleQueue::needs_turns)
         };
-        if self.tenants.values().any(still_lacks) {
-            self.next_request_at = self.next_request_at.min(now + URGENT_REQUEST_INTERVAL);
-        }
+        self.next_request_at = if self.tenants.values().any(still_lacks) {
+            self.next_request_at.min(now + URGENT_REQUEST_INTERVAL)
+        } else {
+            self.next_request_at.max(sent_at + REQUEST_INTERVAL)
+        };
         may_go_on
     }
 
