--- a/crates/common/quota/src/tenant_quota.rs
+++ b/crates/common/quota/src/tenant_quota.rs
@@ -153,7 +153,9 @@
     /// Takes the coordinator's grant. Whether a request that waits may go on.
     pub fn on_units(&mut self, now: Time, expires_at: Time, grant: &UnitGrant) -> bool {
         self.update_refusal_probability(grant);
-        if expires_at > now && grant.units > 0 {
+        if expires_at <= now {
+            self.returned += grant.units;
+        } else if grant.units > 0 {
             self.grants.push_back(Grant { expires_at, units: grant.units });
         }
         self.waiting > 0 && grant.units > 0
--- a/crates/common/quota/tests/limits.rs
+++ b/crates/common/quota/tests/limits.rs
@@ -112,3 +112,21 @@
     let ask = client.next_request(S).expect("it is time");
     assert_eq!(ask.units[0].returned, 2);
 }
+
+#[test]
+fn units_that_arrive_too_late_are_returned() {
+    let (all, limits) = (names(1), limits(10.0, 10.0));
+    let mut coordinator =
+        QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &all);
+    let mut client = QuotaClient::new(0);
+    client.set_limits(0, &limits);
+    client.set_gateway_count(1);
+    assert!(matches!(client.acquire(S, "t", 1.0, None), Decision::Wait { .. }));
+    let request = client.next_request(S).expect("a request waits");
+    let grant = coordinator.grant(S, "g0", &request).expect("it is known");
+    let granted = grant.units[0].units;
+    assert!(granted > 0, "the bucket holds some");
+    client.on_grant(S + quota::GRANT_LIFETIME, &grant);
+    let next = client.next_request(S + quota::GRANT_LIFETIME + S).expect("it is time");
+    assert_eq!(next.units[0].returned, granted);
+}
