Quota: the test of units that are returned plays a gateway without a fallback share

The commit before holds the test with a fallback share, by which no request waits, so that it failed with and without the change. Now it fails without (0 returned of 1) and holds with it.

--- a/crates/common/quota/tests/limits.rs
+++ b/crates/common/quota/tests/limits.rs
@@ -120,7 +120,6 @@
         QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &all);
     let mut client = QuotaClient::new(0);
     client.set_limits(0, &limits);
-    client.set_gateway_count(1);
     assert!(matches!(client.acquire(S, "t", 1.0, None), Decision::Wait { .. }));
     let request = client.next_request(S).expect("a request waits");
     let grant = coordinator.grant(S, "g0", &request).expect("it is known");
