--- a/crates/control/control-node/src/configuration_changes.rs
+++ b/crates/control/control-node/src/configuration_changes.rs
@@ -286,7 +286,12 @@
         calls.into_iter().for_each(|call| self.reply(call, Reply::Unavailable));
         let changes = self.changes.in_progress.iter().filter(|(_, change)| change.deadline <= now);
         let changes: Vec<u64> = changes.map(|(id, _)| *id).collect();
-        changes.into_iter().for_each(|id| self.finish_change(id, Reply::Unavailable));
+        for id in changes {
+            if let Some(change) = self.changes.in_progress.get(&id) {
+                log::info!("configuration: a change is given up, at the stage {:?}", change.stage);
+            }
+            self.finish_change(id, Reply::Unavailable);
+        }
     }
 
     /// A node that has lost leadership does not know what comes of its proposals.
--- a/crates/control/control-plane/src/calls.rs
+++ b/crates/control/control-plane/src/calls.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// How long a body may pause while it arrives, and a connection may linger at its end.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -35,6 +35,8 @@
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(60);
 /// Callers at once, at most.
 const MAX_CALLERS: usize = 256;
+/// Callers that were turned away are logged this often at most.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// After a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -131,6 +133,9 @@
     /// Where operators are redirected to at another control node.
     port: u16,
     callers: Cell<usize>,
+    /// Callers that were turned away and are not logged yet.
+    refused: Cell<u32>,
+    refusals_logged_at: Cell<Option<Instant>>,
     /// Bytes of bodies that are held here.
     held_body_bytes: Rc<Cell<usize>>,
 }
@@ -138,7 +143,14 @@
 impl CallServer {
     /// `port`: where all control nodes serve calls.
     pub fn new(driver: Rc<Driver>, port: u16) -> Rc<Self> {
-        Rc::new(CallServer { driver, port, callers: Cell::new(0), held_body_bytes: Rc::default() })
+        Rc::new(CallServer {
+            driver,
+            port,
+            callers: Cell::new(0),
+            refused: Cell::new(0),
+            refusals_logged_at: Cell::new(None),
+            held_body_bytes: Rc::default(),
+        })
     }
 
     /// Serves callers for as long as the process lives.
@@ -148,12 +160,21 @@
                 Ok((stream, _)) if self.callers.get() < MAX_CALLERS => {
                     spawn_local(self.clone().serve_caller(stream));
                 }
-                Ok(_) => {}
+                Ok(_) => self.record_refusal(),
                 Err(_) => sleep(ACCEPT_PAUSE).await,
             }
         }
     }
 
+    fn record_refusal(&self) {
+        self.refused.set(self.refused.get() + 1);
+        let logged_at = self.refusals_logged_at.get();
+        if logged_at.is_none_or(|at| at.elapsed() >= REFUSAL_LOG_INTERVAL) {
+            log::info!("calls: {} callers turned away, {MAX_CALLERS} are connected", self.refused.take());
+            self.refusals_logged_at.set(Some(Instant::now()));
+        }
+    }
+
     async fn serve_caller(self: Rc<Self>, stream: TcpStream) {
         self.callers.set(self.callers.get() + 1);
         if detect_dead_peer(&stream).is_ok() {
