--- a/crates/control/control-plane/src/calls.rs
+++ b/crates/control/control-plane/src/calls.rs
@@ -1,10 +1,12 @@
 //! Calls of backends and operators (`PROTOCOL.md`). Each is declared in [`CALLS`] beside its handler.
 
 mod body;
+mod callers;
 
 use crate::driver::Driver;
 use body::Body;
 use bytes::Bytes;
+use callers::{Caller, Callers};
 use control_node::Reply;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -33,10 +35,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(35);
 /// How long a caller keeps its connection.
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(60);
-/// Callers at once, at most.
-const MAX_CALLERS: usize = 256;
-/// Callers that were turned away are logged this often at most.
-const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// A connection that makes room for another is closed within so long.
+const EVICTION_TIMEOUT: Duration = Duration::from_millis(200);
 /// After a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -132,10 +132,7 @@
     driver: Rc<Driver>,
     /// Where operators are redirected to at another control node.
     port: u16,
-    callers: Cell<usize>,
-    /// Callers that were turned away and are not logged yet.
-    refused: Cell<u32>,
-    refusals_logged_at: Cell<Option<Instant>>,
+    callers: Rc<Callers>,
     /// Bytes of bodies that are held here.
     held_body_bytes: Rc<Cell<usize>>,
 }
@@ -143,53 +140,44 @@
 impl CallServer {
     /// `port`: where all control nodes serve calls.
     pub fn new(driver: Rc<Driver>, port: u16) -> Rc<Self> {
-        Rc::new(CallServer {
-            driver,
-            port,
-            callers: Cell::new(0),
-            refused: Cell::new(0),
-            refusals_logged_at: Cell::new(None),
-            held_body_bytes: Rc::default(),
-        })
+        Rc::new(CallServer { driver, port, callers: Rc::default(), held_body_bytes: Rc::default() })
     }
 
     /// Serves callers for as long as the process lives.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.callers.get() < MAX_CALLERS => {
-                    spawn_local(self.clone().serve_caller(stream));
+                Ok((stream, _)) => {
+                    if let Some(caller) = self.callers.admit(Instant::now()) {
+                        spawn_local(self.clone().serve_caller(stream, caller));
+                    }
                 }
-                Ok(_) => self.record_refusal(),
                 Err(_) => sleep(ACCEPT_PAUSE).await,
             }
         }
     }
 
-    fn record_refusal(&self) {
-        self.refused.set(self.refused.get() + 1);
-        let logged_at = self.refusals_logged_at.get();
-        if logged_at.is_none_or(|at| at.elapsed() >= REFUSAL_LOG_INTERVAL) {
-            log::info!("calls: {} callers turned away, {MAX_CALLERS} are connected", self.refused.take());
-            self.refusals_logged_at.set(Some(Instant::now()));
+    async fn serve_caller(self: Rc<Self>, stream: TcpStream, caller: Caller) {
+        if detect_dead_peer(&stream).is_err() {
+            return;
         }
-    }
-
-    async fn serve_caller(self: Rc<Self>, stream: TcpStream) {
-        self.callers.set(self.callers.get() + 1);
-        if detect_dead_peer(&stream).is_ok() {
-            let service = service_fn(|request| async { Ok::<_, Infallible>(self.dispatch(request).await) });
-            let mut http = http1::Builder::new();
-            let connection =
-                http.max_buf_size(MAX_HEAD_BYTES).serve_connection(TokioIo::new(stream), service);
-            let mut connection = pin!(connection);
-            // Errors are the caller's. One that has been there for long is let go behind its next answer.
-            if timeout(MAX_CONNECTION_AGE, connection.as_mut()).await.is_err() {
-                connection.as_mut().graceful_shutdown();
-                let _ = timeout(READ_TIMEOUT, connection).await;
-            }
-        }
-        self.callers.set(self.callers.get() - 1);
+        let service = service_fn(|request| async {
+            caller.begin_request();
+            let response = self.dispatch(request).await;
+            caller.end_request(Instant::now());
+            Ok::<_, Infallible>(response)
+        });
+        let mut http = http1::Builder::new();
+        let connection = http.max_buf_size(MAX_HEAD_BYTES).serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        // Errors are the caller's. One that has been there for long is let go behind its next answer.
+        let closing_time = tokio::select! {
+            _ = connection.as_mut() => return,
+            () = sleep(MAX_CONNECTION_AGE) => READ_TIMEOUT,
+            () = caller.evicted() => EVICTION_TIMEOUT,
+        };
+        connection.as_mut().graceful_shutdown();
+        let _ = timeout(closing_time, connection).await;
     }
 
     async fn dispatch(self: &Rc<Self>, request: Request<Incoming>) -> HttpResponse {
--- a/crates/control/control-plane/tests/wire/configuration_changes.rs
+++ b/crates/control/control-plane/tests/wire/configuration_changes.rs
@@ -1,8 +1,8 @@
 //! Orders over real sockets: sent at once, sent again, cut short, too large, and to a control-plane node that has lost the others.
 
 use crate::core::{answer, call, configuration, connect, head, post, send, Core, PATIENCE};
-use std::io::Write;
-use std::net::{Shutdown, TcpStream};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::thread;
 use std::time::Instant;
 
@@ -120,3 +120,33 @@
     assert_eq!(core.order(old, &one), 412);
     assert_eq!(core.read(), other);
 }
+
+#[test]
+fn operators_are_answered_by_a_node_that_is_full_of_idle_callers() {
+    // As many as a node takes, and some more, each idle behind a heartbeat.
+    const IDLE_CALLERS: usize = 300;
+    let core = Core::open(1);
+    let first = configuration(0, 3, "first", 3);
+    assert_eq!(core.order(0, &first), 200);
+    let idle: Vec<TcpStream> = (0..IDLE_CALLERS).filter_map(|n| idle_caller(core.address(0), n)).collect();
+    assert_eq!(idle.len(), IDLE_CALLERS, "all have connected");
+    let answer = post(core.address(0), &configuration(3, 4, "second", 3));
+    assert_eq!(answer.map(|answer| answer.status), Some(200), "at the first try");
+}
+
+/// A connection that stays open behind a heartbeat, answered or not.
+fn idle_caller(at: SocketAddr, n: usize) -> Option<TcpStream> {
+    let body = format!(
+        r#"{{"address":"127.0.0.1:{}","nodeInfo":{{"targetService":"s"}},"status":{{"state":"ready","callSequence":1}}}}"#,
+        1000 + n
+    );
+    let length = body.len();
+    let mut stream = connect(at)?;
+    let head = format!(
+        "POST /-/Instances.Heartbeat/i-{n} HTTP/1.1\r\nHost: core\r\nContent-Length: {length}\r\n\r\n"
+    );
+    stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
+    let mut first_bytes = [0; 64];
+    let _ = stream.read(&mut first_bytes);
+    Some(stream)
+}
