--- a/crates/control/control-node/src/quota_grants.rs
+++ b/crates/control/control-node/src/quota_grants.rs
@@ -106,11 +106,6 @@
         let term = self.coordinator_term(self.now)?;
         let terms = self.terms();
         let inputs = self.quota_inputs();
-        let expired = if self.has_defect(Defect::ExpiredTrialsForgotten) {
-            BTreeSet::new()
-        } else {
-            terms.expired_tenants(&self.state)
-        };
         let now = self.now;
         let gateways = self.state.gateways();
         let current = match self.quota.coordinator.take().filter(|current| current.term == term) {
@@ -118,13 +113,16 @@
             None => {
                 log::info!("quota: coordinating in term {term}");
                 let previous = self.leadership.history.previous_coordinator(now, term);
+                let expired = self.expired_tenants(&terms);
                 let coordinator =
                     QuotaCoordinator::new(now, term, previous, &terms.limits, &expired, gateways);
                 CoordinatorTerm { term, coordinator, inputs }
             }
         };
+        let new_expired = (current.inputs != inputs).then(|| self.expired_tenants(&terms));
         let current = self.quota.coordinator.insert(current);
-        if std::mem::replace(&mut current.inputs, inputs) != inputs {
+        current.inputs = inputs;
+        if let Some(expired) = new_expired {
             current.coordinator.set_limits(now, &terms.limits, &expired);
             current.coordinator.set_gateways(now, gateways);
         }
@@ -136,6 +134,14 @@
         current.coordinator.grant(now, gateway, request)
     }
 
+    /// The tenants whose trial has expired, as replicated; they change with the inputs alone.
+    fn expired_tenants(&self, terms: &TenantTerms) -> BTreeSet<String> {
+        if self.has_defect(Defect::ExpiredTrialsForgotten) {
+            return BTreeSet::new();
+        }
+        terms.expired_tenants(&self.state)
+    }
+
     /// How trials stand, if this node grants quota.
     pub fn trial_status(&self, now: Time) -> Vec<TrialStatus> {
         let is_current = self.leadership.is_leader;
