--- a/crates/common/quota/src/contact.rs
+++ b/crates/common/quota/src/contact.rs
@@ -11,8 +11,10 @@
 
 /// A gateway that was heard so long ago has its fallback share alone.
 const CONTINUATION_ENDS: Time = ISOLATION_TIMEOUT + CONTINUATION_PERIOD;
-/// A tenant of which a gateway was granted fewer units a second than this is forgotten.
+/// A tenant of which a gateway was granted fewer units a second than this may be forgotten.
 const MIN_GRANT_RATE: f64 = 0.1;
+/// So many tenants of a gateway are remembered before any is forgotten.
+const MIN_REMEMBERED_TENANTS: usize = 32;
 
 /// How a gateway stands with this coordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +50,9 @@
     deadline: Option<Time>,
     /// Units a second that it was granted lately, by tenant.
     grant_rates: BTreeMap<String, DecayingRate>,
+    /// At so many tenants those of long ago are forgotten: twice as many as there were when that was last done, so that it
+    /// costs each grant the same.
+    max_tenants: usize,
 }
 
 impl Contact {
@@ -58,9 +63,15 @@
             state: ContactState::Unheard,
             deadline: Some(now + CONTINUATION_ENDS),
             grant_rates: BTreeMap::new(),
+            max_tenants: MIN_REMEMBERED_TENANTS,
         }
     }
 
+    fn forget_old_grants(&mut self, now: Time) {
+        self.grant_rates.retain(|_, rate| rate.at(now) >= MIN_GRANT_RATE);
+        self.max_tenants = (2 * self.grant_rates.len()).max(MIN_REMEMBERED_TENANTS);
+    }
+
     fn silence(&self, now: Time) -> Time {
         now.saturating_sub(self.heard_at.unwrap_or(self.known_since))
     }
@@ -209,7 +220,9 @@
             rate.record(now, units);
             return;
         }
-        contact.grant_rates.retain(|_, rate| rate.at(now) >= MIN_GRANT_RATE);
+        if contact.grant_rates.len() >= contact.max_tenants {
+            contact.forget_old_grants(now);
+        }
         let mut rate = DecayingRate::new(now, GRANT_RATE_WINDOW_S);
         rate.record(now, units);
         contact.grant_rates.insert(tenant.to_string(), rate);
--- a/crates/common/quota/tests/limits.rs
+++ b/crates/common/quota/tests/limits.rs
@@ -18,24 +18,24 @@
 
 /// A tenant's requests at several clients, some of them isolated from the coordinator for a while; the coordinator changes once.
 /// How many passed in each 10 ms, and how many were turned away.
-fn simulate(rate: f64, asked: f64, cut: std::ops::Range<u64>, new_keeper: u64) -> (Vec<u32>, u32) {
+fn simulate(rate: f64, asked: f64, cut: std::ops::Range<u64>, failover_step: u64) -> (Vec<u32>, u32) {
     let (all, limits) = (names(6), limits(rate, rate));
     let mut coordinator =
         QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &all);
     let mut clients: Vec<QuotaClient> = (0..6).map(|_| QuotaClient::new(0)).collect();
-    clients.iter_mut().for_each(|d| {
-        d.set_limits(0, &limits);
-        d.set_gateway_count(6);
+    clients.iter_mut().for_each(|client| {
+        client.set_limits(0, &limits);
+        client.set_gateway_count(6);
     });
     let (mut passed, mut refused, mut x) = (Vec::new(), 0, 12345u64);
     let mut draw = move || {
         x = x.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
         (x >> 33) as f64 / (1u64 << 31) as f64
     };
-    let mut waits: Vec<Vec<Time>> = vec![Vec::new(); 6];
+    let mut waiting_since: Vec<Vec<Time>> = vec![Vec::new(); 6];
     for step in 0..3000u64 {
         let now = step * 10 * MS;
-        if step == new_keeper {
+        if step == failover_step {
             coordinator = QuotaCoordinator::new(
                 now,
                 step,
@@ -45,27 +45,27 @@
                 &all,
             );
         }
-        let mut through = 0;
+        let mut passed_now = 0;
         for (g, client) in clients.iter_mut().enumerate() {
-            let reached = !(cut.contains(&step) && g < 2);
-            let mut tries: Vec<Option<Time>> = waits[g].drain(..).map(Some).collect();
+            let is_reached = !(cut.contains(&step) && g < 2);
+            let mut tries: Vec<Option<Time>> = waiting_since[g].drain(..).map(Some).collect();
             if draw() < asked * 0.01 / 6.0 {
                 tries.push(None);
             }
             for since in tries {
                 match client.acquire(now, "t", draw(), since) {
-                    Decision::Granted => through += 1,
+                    Decision::Granted => passed_now += 1,
                     Decision::Refused { .. } => refused += 1,
-                    Decision::Wait { .. } => waits[g].push(since.unwrap_or(now)),
+                    Decision::Wait { .. } => waiting_since[g].push(since.unwrap_or(now)),
                     Decision::Throttled { .. } => unreachable!("it has no trial"),
                 }
             }
-            if let Some(ask) = client.next_request(now).filter(|_| reached) {
-                let lent = coordinator.grant(now, &format!("g{g}"), &ask).expect("it is known");
-                client.on_grant(now, &lent);
+            if let Some(request) = client.next_request(now).filter(|_| is_reached) {
+                let grant = coordinator.grant(now, &format!("g{g}"), &request).expect("it is known");
+                client.on_grant(now, &grant);
             }
         }
-        passed.push(through);
+        passed.push(passed_now);
     }
     (passed, refused)
 }
@@ -99,18 +99,20 @@
     let mut client = QuotaClient::new(0);
     client.set_limits(0, &limits(10.0, 10.0));
     assert!(!matches!(client.acquire(0, "t", 0.5, None), Decision::Granted), "nothing is known yet");
-    let ask = client.next_request(0).expect("it is time");
-    client.on_grant(MS, &LeaseGrant { number: ask.number, ..LeaseGrant::default() });
+    let request = client.next_request(0).expect("it is time");
+    client.on_grant(MS, &LeaseGrant { number: request.number, ..LeaseGrant::default() });
     assert!(matches!(client.acquire(MS, "t", 0.5, None), Decision::Wait { .. }));
-    let ask = client.next_request(MS).expect("somebody waits");
+    let request = client.next_request(MS).expect("somebody waiting_since");
     let loan = UnitGrant { tenant: "t".into(), units: 3, remaining: 5.0, arrival_rate: 1.0 };
-    assert!(client
-        .on_grant(2 * MS, &LeaseGrant { number: ask.number, units: vec![loan], ..LeaseGrant::default() }));
+    assert!(client.on_grant(
+        2 * MS,
+        &LeaseGrant { number: request.number, units: vec![loan], ..LeaseGrant::default() }
+    ));
     assert_eq!(client.acquire(3 * MS, "t", 0.5, Some(MS)), Decision::Granted);
     // Awake from a freeze: the two others have ended, whatever the client thinks of the time between.
     assert!(!matches!(client.acquire(S, "t", 0.5, None), Decision::Granted));
-    let ask = client.next_request(S).expect("it is time");
-    assert_eq!(ask.units[0].returned, 2);
+    let request = client.next_request(S).expect("it is time");
+    assert_eq!(request.units[0].returned, 2);
 }
 
 #[test]
@@ -121,7 +123,7 @@
     let mut client = QuotaClient::new(0);
     client.set_limits(0, &limits);
     assert!(matches!(client.acquire(S, "t", 1.0, None), Decision::Wait { .. }));
-    let request = client.next_request(S).expect("a request waits");
+    let request = client.next_request(S).expect("a request waiting_since");
     let grant = coordinator.grant(S, "g0", &request).expect("it is known");
     let granted = grant.units[0].units;
     assert!(granted > 0, "the bucket holds some");
--- a/crates/testing/control-sim/src/growth/pieces.rs
+++ b/crates/testing/control-sim/src/growth/pieces.rs
@@ -101,11 +101,11 @@
         });
     }
     held("backends", format!("{}", facts.len()), NOW, &|| {
-        let mut cell = ZoneRegistry::new(1500 * MS, 0);
+        let mut registry = ZoneRegistry::new(1500 * MS, 0);
         for f in &facts {
-            cell.on_heartbeat(0, f.clone());
+            registry.on_heartbeat(0, f.clone());
         }
-        Box::new(cell)
+        Box::new(registry)
     });
     for all in [100, 1000] {
         held("1,024 changes, each the list of gateways", format!("{all} gateways"), NOW, &|| {
@@ -241,37 +241,55 @@
     lines
 }
 
-/// A coordinator's ask of as many wants as a gateway of the operators' size has in a tenth of a second.
+/// Requests of gateways to the coordinator, each for as many tenants as a gateway of the operators' size serves in a tenth of
+/// a second: while all are in time, and while a third of them are late.
 fn coordinators() -> Vec<String> {
-    let columns = ["gateways, tenants", "a request, us", "all requests, ten a second a gateway, cores"];
+    let columns = [
+        "gateways, tenants",
+        "a request, us",
+        "with a third of the gateways late, us",
+        "all requests, ten a second a gateway, cores",
+    ];
     let mut lines = head("The quota coordinator", &columns);
     let sizes =
         GATEWAYS.map(|g| (g, 1000)).into_iter().chain(TENANTS.map(|t| (100, t))).chain([(1000, 38_000)]);
     for (all, tenants) in sizes {
-        let (names, limits) = (gateways(all), limits(tenants));
-        let mut coordinator =
-            QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &names);
-        let (mut now, mut number) = (0, 0usize);
-        let one = micros(|| {
-            number += 1;
-            now += 100 * MS / all as u64;
-            let want = |n| UnitRequest {
-                tenant: tenant((number * 7 + n * 13) % tenants),
-                units: 1,
-                arrivals: 1,
-                returned: 0,
-                spent_fallback: 0,
-            };
-            let wants = (0..REQUESTS / 10).map(want).collect();
-            let ask = LeaseRequest { number: number as u64, units: wants, turns: Vec::new() };
-            let name = format!("edge-long-bien-{}", number % all);
-            black_box(coordinator.grant(now, &name, &ask));
-        });
-        lines.push(format!("| {all}, {tenants} | {one:.1} | {:.3} |", one * 10.0 * all as f64 / 1e6));
+        let (in_time, late) =
+            (lease_request_micros(all, tenants, 0), lease_request_micros(all, tenants, all / 3));
+        let cores = in_time * 10.0 * all as f64 / 1e6;
+        lines.push(format!("| {all}, {tenants} | {in_time:.1} | {late:.1} | {cores:.3} |"));
     }
     lines
 }
 
+/// What a request costs the coordinator, in microseconds. A late gateway asks in one round of four.
+fn lease_request_micros(gateway_count: usize, tenants: usize, late_gateways: usize) -> f64 {
+    const LATE_ROUNDS: usize = 4;
+    let (names, limits) = (gateways(gateway_count), limits(tenants));
+    let mut coordinator =
+        QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &names);
+    let mut number = 0usize;
+    micros(|| {
+        number += 1;
+        while number % gateway_count < late_gateways && !(number / gateway_count).is_multiple_of(LATE_ROUNDS)
+        {
+            number += 1;
+        }
+        let now = number as u64 * 100 * MS / gateway_count as u64;
+        let unit_request = |n| UnitRequest {
+            tenant: tenant((number * 7 + n * 13) % tenants),
+            units: 1,
+            arrivals: 1,
+            returned: 0,
+            spent_fallback: 0,
+        };
+        let units = (0..REQUESTS / 10).map(unit_request).collect();
+        let request = LeaseRequest { number: number as u64, units, turns: Vec::new() };
+        let name = format!("edge-long-bien-{}", number % gateway_count);
+        black_box(coordinator.grant(now, &name, &request));
+    })
+}
+
 /// A gateway's own part: a second of its requests, nearly each of another tenant, and of its asks.
 fn clients() -> Vec<String> {
     let columns = [
@@ -358,7 +376,7 @@
     for count in CONTROL_NODES {
         let nodes = (0..count).map(|n| (format!("10.{n}.0.5"), "long-bien".into())).collect();
         told(
-            "a pulse",
+            "a heartbeat",
             format!("{count} control nodes"),
             &GatewayUpdate::Heartbeat {
                 contact_number: 300,
@@ -369,7 +387,7 @@
         );
     }
     for (all, backends, leaving) in [(85, 231, 8), (300, 800, 4096), (1000, 9200, 4096)] {
-        let scene = FleetSnapshot {
+        let snapshot = FleetSnapshot {
             backends: (0..backends).map(fact).collect(),
             complete: true,
             draining: (0..leaving).map(|n| fact(n).instance).collect(),
@@ -377,9 +395,9 @@
         };
         let size = format!("{all} gateways, {backends} backends, {leaving} leaving");
         told(
-            "a scene, but for the configuration",
+            "a snapshot, but for the configuration",
             size,
-            &GatewayUpdate::Snapshot { offset: from, snapshot: Box::new(scene) },
+            &GatewayUpdate::Snapshot { offset: from, snapshot: Box::new(snapshot) },
         );
     }
     lines
@@ -433,31 +451,31 @@
         "backends",
         "taken in",
         "a new one, us",
-        "a beat, us",
+        "a heartbeat, us",
         "another node's beat, us",
         "a sweep, us",
         "all of them, B",
     ];
     let mut lines = head("Backends at a control node", &columns);
     for count in BACKENDS {
-        let (mut cell, mut known, began) = (ZoneRegistry::new(1500 * MS, 0), 0, spent());
+        let (mut registry, mut known, began) = (ZoneRegistry::new(1500 * MS, 0), 0, spent());
         for n in 0..count {
-            known += usize::from(cell.on_heartbeat(0, fact(n)) == HeartbeatOutcome::New);
+            known += usize::from(registry.on_heartbeat(0, fact(n)) == HeartbeatOutcome::New);
         }
         let new = (spent() - began) * 1e6 / count as f64;
         let facts: Vec<_> = (0..count).map(fact).collect();
         let mut n = 0;
         let beat = micros(|| {
             n = (n + 1) % known;
-            black_box(cell.on_heartbeat(MS, facts[n].clone()));
+            black_box(registry.on_heartbeat(MS, facts[n].clone()));
         });
         let again = micros(|| {
             n = (n + 1) % known;
-            black_box(cell.on_forwarded_heartbeat(MS, &facts[n].instance, 41));
+            black_box(registry.on_forwarded_heartbeat(MS, &facts[n].instance, 41));
         });
-        let swept = micros(|| drop(black_box(cell.expire_stale(2 * MS))));
+        let swept = micros(|| drop(black_box(registry.expire_stale(2 * MS))));
         let all = bytes(&ControlMessage::Heartbeats {
-            changed: cell.heartbeats().cloned().collect(),
+            changed: registry.heartbeats().cloned().collect(),
             unchanged: Vec::new(),
         });
         lines.push(format!("| {count} | {known} | {new:.1} | {beat:.2} | {again:.2} | {swept:.0} | {all} |"));
@@ -473,7 +491,7 @@
         "the leader's rounds, B/s out",
         "a greeting, B",
         "greetings, B/s out",
-        "of 9,200 backends: beats a node tells all others, B/s out",
+        "of 9,200 backends: heartbeats that a node forwards to all others, B/s out",
         "of 9,200 backends: a node that comes is told, B",
     ];
     let mut lines = head("Control nodes among themselves", &columns);
@@ -498,7 +516,8 @@
             unix_ms: 1_796_000_000_000,
         };
         let again = (0..9200 / count).map(|n| (fact(n).instance, 40)).collect();
-        let beats = bytes(&ControlMessage::Heartbeats { changed: Vec::new(), unchanged: again }) as f64 / 1.5;
+        let heartbeat_bytes_per_s =
+            bytes(&ControlMessage::Heartbeats { changed: Vec::new(), unchanged: again }) as f64 / 1.5;
         let all = bytes(&ControlMessage::Heartbeats {
             changed: (0..9200).map(fact).collect(),
             unchanged: Vec::new(),
@@ -516,7 +535,7 @@
                 })) as f64,
             bytes(&hello),
             2.0 * others * bytes(&hello) as f64,
-            others * beats,
+            others * heartbeat_bytes_per_s,
             all * (count - 1)
         ));
     }
