--- a/crates/common/quota/tests/limits.rs
+++ b/crates/common/quota/tests/limits.rs
@@ -102,7 +102,7 @@
     let request = client.next_request(0).expect("it is time");
     client.on_grant(MS, &LeaseGrant { number: request.number, ..LeaseGrant::default() });
     assert!(matches!(client.acquire(MS, "t", 0.5, None), Decision::Wait { .. }));
-    let request = client.next_request(MS).expect("somebody waiting_since");
+    let request = client.next_request(MS).expect("somebody waits");
     let loan = UnitGrant { tenant: "t".into(), units: 3, remaining: 5.0, arrival_rate: 1.0 };
     assert!(client.on_grant(
         2 * MS,
@@ -123,7 +123,7 @@
     let mut client = QuotaClient::new(0);
     client.set_limits(0, &limits);
     assert!(matches!(client.acquire(S, "t", 1.0, None), Decision::Wait { .. }));
-    let request = client.next_request(S).expect("a request waiting_since");
+    let request = client.next_request(S).expect("a request waits");
     let grant = coordinator.grant(S, "g0", &request).expect("it is known");
     let granted = grant.units[0].units;
     assert!(granted > 0, "the bucket holds some");
