--- a/crates/common/configuration/src/validation.rs
+++ b/crates/common/configuration/src/validation.rs
@@ -23,13 +23,14 @@
     /// # Errors
     /// The first thing that is wrong with it.
     pub fn validate(&self, body: &[u8]) -> Result<Configuration, ConfigurationError> {
-        let malformed = |error: serde_json::Error| ConfigurationError::Malformed(error.to_string());
-        let value: Value = serde_json::from_slice(body).map_err(malformed)?;
+        let value: Value =
+            serde_json::from_slice(body).map_err(|error| ConfigurationError::Malformed(error.to_string()))?;
         if let Err(error) = self.0.validate(&value) {
             let (path, reason) = (error.instance_path.to_string(), error.to_string());
             return Err(ConfigurationError::Schema { path, reason });
         }
-        let configuration: Configuration = serde_json::from_value(value).map_err(malformed)?;
+        // From the bytes, as whoever is handed them reads them: a `Value` keeps one of two equal names, and hides the other.
+        let configuration = Configuration::parse(body)?;
         validate_routes(&configuration)?;
         validate_keys(&configuration.tenants)?;
         configuration.tenants.iter().try_for_each(validate_trial)?;
