--- a/crates/data/data-plane/src/control_link.rs
+++ b/crates/data/data-plane/src/control_link.rs
@@ -3,17 +3,20 @@
 use crate::gateway::Gateway;
 use crate::membership::Membership;
 use messages::frame;
-use messages::{GatewayMessage, GatewayUpdate};
+use messages::{GatewayMessage, GatewayUpdate, Greeting, Query, QueryResponse, MESSAGE_FORMAT};
 use process::settings::{settings_path, Settings};
 use sockets::connect;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
-use subscription::{DisconnectReason, Effect, MAX_MESSAGE_TIME, SILENCE_TIMEOUT};
+use subscription::{DisconnectReason, Effect, MAX_MESSAGE_TIME, PROBE_INTERVAL, SILENCE_TIMEOUT};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, timeout, timeout_at, Instant, MissedTickBehavior};
 
+/// How long a control node may take to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// Messages that wait for the connection.
 const QUEUE_LENGTH: usize = 32;
@@ -99,6 +102,8 @@
         let silence_timeout = Duration::from_nanos(SILENCE_TIMEOUT);
         let max_message_time = Duration::from_nanos(MAX_MESSAGE_TIME);
         let mut last_message = Instant::now();
+        let mut probes = interval(Duration::from_nanos(PROBE_INTERVAL));
+        probes.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let deadline = reader.last_activity().max(last_message) + silence_timeout;
             let update = tokio::select! {
@@ -109,6 +114,10 @@
                     }
                     continue;
                 }
+                _ = probes.tick() => {
+                    self.probe_nodes();
+                    continue;
+                }
             };
             let now = Instant::now();
             let Ok(update) = update else {
@@ -132,8 +141,31 @@
         }
     }
 
+    /// Asks the nodes that were tried in vain, all at once, whether they have a quorum.
+    fn probe_nodes(&self) {
+        let nodes = self.gateway.with_subscription(|subscription, now| subscription.nodes_to_probe(now));
+        for ip in nodes {
+            let gateway = self.gateway.clone();
+            let address = SocketAddr::new(ip, self.settings.control_port());
+            spawn_local(async move {
+                if let Ok(Ok(Some(age_ms))) = timeout(PROBE_TIMEOUT, ask_quorum_contact(address)).await {
+                    gateway.with_subscription(|subscription, now| subscription.on_probed(now, ip, age_ms));
+                }
+            });
+        }
+    }
+
     fn on_update(&self, update: GatewayUpdate) -> Vec<Effect> {
         let missing = || self.membership.as_ref().map(|m| m.missing_members()).unwrap_or_default();
         self.gateway.with_subscription(|subscription, now| subscription.on_update(now, update, missing))
     }
 }
+
+/// How long ago a control node was in contact with a majority, in milliseconds; none: not since it started.
+async fn ask_quorum_contact(address: SocketAddr) -> io::Result<Option<u64>> {
+    let (mut reader, mut writer) = frame::split(connect(address).await?);
+    writer.write(&Greeting::Shell { format: MESSAGE_FORMAT }).await?;
+    writer.write(&Query::Status).await?;
+    let response = reader.read::<QueryResponse>().await?;
+    Ok(response.and_then(|response| response.quorum_contact_ms))
+}
--- a/crates/data/subscription/src/backoff.rs
+++ b/crates/data/subscription/src/backoff.rs
@@ -74,4 +74,16 @@
             backoff.retried = true;
         }
     }
+
+    /// The nodes that are not to be tried now.
+    pub fn backed_off(&self, now: Time) -> impl Iterator<Item = IpAddr> + '_ {
+        self.0.iter().filter(move |(_, backoff)| backoff.until > now).map(|(ip, _)| *ip)
+    }
+
+    /// A node may be tried from now on.
+    pub fn end(&mut self, now: Time, ip: &IpAddr) {
+        if let Some(backoff) = self.0.get_mut(ip) {
+            backoff.until = backoff.until.min(now);
+        }
+    }
 }
--- a/crates/data/subscription/src/lib.rs
+++ b/crates/data/subscription/src/lib.rs
@@ -11,7 +11,8 @@
 
 pub use freshness::Freshness;
 pub use subscription::{
-    DisconnectReason, Effect, NextNode, Subscription, SubscriptionConfig, MAX_MESSAGE_TIME, SILENCE_TIMEOUT,
+    DisconnectReason, Effect, NextNode, Subscription, SubscriptionConfig, MAX_MESSAGE_TIME, PROBE_INTERVAL,
+    SILENCE_TIMEOUT,
 };
 pub use view::{View, ViewChange};
 
--- a/crates/data/subscription/src/subscription.rs
+++ b/crates/data/subscription/src/subscription.rs
@@ -18,6 +18,8 @@
 pub const MAX_MESSAGE_TIME: Time = 10_000 * MS;
 /// A control node that has proven nothing for so long, in milliseconds, is left.
 const MAX_CONTACT_AGE_MS: u32 = 1000;
+/// While the node that is followed has no quorum, the others are probed this often.
+pub const PROBE_INTERVAL: Time = 1000 * MS;
 /// A node whose connection was lost, or that had no quorum, is not tried again so soon while there are others.
 const LOST_BACKOFF: Time = 600 * MS;
 /// Nor one that refused the connection: it may be just starting.
@@ -88,6 +90,8 @@
     started: Time,
     receiver: ConfigurationReceiver,
     next_sweep: Time,
+    /// The node has lost the majority, by its latest heartbeat.
+    has_no_quorum: bool,
 }
 
 /// A gateway's subscription.
@@ -172,7 +176,8 @@
             self.position = FollowPosition::default();
         }
         let receiver = ConfigurationReceiver::default();
-        self.connection = Some(Connection { ip, is_direct, started: now, receiver, next_sweep: now });
+        self.connection =
+            Some(Connection { ip, is_direct, started: now, receiver, next_sweep: now, has_no_quorum: false });
         Greeting::Gateway {
             format: MESSAGE_FORMAT,
             name: self.config.name.clone(),
@@ -213,6 +218,25 @@
         self.timeouts_in_a_row >= ISOLATION_THRESHOLD
     }
 
+    /// The nodes to ask for their contact with a majority. Back-off spares nodes; whether one has a quorum again must be known
+    /// soon where the followed one has none, however often the others were tried in vain.
+    pub fn nodes_to_probe(&self, now: Time) -> Vec<IpAddr> {
+        match &self.connection {
+            Some(Connection { ip, has_no_quorum: true, .. }) => {
+                self.backoffs.backed_off(now).filter(|other| other != ip).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// A probed node says how long ago it was in contact with a majority, in milliseconds. One that has a quorum may be
+    /// followed at once.
+    pub fn on_probed(&mut self, now: Time, ip: IpAddr, quorum_contact_ms: u64) {
+        if quorum_contact_ms <= u64::from(MAX_CONTACT_AGE_MS) {
+            self.backoffs.end(now, &ip);
+        }
+    }
+
     /// An update of the control node. `missing`: gateways that this one believes to be gone.
     pub fn on_update(
         &mut self,
@@ -336,6 +360,9 @@
         let Connection { ip, is_direct, started, ref receiver, .. } = *self.connection.as_ref()?;
         let is_receiving = receiver.is_receiving();
         let has_no_quorum = quorum_contact_ms > MAX_CONTACT_AGE_MS;
+        if let Some(connection) = &mut self.connection {
+            connection.has_no_quorum = has_no_quorum;
+        }
         if has_no_quorum && self.configuration_index() == 0 && is_receiving {
             // After all of control was lost, what was in force is better than nothing until some node can prove more.
             return None;
--- a/crates/data/subscription/tests/subscription.rs
+++ b/crates/data/subscription/tests/subscription.rs
@@ -205,3 +205,55 @@
     let effects = f.on_update(now + 700 * MS, pulse(contact, 2000, 0), Vec::new);
     assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]), "{effects:?}");
 }
+
+#[test]
+fn gateway_whose_cut_has_healed_leaves_a_node_without_quorum_within_a_second() {
+    let (mut f, seeds) = (follow(), [ip(1), ip(2), ip(3)]);
+    let mut now = 0;
+    // A cut behind which one node without a quorum is reached, and the others are tried in vain again and again.
+    while now < 30_000 * MS {
+        let next = f.next_node(now, &seeds, |_| 0).expect("one of three");
+        let started = now;
+        if next.ip != ip(1) {
+            now += 250 * MS;
+            f.on_disconnected(now, next.ip, started, DisconnectReason::TimedOut);
+            continue;
+        }
+        let contact = begin(&mut f, now, ip(1));
+        let mut effects = Vec::new();
+        while !matches!(effects[..], [Effect::Disconnect(_)]) && now < 30_000 * MS {
+            now += 200 * MS;
+            effects = f.on_update(now, pulse(contact, 9000, 0), Vec::new);
+        }
+        if now < 30_000 * MS {
+            f.on_disconnected(now, ip(1), started, DisconnectReason::NoQuorum);
+        }
+    }
+    let probed = f.nodes_to_probe(now);
+    assert!(probed.contains(&ip(2)), "{probed:?}");
+    f.on_probed(now, ip(3), 1200);
+    f.on_probed(now, ip(2), 40);
+    let effects = f.on_update(now + 200 * MS, pulse(0, 9000, 0), Vec::new);
+    assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]), "{effects:?}");
+    f.on_disconnected(now + 200 * MS, ip(1), now, DisconnectReason::NoQuorum);
+    let next = f.next_node(now + 200 * MS, &seeds, |_| 0).expect("one of three");
+    assert_eq!((next.ip, next.is_backed_off), (ip(2), false));
+}
+
+#[test]
+fn nodes_are_not_probed_while_the_followed_one_has_a_quorum() {
+    let (mut f, seeds) = (follow(), [ip(1), ip(2)]);
+    f.next_node(0, &seeds, |_| 1);
+    f.on_disconnected(200 * MS, ip(2), 0, DisconnectReason::TimedOut);
+    let contact = begin(&mut f, 250 * MS, ip(1));
+    f.on_update(260 * MS, pulse(contact, 5, 0), Vec::new);
+    assert!(f.nodes_to_probe(270 * MS).is_empty());
+    f.on_update(460 * MS, pulse(contact, 9000, 0), Vec::new);
+    f.on_disconnected(470 * MS, ip(1), 250 * MS, DisconnectReason::NoQuorum);
+    f.on_disconnected(700 * MS, ip(2), 500 * MS, DisconnectReason::TimedOut);
+    let contact = begin(&mut f, 750 * MS, ip(1));
+    f.on_update(760 * MS, pulse(contact, 9000, 0), Vec::new);
+    assert_eq!(f.nodes_to_probe(770 * MS), [ip(2)]);
+    f.on_update(960 * MS, pulse(contact, 5, 0), Vec::new);
+    assert!(f.nodes_to_probe(970 * MS).is_empty());
+}
--- a/crates/testing/control-sim/src/cluster.rs
+++ b/crates/testing/control-sim/src/cluster.rs
@@ -18,7 +18,7 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::IpAddr;
-use subscription::{DisconnectReason, NextNode, ViewChange, SILENCE_TIMEOUT};
+use subscription::{DisconnectReason, NextNode, ViewChange, PROBE_INTERVAL, SILENCE_TIMEOUT};
 use trial::UnixMillis;
 
 /// Who is not linked yet is dialled so often.
@@ -83,6 +83,10 @@
         g: usize,
         number: u64,
     },
+    Probe {
+        g: usize,
+        number: u64,
+    },
     World(E),
 }
 
@@ -277,6 +281,7 @@
                     }
                 }
             }
+            Event::Probe { g, number } => self.probe_nodes(g, number),
         }
         Ok(None)
     }
@@ -526,11 +531,37 @@
         let link = Link { number, machine: n, machine_start: life, remote_number: theirs };
         self.gateways[g].link = Some(link);
         self.at(now + SILENCE_TIMEOUT, Event::Silent { g, number });
+        self.at(now + PROBE_INTERVAL, Event::Probe { g, number });
         self.at(now, Event::SubscriptionHeartbeat { g, link });
         self.update_subscriber(g, n);
         Ok(())
     }
 
+    /// Asks the nodes that the gateway tried in vain for their contact with a majority, for as long as this link stands.
+    fn probe_nodes(&mut self, g: usize, number: u64) {
+        let (now, gateway) = (self.now, &self.gateways[g]);
+        if gateway.link.is_none_or(|link| link.number != number) {
+            return;
+        }
+        if gateway.suspended_until <= now && gateway.isolated_until <= now {
+            for ip in gateway.subscription.nodes_to_probe(now) {
+                if let Some(contact) = self.quorum_contact(machine_index(&ip.to_string())) {
+                    let age_ms = now.saturating_sub(contact) / MS;
+                    self.gateways[g].subscription.on_probed(now, ip, age_ms);
+                }
+            }
+        }
+        let next = (now + PROBE_INTERVAL).max(self.gateways[g].suspended_until);
+        self.at(next, Event::Probe { g, number });
+    }
+
+    /// When this machine was last in contact with a majority, if it can say.
+    fn quorum_contact(&mut self, n: usize) -> Option<Time> {
+        let now = self.now;
+        let machine = self.machines.get_mut(n).filter(|machine| !machine.is_removed && machine.runs(now))?;
+        machine.with(|node| node.last_quorum_contact(now)).flatten()
+    }
+
     /// The gateway's link ends, by its own will.
     fn end_link(&mut self, g: usize, end: DisconnectReason) {
         let Some(link) = self.gateways[g].link else { return };
