--- a/crates/common/quota/tests/overload.rs
+++ b/crates/common/quota/tests/overload.rs
@@ -22,6 +22,14 @@
 /// One way.
 const LINK_DELAY: Time = 5 * MS;
 const LENGTH: Time = 8 * SECOND;
+/// Of plays with drawn troubles, which begin within the span that follows, the length.
+const DRAWN_LENGTH: Time = 13 * SECOND;
+const TROUBLED: Range<Time> = SECOND..7 * SECOND;
+/// From the last trouble on no request within its limit is refused after so long.
+const RECOVERY: Time = 3 * SECOND;
+/// Drawn plays; more by hand with the environment variable of this name.
+const DRAWN_PLAYS: &str = "DRAWN_PLAYS";
+const DEFAULT_DRAWN_PLAYS: u64 = 10;
 
 fn tenant(number: usize) -> String {
     format!("t{number}")
@@ -42,9 +50,48 @@
     until: Time,
 }
 
+/// What goes wrong in a play.
+#[derive(Debug, Default)]
+struct Troubles {
+    /// The coordinator stands still.
+    standstills: Vec<Range<Time>>,
+    /// Another coordinator begins, and knows nothing of what was granted.
+    failovers: Vec<Time>,
+    /// These gateways begin anew, one after the other.
+    restarts: Vec<(Time, usize)>,
+}
+
+impl Troubles {
+    fn standstill(span: Range<Time>) -> Self {
+        Troubles { standstills: vec![span], ..Troubles::default() }
+    }
+
+    /// Series that overlap.
+    fn draw(rng: &mut Rng) -> Self {
+        let standstills = (0..rng.usize(1..5)).map(|_| {
+            let begin = rng.u64(TROUBLED);
+            begin..begin + rng.u64(50..1800) * MS
+        });
+        let standstills = standstills.collect();
+        let failovers = (0..rng.usize(..4)).map(|_| rng.u64(TROUBLED)).collect();
+        let first_restart = rng.u64(TROUBLED);
+        let restarts = (0..rng.usize(..GATEWAYS / 2)).map(|n| (first_restart + n as Time * 20 * MS, n));
+        Troubles { standstills, failovers, restarts: restarts.collect() }
+    }
+
+    fn end(&self) -> Time {
+        let standstills = self.standstills.iter().map(|span| span.end);
+        let restarts = self.restarts.iter().map(|(at, _)| *at);
+        standstills.chain(self.failovers.iter().copied()).chain(restarts).max().unwrap_or_default()
+    }
+}
+
 struct Simulation {
     rng: Rng,
+    limits: BTreeMap<String, Limit>,
+    names: BTreeSet<String>,
     coordinator: QuotaCoordinator,
+    coordinator_began: Time,
     clients: Vec<QuotaClient>,
     waiting: Vec<Vec<Waiting>>,
     /// Whether requests that wait may go on.
@@ -66,16 +113,14 @@
             (0..TENANTS).map(|number| (tenant(number), Limit::new(rate, rate))).collect();
         let coordinator =
             QuotaCoordinator::new(0, 1, PreviousCoordinator::LongAgo, &limits, &BTreeSet::new(), &names);
-        let client = |_| {
-            let mut client = QuotaClient::new(0);
-            client.set_limits(0, &limits);
-            client.set_gateway_count(GATEWAYS as u32);
-            client
-        };
+        let clients = (0..GATEWAYS).map(|_| new_client(0, &limits)).collect();
         Simulation {
             rng: Rng::with_seed(seed),
+            limits,
+            names,
             coordinator,
-            clients: (0..GATEWAYS).map(client).collect(),
+            coordinator_began: 0,
+            clients,
             waiting: (0..GATEWAYS).map(|_| Vec::new()).collect(),
             may_go_on: vec![false; GATEWAYS],
             requests: VecDeque::new(),
@@ -86,19 +131,37 @@
         }
     }
 
-    /// The coordinator stands still over `pause`.
-    fn play(mut self, pause: Range<Time>) -> Self {
-        for now in (0..LENGTH).step_by(STEP as usize) {
-            self.answer_requests(now, &pause);
+    fn play(mut self, troubles: &Troubles, length: Time) -> Self {
+        for now in (0..length).step_by(STEP as usize) {
+            self.begin_anew(now, troubles);
+            self.answer_requests(now, &troubles.standstills);
             self.deliver_grants(now);
             (0..GATEWAYS).for_each(|gateway| self.serve_clients(now, gateway));
         }
         self
     }
 
-    fn answer_requests(&mut self, now: Time, pause: &Range<Time>) {
-        if pause.contains(&self.free_at.max(now)) {
-            self.free_at = pause.end;
+    /// Whoever begins anew in this step does.
+    fn begin_anew(&mut self, now: Time, troubles: &Troubles) {
+        let step = now..now + STEP;
+        for at in troubles.failovers.iter().filter(|at| step.contains(at)) {
+            let age = now.saturating_sub(std::mem::replace(&mut self.coordinator_began, now));
+            let previous = PreviousCoordinator::began_before(age);
+            let nothing = BTreeSet::new();
+            self.coordinator = QuotaCoordinator::new(now, *at, previous, &self.limits, &nothing, &self.names);
+            // What waited for the one before is lost.
+            self.requests.clear();
+            self.free_at = now;
+        }
+        for (_, gateway) in troubles.restarts.iter().filter(|(at, _)| step.contains(at)) {
+            self.clients[*gateway] = new_client(now, &self.limits);
+            self.waiting[*gateway].clear();
+        }
+    }
+
+    fn answer_requests(&mut self, now: Time, standstills: &[Range<Time>]) {
+        while let Some(span) = standstills.iter().find(|span| span.contains(&self.free_at.max(now))) {
+            self.free_at = span.end;
         }
         while self.requests.front().is_some_and(|request| request.arrives_at.max(self.free_at) <= now) {
             let Some(InFlight { arrives_at, gateway, message }) = self.requests.pop_front() else { return };
@@ -142,13 +205,20 @@
     }
 }
 
+fn new_client(now: Time, limits: &BTreeMap<String, Limit>) -> QuotaClient {
+    let mut client = QuotaClient::new(now);
+    client.set_limits(now, limits);
+    client.set_gateway_count(GATEWAYS as u32);
+    client
+}
+
 fn count_within(times: &[Time], span: Range<Time>) -> usize {
     times.iter().filter(|at| span.contains(at)).count()
 }
 
 #[test]
 fn coordinator_that_stood_still_for_a_second_is_in_time_again() {
-    let play = Simulation::new(1).play(2 * SECOND..3 * SECOND);
+    let play = Simulation::new(1).play(&Troubles::standstill(2 * SECOND..3 * SECOND), LENGTH);
     let before = count_within(&play.refused, SECOND..2 * SECOND);
     let after = count_within(&play.refused, 6 * SECOND..8 * SECOND);
     assert_eq!(
@@ -160,7 +230,7 @@
 
 #[test]
 fn gateways_do_not_ask_more_often_than_idle_ones_while_they_are_not_answered() {
-    let play = Simulation::new(2).play(2 * SECOND..4 * SECOND);
+    let play = Simulation::new(2).play(&Troubles::standstill(2 * SECOND..4 * SECOND), LENGTH);
     let unanswered = count_within(&play.lease_requests, 3 * SECOND..4 * SECOND);
     let idle = GATEWAYS * (SECOND / REQUEST_INTERVAL) as usize;
     assert!(
@@ -168,3 +238,16 @@
         "{unanswered} requests in a second without an answer, {idle} of idle gateways"
     );
 }
+
+#[test]
+fn drawn_series_of_standstills_failovers_and_restarts_leave_no_refusals_behind() {
+    let plays = std::env::var(DRAWN_PLAYS).ok().and_then(|plays| plays.parse().ok());
+    for seed in 0..plays.unwrap_or(DEFAULT_DRAWN_PLAYS) {
+        let mut rng = Rng::with_seed(seed);
+        let troubles = Troubles::draw(&mut rng);
+        let settled = troubles.end() + RECOVERY;
+        let play = Simulation::new(seed).play(&troubles, DRAWN_LENGTH);
+        let refused = count_within(&play.refused, settled..DRAWN_LENGTH);
+        assert_eq!(refused, 0, "seed {seed}: refused within their limits from {settled} ns on: {troubles:?}");
+    }
+}
