--- a/crates/data/subscription/tests/subscription.rs
+++ b/crates/data/subscription/tests/subscription.rs
@@ -14,7 +14,7 @@
     IpAddr::from([10, 0, 0, n])
 }
 
-fn follow() -> Subscription {
+fn new_subscription() -> Subscription {
     Subscription::new(SubscriptionConfig {
         name: "g".into(),
         zone: "z".into(),
@@ -22,89 +22,91 @@
     })
 }
 
-fn pulse(contact: u64, touch_ms: u32, newest: u64) -> GatewayUpdate {
+fn heartbeat(contact_number: u64, quorum_contact_ms: u32, newest_configuration: u64) -> GatewayUpdate {
     let control_nodes = (1..=3).map(|n| (ip(n).to_string(), String::new())).collect();
-    GatewayUpdate::Heartbeat {
-        contact_number: contact,
-        quorum_contact_ms: touch_ms,
-        newest_configuration: newest,
-        control_nodes,
-    }
+    GatewayUpdate::Heartbeat { contact_number, quorum_contact_ms, newest_configuration, control_nodes }
 }
 
-fn begin(f: &mut Subscription, now: Time, at: IpAddr) -> u64 {
-    match f.on_connected(now, at, true) {
+fn connect(subscription: &mut Subscription, now: Time, at: IpAddr) -> u64 {
+    match subscription.on_connected(now, at, true) {
         Greeting::Gateway { contact_number: contact, .. } => contact,
         other => panic!("{other:?}"),
     }
 }
 
-fn said(effects: &[Effect]) -> Option<u64> {
+fn sent_contact_number(effects: &[Effect]) -> Option<u64> {
     effects.iter().find_map(|e| match e {
         Effect::Send(GatewayMessage::ContactNumber { number }) => Some(*number),
         _ => None,
     })
 }
 
-/// Seed 591. The second pulse was sent at 200 ms and is read by a gateway that has stood still for twenty seconds.
+/// Seed 591. The second heartbeat was sent at 200 ms and is read by a gateway that has stood still for twenty seconds.
 #[test]
 fn heartbeat_proves_no_more_than_its_contact_number() {
-    let mut f = follow();
-    let first = begin(&mut f, 0, ip(1));
-    let number = said(&f.on_update(10 * MS, pulse(first, 5, 0), Vec::new)).expect("a number for the next");
-    assert_eq!(f.freshness().last_quorum_contact(), None, "5 ms before it asked there was no gateway");
-    f.on_update(20_000 * MS, pulse(number, 5, 0), Vec::new);
-    assert_eq!(f.freshness().last_quorum_contact(), Some(5 * MS));
-    assert!(!f.freshness().is_fresh(20_000 * MS) && !f.freshness().is_ready(20_000 * MS));
+    let mut subscription = new_subscription();
+    let first = connect(&mut subscription, 0, ip(1));
+    let number = sent_contact_number(&subscription.on_update(10 * MS, heartbeat(first, 5, 0), Vec::new))
+        .expect("a number for the next");
+    assert_eq!(
+        subscription.freshness().last_quorum_contact(),
+        None,
+        "5 ms before it asked there was no gateway"
+    );
+    subscription.on_update(20_000 * MS, heartbeat(number, 5, 0), Vec::new);
+    assert_eq!(subscription.freshness().last_quorum_contact(), Some(5 * MS));
+    assert!(
+        !subscription.freshness().is_fresh(20_000 * MS) && !subscription.freshness().is_ready(20_000 * MS)
+    );
     // One that was answered proves nothing again, nor does one that was never said.
-    f.on_update(20_000 * MS, pulse(number, 0, 0), Vec::new);
-    f.on_update(20_000 * MS, pulse(99, 0, 0), Vec::new);
-    assert_eq!(f.freshness().last_quorum_contact(), Some(5 * MS));
+    subscription.on_update(20_000 * MS, heartbeat(number, 0, 0), Vec::new);
+    subscription.on_update(20_000 * MS, heartbeat(99, 0, 0), Vec::new);
+    assert_eq!(subscription.freshness().last_quorum_contact(), Some(5 * MS));
 }
 
 #[test]
 fn gateway_without_the_newest_configuration_is_not_fresh() {
-    let mut f = follow();
-    let first = begin(&mut f, 1000 * MS, ip(1));
-    f.on_update(1010 * MS, pulse(first, 5, 7), Vec::new);
-    assert!(f.freshness().is_ready(1020 * MS) && !f.freshness().is_fresh(1020 * MS));
+    let mut subscription = new_subscription();
+    let first = connect(&mut subscription, 1000 * MS, ip(1));
+    subscription.on_update(1010 * MS, heartbeat(first, 5, 7), Vec::new);
+    assert!(subscription.freshness().is_ready(1020 * MS) && !subscription.freshness().is_fresh(1020 * MS));
 }
 
 /// All processes were killed: whoever begins again holds nothing, and no control-plane node is in contact with a
 /// majority yet.
 #[test]
 fn gateway_without_a_configuration_accepts_one_without_contact() {
-    let mut f = follow();
-    let first = begin(&mut f, 0, ip(1));
+    let mut subscription = new_subscription();
+    let first = connect(&mut subscription, 0, ip(1));
     let body = vec![7; 3 * CHUNK_BYTES];
     let agreed = Arc::new(CommittedConfiguration { version: 5, index: 9, body });
     let (steps, mut sender) = (DeltaHistory::default(), ConfigurationSender::new(0));
     let parts: Vec<_> = std::iter::from_fn(|| sender.next_chunk(&steps, Some(&agreed))).collect();
     for part in parts {
-        f.on_update(MS, GatewayUpdate::ConfigurationChunk(part), Vec::new);
-        let effects = f.on_update(2 * MS, pulse(first, u32::MAX, 9), Vec::new);
-        assert!(said(&effects).is_some(), "it stays");
+        subscription.on_update(MS, GatewayUpdate::ConfigurationChunk(part), Vec::new);
+        let effects = subscription.on_update(2 * MS, heartbeat(first, u32::MAX, 9), Vec::new);
+        assert!(sent_contact_number(&effects).is_some(), "it stays");
     }
     sender.on_received(9, 2 * CHUNK_BYTES as u32);
-    f.on_update(
+    subscription.on_update(
         3 * MS,
         GatewayUpdate::ConfigurationChunk(sender.next_chunk(&steps, Some(&agreed)).expect("the rest")),
         Vec::new,
     );
-    assert_eq!(f.configuration_index(), 9);
-    let effects = f.on_update(4 * MS, pulse(first, u32::MAX, 9), Vec::new);
+    assert_eq!(subscription.configuration_index(), 9);
+    let effects = subscription.on_update(4 * MS, heartbeat(first, u32::MAX, 9), Vec::new);
     assert!(
         matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]),
         "now it looks for one that can prove it: {effects:?}"
     );
-    assert!(!f.freshness().is_fresh(5 * MS) && !f.freshness().is_ready(5 * MS));
+    assert!(!subscription.freshness().is_fresh(5 * MS) && !subscription.freshness().is_ready(5 * MS));
 }
 
 /// Seed 11763: a gateway in the middle of a long configuration left for its own zone's control-plane node, which was
 /// isolated, and began anew.
 #[test]
 fn subscription_stays_while_a_configuration_is_in_transfer() {
-    let mut f = follow();
+    let mut subscription = new_subscription();
     let near = |contact| {
         let control_nodes = vec![(ip(1).to_string(), "z".into()), (ip(2).to_string(), String::new())];
         GatewayUpdate::Heartbeat {
@@ -114,37 +116,40 @@
             control_nodes,
         }
     };
-    let first = begin(&mut f, 0, ip(2));
+    let first = connect(&mut subscription, 0, ip(2));
     let agreed = Arc::new(CommittedConfiguration { version: 5, index: 9, body: vec![7; CHUNK_BYTES + 1] });
     let (steps, mut sender) = (DeltaHistory::default(), ConfigurationSender::new(0));
-    f.on_update(
+    subscription.on_update(
         MS,
         GatewayUpdate::ConfigurationChunk(sender.next_chunk(&steps, Some(&agreed)).expect("the first")),
         Vec::new,
     );
-    assert!(said(&f.on_update(2 * MS, near(first), Vec::new)).is_some(), "it stays");
-    f.on_update(
+    assert!(
+        sent_contact_number(&subscription.on_update(2 * MS, near(first), Vec::new)).is_some(),
+        "it stays"
+    );
+    subscription.on_update(
         3 * MS,
         GatewayUpdate::ConfigurationChunk(sender.next_chunk(&steps, Some(&agreed)).expect("the rest")),
         Vec::new,
     );
-    let effects = f.on_update(4 * MS, near(first), Vec::new);
+    let effects = subscription.on_update(4 * MS, near(first), Vec::new);
     assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NearerNode)]), "{effects:?}");
 }
 
 /// Seed 3471: one that refuses is not dialled again and again while others have not been tried for long.
 #[test]
 fn unreachable_nodes_are_tried_in_turn() {
-    let (mut f, seeds) = (follow(), [ip(1), ip(2), ip(3)]);
+    let (mut subscription, seeds) = (new_subscription(), [ip(1), ip(2), ip(3)]);
     let (mut now, mut tried) = (0, Vec::new());
     for _ in 0..40 {
-        let at = f.next_node(now, &seeds, |_| 0).expect("one of three").ip;
+        let at = subscription.next_node(now, &seeds, |_| 0).expect("one of three").ip;
         tried.push(at);
         let (end, takes) =
             if at == ip(2) { (DisconnectReason::Refused, 1) } else { (DisconnectReason::TimedOut, 200) };
         let began = now;
         now += takes * MS;
-        f.on_disconnected(now, at, began, end);
+        subscription.on_disconnected(now, at, began, end);
         now += 50 * MS;
     }
     for three in tried[30..].windows(3) {
@@ -156,104 +161,104 @@
 /// itself.
 #[test]
 fn nodes_that_timed_out_are_retried_when_another_has_no_quorum() {
-    let (mut f, seeds) = (follow(), [ip(1), ip(2), ip(3)]);
+    let (mut subscription, seeds) = (new_subscription(), [ip(1), ip(2), ip(3)]);
     let mut now = 0;
     for _ in 0..20 {
-        let at = f.next_node(now, &seeds, |_| 0).expect("one of three").ip;
-        f.on_disconnected(now + 200 * MS, at, now, DisconnectReason::TimedOut);
+        let at = subscription.next_node(now, &seeds, |_| 0).expect("one of three").ip;
+        subscription.on_disconnected(now + 200 * MS, at, now, DisconnectReason::TimedOut);
         now += 250 * MS;
     }
-    let first = begin(&mut f, now, ip(1));
-    let effects = f.on_update(now + 5 * MS, pulse(first, 9000, 0), Vec::new);
+    let first = connect(&mut subscription, now, ip(1));
+    let effects = subscription.on_update(now + 5 * MS, heartbeat(first, 9000, 0), Vec::new);
     assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]), "{effects:?}");
-    f.on_disconnected(now + 5 * MS, ip(1), now, DisconnectReason::NoQuorum);
+    subscription.on_disconnected(now + 5 * MS, ip(1), now, DisconnectReason::NoQuorum);
     let mut tried = BTreeSet::new();
     for _ in 0..2 {
-        let next = f.next_node(now + 6 * MS, &seeds, |_| 0).expect("one of three");
+        let next = subscription.next_node(now + 6 * MS, &seeds, |_| 0).expect("one of three");
         let (at, open) = (next.ip, !next.is_backed_off);
         assert!(open, "at once");
         tried.insert(at);
-        f.on_disconnected(now + 206 * MS, at, now + 6 * MS, DisconnectReason::TimedOut);
+        subscription.on_disconnected(now + 206 * MS, at, now + 6 * MS, DisconnectReason::TimedOut);
     }
     assert_eq!(tried, [ip(2), ip(3)].into());
     // They are not there: the one that is, is better than none, and they are let be for as long as before.
     now += 300 * MS;
-    let first = begin(&mut f, now, ip(1));
-    let effects = f.on_update(now + 5 * MS, pulse(first, 9300, 0), Vec::new);
-    assert!(said(&effects).is_some(), "{effects:?}");
+    let first = connect(&mut subscription, now, ip(1));
+    let effects = subscription.on_update(now + 5 * MS, heartbeat(first, 9300, 0), Vec::new);
+    assert!(sent_contact_number(&effects).is_some(), "{effects:?}");
 }
 
 /// Seed 700831: elections of two minutes had made each failure the tenth in a row, so that a gateway stayed for 4.8 s with
 /// a leader that was isolated, while the others had elected another.
 #[test]
 fn failures_of_long_ago_do_not_prolong_a_backoff() {
-    let mut f = follow();
-    let without_quorum = |f: &mut Subscription, now: Time, node: IpAddr| {
-        let contact = begin(f, now, node);
-        f.on_update(now + MS, pulse(contact, 1200, 0), Vec::new);
-        f.on_disconnected(now + 2 * MS, node, now, DisconnectReason::NoQuorum);
+    let mut subscription = new_subscription();
+    let without_quorum = |subscription: &mut Subscription, now: Time, node: IpAddr| {
+        let contact = connect(subscription, now, node);
+        subscription.on_update(now + MS, heartbeat(contact, 1200, 0), Vec::new);
+        subscription.on_disconnected(now + 2 * MS, node, now, DisconnectReason::NoQuorum);
     };
     let mut now = 0;
     for _ in 0..10 {
         now += 30_000 * MS;
-        without_quorum(&mut f, now, ip(2));
-        without_quorum(&mut f, now + 3 * MS, ip(3));
+        without_quorum(&mut subscription, now, ip(2));
+        without_quorum(&mut subscription, now + 3 * MS, ip(3));
     }
-    let contact = begin(&mut f, now + 6 * MS, ip(1));
-    let effects = f.on_update(now + 10 * MS, pulse(contact, 1300, 0), Vec::new);
-    assert!(said(&effects).is_some(), "both others were just without a quorum: {effects:?}");
-    let effects = f.on_update(now + 700 * MS, pulse(contact, 2000, 0), Vec::new);
+    let contact = connect(&mut subscription, now + 6 * MS, ip(1));
+    let effects = subscription.on_update(now + 10 * MS, heartbeat(contact, 1300, 0), Vec::new);
+    assert!(sent_contact_number(&effects).is_some(), "both others were just without a quorum: {effects:?}");
+    let effects = subscription.on_update(now + 700 * MS, heartbeat(contact, 2000, 0), Vec::new);
     assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]), "{effects:?}");
 }
 
 #[test]
 fn gateway_whose_cut_has_healed_leaves_a_node_without_quorum_within_a_second() {
-    let (mut f, seeds) = (follow(), [ip(1), ip(2), ip(3)]);
+    let (mut subscription, seeds) = (new_subscription(), [ip(1), ip(2), ip(3)]);
     let mut now = 0;
     // A cut behind which one node without a quorum is reached, and the others are tried in vain again and again.
     while now < 30_000 * MS {
-        let next = f.next_node(now, &seeds, |_| 0).expect("one of three");
+        let next = subscription.next_node(now, &seeds, |_| 0).expect("one of three");
         let started = now;
         if next.ip != ip(1) {
             now += 250 * MS;
-            f.on_disconnected(now, next.ip, started, DisconnectReason::TimedOut);
+            subscription.on_disconnected(now, next.ip, started, DisconnectReason::TimedOut);
             continue;
         }
-        let contact = begin(&mut f, now, ip(1));
+        let contact = connect(&mut subscription, now, ip(1));
         let mut effects = Vec::new();
         while !matches!(effects[..], [Effect::Disconnect(_)]) && now < 30_000 * MS {
             now += 200 * MS;
-            effects = f.on_update(now, pulse(contact, 9000, 0), Vec::new);
+            effects = subscription.on_update(now, heartbeat(contact, 9000, 0), Vec::new);
         }
         if now < 30_000 * MS {
-            f.on_disconnected(now, ip(1), started, DisconnectReason::NoQuorum);
+            subscription.on_disconnected(now, ip(1), started, DisconnectReason::NoQuorum);
         }
     }
-    let probed = f.nodes_to_probe(now);
+    let probed = subscription.nodes_to_probe(now);
     assert!(probed.contains(&ip(2)), "{probed:?}");
-    f.on_probed(now, ip(3), 1200);
-    f.on_probed(now, ip(2), 40);
-    let effects = f.on_update(now + 200 * MS, pulse(0, 9000, 0), Vec::new);
+    subscription.on_probed(now, ip(3), 1200);
+    subscription.on_probed(now, ip(2), 40);
+    let effects = subscription.on_update(now + 200 * MS, heartbeat(0, 9000, 0), Vec::new);
     assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]), "{effects:?}");
-    f.on_disconnected(now + 200 * MS, ip(1), now, DisconnectReason::NoQuorum);
-    let next = f.next_node(now + 200 * MS, &seeds, |_| 0).expect("one of three");
+    subscription.on_disconnected(now + 200 * MS, ip(1), now, DisconnectReason::NoQuorum);
+    let next = subscription.next_node(now + 200 * MS, &seeds, |_| 0).expect("one of three");
     assert_eq!((next.ip, next.is_backed_off), (ip(2), false));
 }
 
 #[test]
 fn nodes_are_not_probed_while_the_followed_one_has_a_quorum() {
-    let (mut f, seeds) = (follow(), [ip(1), ip(2)]);
-    f.next_node(0, &seeds, |_| 1);
-    f.on_disconnected(200 * MS, ip(2), 0, DisconnectReason::TimedOut);
-    let contact = begin(&mut f, 250 * MS, ip(1));
-    f.on_update(260 * MS, pulse(contact, 5, 0), Vec::new);
-    assert!(f.nodes_to_probe(270 * MS).is_empty());
-    f.on_update(460 * MS, pulse(contact, 9000, 0), Vec::new);
-    f.on_disconnected(470 * MS, ip(1), 250 * MS, DisconnectReason::NoQuorum);
-    f.on_disconnected(700 * MS, ip(2), 500 * MS, DisconnectReason::TimedOut);
-    let contact = begin(&mut f, 750 * MS, ip(1));
-    f.on_update(760 * MS, pulse(contact, 9000, 0), Vec::new);
-    assert_eq!(f.nodes_to_probe(770 * MS), [ip(2)]);
-    f.on_update(960 * MS, pulse(contact, 5, 0), Vec::new);
-    assert!(f.nodes_to_probe(970 * MS).is_empty());
+    let (mut subscription, seeds) = (new_subscription(), [ip(1), ip(2)]);
+    subscription.next_node(0, &seeds, |_| 1);
+    subscription.on_disconnected(200 * MS, ip(2), 0, DisconnectReason::TimedOut);
+    let contact = connect(&mut subscription, 250 * MS, ip(1));
+    subscription.on_update(260 * MS, heartbeat(contact, 5, 0), Vec::new);
+    assert!(subscription.nodes_to_probe(270 * MS).is_empty());
+    subscription.on_update(460 * MS, heartbeat(contact, 9000, 0), Vec::new);
+    subscription.on_disconnected(470 * MS, ip(1), 250 * MS, DisconnectReason::NoQuorum);
+    subscription.on_disconnected(700 * MS, ip(2), 500 * MS, DisconnectReason::TimedOut);
+    let contact = connect(&mut subscription, 750 * MS, ip(1));
+    subscription.on_update(760 * MS, heartbeat(contact, 9000, 0), Vec::new);
+    assert_eq!(subscription.nodes_to_probe(770 * MS), [ip(2)]);
+    subscription.on_update(960 * MS, heartbeat(contact, 5, 0), Vec::new);
+    assert!(subscription.nodes_to_probe(970 * MS).is_empty());
 }
--- a/crates/testing/control-sim/src/growth/pieces.rs
+++ b/crates/testing/control-sim/src/growth/pieces.rs
@@ -81,10 +81,10 @@
     for (routes, tenants, configuration) in &bodies {
         let size = format!("{routes} routes, {tenants} tenants");
         held("a gateway's table and its client", size, NOW, &|| {
-            let playbill = Configuration::parse(&configuration.body).expect("it is sound");
+            let configuration_read = Configuration::parse(&configuration.body).expect("it is sound");
             let mut client = QuotaClient::new(0);
-            client.set_limits(0, &TenantTerms::from_configuration(&playbill).limits);
-            Box::new((RouteTable::new(playbill), client))
+            client.set_limits(0, &TenantTerms::from_configuration(&configuration_read).limits);
+            Box::new((RouteTable::new(configuration_read), client))
         });
     }
     for (tenants, limits) in &limits {
@@ -116,12 +116,12 @@
         });
     }
     held("the schema's library", "-".into(), NOW, &|| Box::new(Validator::default()));
-    let checker = Validator::default();
+    let validator = Validator::default();
     for (routes, tenants, configuration) in &bodies {
         let size = format!("{routes} routes, {tenants} tenants");
         // Of one that is not the largest so far nothing is seen.
         held("a configuration checked, at the peak", size, "VmHWM:", &|| {
-            Box::new(checker.validate(&configuration.body).is_ok())
+            Box::new(validator.validate(&configuration.body).is_ok())
         });
     }
     lines
@@ -151,10 +151,10 @@
         "a route found, us: 48 a host, all of one host",
     ];
     let mut lines = head("A configuration", &columns);
-    let checker = Validator::default();
+    let validator = Validator::default();
     for (routes, tenants) in CONFIGURATIONS {
         let body = &configuration(routes, tenants).body;
-        let checked = micros(|| drop(black_box(checker.validate(body))));
+        let checked = micros(|| drop(black_box(validator.validate(body))));
         let read =
             micros(|| drop(black_box(RouteTable::new(Configuration::parse(body).expect("it is sound")))));
         let terms = TenantTerms::from_configuration(&Configuration::parse(body).expect("it is sound"));
@@ -430,9 +430,9 @@
         });
         let mut client = QuotaClient::new(0);
         let anew = micros(|| {
-            let playbill = Configuration::parse(&new.body).expect("it is sound");
-            client.set_limits(0, &TenantTerms::from_configuration(&playbill).limits);
-            black_box(RouteTable::new(playbill));
+            let configuration_read = Configuration::parse(&new.body).expect("it is sound");
+            client.set_limits(0, &TenantTerms::from_configuration(&configuration_read).limits);
+            black_box(RouteTable::new(configuration_read));
         });
         lines.push(format!(
             "| {routes}, {tenants} | {} | {:.2} | {:.2} | {:.2} |",
