--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -47,6 +47,14 @@
     trouble
 }
 
+/// Kills a process that the case started, and waits for its end.
+pub fn end_child(mut child: Child) {
+    let pid = child.id();
+    let _ = child.kill();
+    let _ = child.wait();
+    PIDS.lock().unwrap().retain(|other| *other != pid);
+}
+
 pub fn now_ms() -> f64 {
     RECORD.get().map_or(0.0, |(start, _)| start.elapsed().as_secs_f64() * 1e3)
 }
@@ -97,9 +105,18 @@
     pub front: u16,
     pub readiness: u16,
     pub control: u16,
-    pub grace_s: f64,
+    internal: u16,
+    subnet: u32,
+    zones: usize,
+    root: PathBuf,
+    drain_ms: u32,
+    apply_ms: u32,
+    heartbeat_ms: u64,
 }
 
+/// Machines that a case may use, each with a loopback address of its own.
+const MOST_MACHINES: usize = 90;
+
 fn free_ports(ips: &[String]) -> [u16; 4] {
     let free = |port: u16| ips.iter().all(|ip| TcpListener::bind((ip.as_str(), port)).is_ok());
     let mut found = Vec::new();
@@ -119,44 +136,80 @@
     /// Starts `count` machines, each in a zone of its own, with a disk folder, a control plane and a gateway, as at the
     /// first start of the system. The settings are those of the small deployment `site`.
     pub fn start(count: usize, site: &str, heartbeat_ms: u64) -> System {
+        let mut system = System::empty(count, site, heartbeat_ms);
+        for zone in 0..count {
+            system.add_machine(zone, true, true);
+        }
+        system
+    }
+
+    /// A system of this many zones without machines.
+    pub fn empty(zones: usize, site: &str, heartbeat_ms: u64) -> System {
         let subnet = 10 + std::process::id() % 200;
-        let ips: Vec<String> = (1..=count).map(|n| format!("127.{subnet}.0.{n}")).collect();
+        let ips: Vec<String> = (1..=MOST_MACHINES).map(|n| format!("127.{subnet}.0.{n}")).collect();
         let [front, readiness, control, internal] = free_ports(&ips);
         let root = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         *FOLDER.lock().unwrap() = Some(root.clone());
-        let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:{control}\"")).collect();
-        let zones: String = (0..count).map(|n| format!("zone-{n} = \"region\"\n")).collect();
         let (drain_ms, apply_ms) = if site == "lmkt-songhong" { (2000, 2000) } else { (2500, 2500) };
-        let mut system = System { machines: Vec::new(), front, readiness, control, grace_s: 6.0 };
-        for (n, ip) in ips.iter().enumerate() {
-            let folder = root.join(n.to_string());
-            let data = folder.join("data");
-            fs::create_dir_all(&data).unwrap_or_else(|e| cannot_run(&e.to_string()));
-            let text = format!(
-                "[ownIdentity]\nnodeName = \"edge-{n}\"\nmachineClass = \"edge\"\nservedRoles = [\"edge\",\"control\"]\n\
-                 ipAddress = \"{ip}\"\nzone = \"zone-{n}\"\nregion = \"region\"\nlossCounted = true\ninitialStart = true\n\
-                 dataDirectory = {data:?}\n[ownIdentity.limits]\ncpuShare = 0.35\ncpuCores = 1\nmemoryMb = 260\n\
-                 maxFileDescriptors = 4100\nlinkMbps = 1000.0\ndiskMb = 64\n[networkTerms]\n\
-                 internalPortRange = [{internal},{}]\nseedNodes = [{}]\n[networkTerms.listenAddresses]\n\
-                 frontHttp1 = \"{ip}:{front}\"\nreadiness = \"{ip}:{readiness}\"\ncontrolPlane = \"{ip}:{control}\"\n\
-                 [networkTerms.zones]\n{zones}[platformTerms]\ndiscoverySource = \"registration\"\nentryKind = \
-                 \"virtual_ip\"\nheartbeatIntervalMs = {heartbeat_ms}\n[contractTerms]\nactiveContracts = \
-                 [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"tenants\",\"quota\"]\n\
-                 [contractTerms.faultTolerance]\nmachineLosses = 1\nzones = 0\nregionLosses = 0\n[contractTerms.bounds]\n\
-                 seedLagS = 3\naddressReuseS = 2\ncontactMs = 3000\nackMs = 5000\ncatchUpS = 4\ndrainMs = {drain_ms}\n\
-                 graceS = 6\nlossSlackMs = 200\nconfigApplyMs = {apply_ms}\nrollbackSlackMs = 250\nmaxStretchMs = 8000\n\
-                 revocationClosed = false\nrevokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetPeriodS = 10\n\
-                 retryBudgetSlack = 64\nquotaWindowS = 5\nquotaOvershoot = 0.1\nquotaSlack = 20\nrecoveryS = 15\n",
-                internal + 7,
-                seeds.join(",")
-            );
-            fs::write(folder.join("settings.toml"), text).unwrap_or_else(|e| cannot_run(&e.to_string()));
-            let machine = Machine { name: format!("edge-{n}"), ip: ip.clone(), folder, control: None, gateway: None };
-            system.machines.push(machine);
-            system.start_control(n);
-            system.start_gateway(n);
+        let machines = Vec::new();
+        System { machines, front, readiness, control, internal, subnet, zones, root, drain_ms, apply_ms, heartbeat_ms }
+    }
+
+    /// Starts a machine at the next address. With `disk` it has a disk folder, which is empty, and counts as core; `first`:
+    /// at the first start of the whole system. Its seeds are the first three machines that are up (at the first start:
+    /// the first three addresses).
+    pub fn add_machine(&mut self, zone: usize, disk: bool, first: bool) -> usize {
+        let n = self.machines.len();
+        let ip = format!("127.{}.0.{}", self.subnet, n + 1);
+        let folder = self.root.join(n.to_string());
+        let data = folder.join("data");
+        fs::create_dir_all(&data).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let up = self.machines.iter().filter(|m| m.control.is_some()).map(|m| m.ip.clone());
+        let seeds: Vec<String> = if first {
+            (1..=3).map(|n| format!("127.{}.0.{n}", self.subnet)).collect()
+        } else {
+            up.take(3).collect()
+        };
+        let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{}\"", self.control)).collect();
+        let zones: String = (0..self.zones).map(|n| format!("zone-{n} = \"region\"\n")).collect();
+        let disk_line = if disk { format!("dataDirectory = {data:?}\n") } else { String::new() };
+        let disk_mb = if disk { "diskMb = 64\n" } else { "" };
+        let share = if disk { "0.35" } else { "0.2" };
+        let (internal, control, front, readiness) = (self.internal, self.control, self.front, self.readiness);
+        let (drain_ms, apply_ms, heartbeat_ms) = (self.drain_ms, self.apply_ms, self.heartbeat_ms);
+        let text = format!(
+            "[ownIdentity]\nnodeName = \"edge-{n}\"\nmachineClass = \"edge\"\nservedRoles = [\"edge\",\"control\"]\n\
+             ipAddress = \"{ip}\"\nzone = \"zone-{zone}\"\nregion = \"region\"\nlossCounted = {disk}\ninitialStart = {first}\n\
+             {disk_line}[ownIdentity.limits]\ncpuShare = {share}\ncpuCores = 1\nmemoryMb = 260\n\
+             maxFileDescriptors = 4100\nlinkMbps = 1000.0\n{disk_mb}[networkTerms]\n\
+             internalPortRange = [{internal},{}]\nseedNodes = [{}]\n[networkTerms.listenAddresses]\n\
+             frontHttp1 = \"{ip}:{front}\"\nreadiness = \"{ip}:{readiness}\"\ncontrolPlane = \"{ip}:{control}\"\n\
+             [networkTerms.zones]\n{zones}[platformTerms]\ndiscoverySource = \"registration\"\nentryKind = \
+             \"virtual_ip\"\nheartbeatIntervalMs = {heartbeat_ms}\n[contractTerms]\nactiveContracts = \
+             [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"tenants\",\"quota\"]\n\
+             [contractTerms.faultTolerance]\nmachineLosses = 1\nzones = 0\nregionLosses = 0\n[contractTerms.bounds]\n\
+             seedLagS = 3\naddressReuseS = 2\ncontactMs = 3000\nackMs = 5000\ncatchUpS = 4\ndrainMs = {drain_ms}\n\
+             graceS = 6\nlossSlackMs = 200\nconfigApplyMs = {apply_ms}\nrollbackSlackMs = 250\nmaxStretchMs = 8000\n\
+             revocationClosed = false\nrevokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetPeriodS = 10\n\
+             retryBudgetSlack = 64\nquotaWindowS = 5\nquotaOvershoot = 0.1\nquotaSlack = 20\nrecoveryS = 15\n",
+            internal + 7,
+            seeds.join(",")
+        );
+        fs::write(folder.join("settings.toml"), text).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let machine = Machine { name: format!("edge-{n}"), ip, folder, control: None, gateway: None };
+        self.machines.push(machine);
+        self.start_control(n);
+        self.start_gateway(n);
+        n
+    }
+
+    /// Kills both processes of a machine, which is gone for good.
+    pub fn lose_machine(&mut self, n: usize) {
+        let machine = &mut self.machines[n];
+        for child in [machine.control.take(), machine.gateway.take()].into_iter().flatten() {
+            end_child(child);
         }
-        system
+        record(&format!("machine {} ({}) is gone for good", self.machines[n].name, self.machines[n].ip));
     }
 
     fn spawn(&self, n: usize, program: &str) -> Child {
@@ -216,7 +269,8 @@
     }
 
     fn addresses(&self, port: u16) -> Vec<SocketAddr> {
-        self.machines.iter().map(|m| format!("{}:{port}", m.ip).parse().unwrap()).collect()
+        let up = self.machines.iter().filter(|m| m.control.is_some() || m.gateway.is_some());
+        up.map(|m| format!("{}:{port}", m.ip).parse().unwrap()).collect()
     }
 
     pub fn is_ready(&self, n: usize) -> bool {
@@ -228,7 +282,7 @@
     /// Waits until every gateway answers 200 to the readiness check.
     pub fn wait_ready(&self) {
         let started = Instant::now();
-        while !(0..self.machines.len()).all(|n| self.is_ready(n)) {
+        while !(0..self.machines.len()).filter(|n| self.machines[*n].gateway.is_some()).all(|n| self.is_ready(n)) {
             if started.elapsed() > Duration::from_secs(20) {
                 cannot_run("not all gateways are ready after 20 s");
             }
