--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -159,17 +159,21 @@
     /// at the first start of the whole system. Its seeds are the first three machines that are up (at the first start:
     /// the first three addresses).
     pub fn add_machine(&mut self, zone: usize, disk: bool, first: bool) -> usize {
+        let seeds = if first {
+            (1..=3).map(|n| format!("127.{}.0.{n}", self.subnet)).collect()
+        } else {
+            self.machines.iter().filter(|m| m.control.is_some()).map(|m| m.ip.clone()).take(3).collect()
+        };
+        self.add_machine_with(zone, disk, first, seeds)
+    }
+
+    /// Like `add_machine`, with these seeds.
+    pub fn add_machine_with(&mut self, zone: usize, disk: bool, first: bool, seeds: Vec<String>) -> usize {
         let n = self.machines.len();
         let ip = format!("127.{}.0.{}", self.subnet, n + 1);
         let folder = self.root.join(n.to_string());
         let data = folder.join("data");
         fs::create_dir_all(&data).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let up = self.machines.iter().filter(|m| m.control.is_some()).map(|m| m.ip.clone());
-        let seeds: Vec<String> = if first {
-            (1..=3).map(|n| format!("127.{}.0.{n}", self.subnet)).collect()
-        } else {
-            up.take(3).collect()
-        };
         let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{}\"", self.control)).collect();
         let zones: String = (0..self.zones).map(|n| format!("zone-{n} = \"region\"\n")).collect();
         let disk_line = if disk { format!("dataDirectory = {data:?}\n") } else { String::new() };
@@ -203,6 +207,17 @@
         n
     }
 
+    /// Writes other seeds into a machine's settings file, without a signal.
+    pub fn set_seeds(&self, n: usize, seeds: &[String]) {
+        let path = self.machines[n].folder.join("settings.toml");
+        let text = fs::read_to_string(&path).unwrap_or_default();
+        let list: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{}\"", self.control)).collect();
+        let line = format!("seedNodes = [{}]", list.join(","));
+        let lines: Vec<&str> = text.lines().map(|l| if l.starts_with("seedNodes") { &line } else { l }).collect();
+        let _ = fs::write(&path, lines.join("\n") + "\n");
+        record(&format!("the settings file of {} now has {line}, no signal is sent", self.machines[n].name));
+    }
+
     /// Kills both processes of a machine, which is gone for good.
     pub fn lose_machine(&mut self, n: usize) {
         let machine = &mut self.machines[n];
