Review case 5: a core that grew to five voters keeps two that have left

Cause: improved_voter_set never shrinks a set, also when voters have said that they leave. Change: a script that starts three new core machines before the three old ones leave, then loses one.

--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,5 +1,5 @@
-//! Case 5: after many machines have been replaced at other addresses, the core takes up no new machine any more, and two
-//! losses one after the other, each replaced, end it for good. See claim.txt.
+//! Case 5: three machines of the core are exchanged for three new ones; after that one more loss ends the core for good. See
+//! claim.txt.
 #[path = "../standins-2/common.rs"]
 mod common;
 
@@ -7,8 +7,8 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-/// Rounds in which the three machines without a disk, one in each zone, are replaced.
-const ROUNDS: usize = 20;
+/// More than catchUpS (4 s) and contactMs (3 s) together.
+const STEP: Duration = Duration::from_secs(8);
 
 fn version_of(body: &[u8]) -> Option<String> {
     let text = String::from_utf8_lossy(body).into_owned();
@@ -19,8 +19,10 @@
     let trouble = begin();
     let mut system = System::empty(3, "otjikoto-gate", 1500);
     // One machine with a disk in each zone, and one without.
-    let mut core: Vec<usize> = (0..3).map(|zone| system.add_machine(zone, true, true)).collect();
-    let mut others: Vec<usize> = (0..3).map(|zone| system.add_machine(zone, false, true)).collect();
+    let old: Vec<usize> = (0..3).map(|zone| system.add_machine(zone, true, true)).collect();
+    for zone in 0..3 {
+        system.add_machine(zone, false, true);
+    }
     let change = |version: u32, base: u32, timeout_ms: u64| {
         let route = Route {
             name: "orders".into(),
@@ -37,33 +39,39 @@
         cannot_run("the first configuration is not acknowledged");
     }
     system.after_first_start();
-    sleep(Duration::from_secs(2));
+    sleep(Duration::from_secs(4));
 
-    // Machines without a disk go, and others come at other addresses. They don't count: any number may go.
+    // Planned exchange: a new machine starts first, and the old one of its zone gets SIGTERM later. With trouble, all three
+    // new ones start before the first old one leaves.
+    let mut new = Vec::new();
     if trouble {
-        for round in 1..=ROUNDS {
-            for (zone, slot) in others.iter_mut().enumerate() {
-                system.lose_machine(*slot);
-                *slot = system.add_machine(zone, false, false);
-            }
-            sleep(Duration::from_millis(1500));
-            record(&format!("round {round}: the machines without a disk have been replaced"));
+        for zone in 0..3 {
+            new.push(system.add_machine(zone, true, false));
+            sleep(STEP);
+        }
+        for n in &old {
+            system.retire_machine(*n);
+            sleep(STEP);
+        }
+    } else {
+        for (zone, n) in old.iter().enumerate() {
+            new.push(system.add_machine(zone, true, false));
+            sleep(STEP);
+            system.retire_machine(*n);
+            sleep(STEP);
         }
     }
-    sleep(Duration::from_secs(5));
     if replace(&system.controls(), &change(2, 1, 1600), Duration::from_secs(8)) != 200 {
         cannot_run("the second configuration is not acknowledged");
     }
     record("calm; 00000002 is acknowledged");
+    sleep(Duration::from_secs(4));
 
-    // Two machines of the core are lost, the second one long after the first one's successor is up; `machineLosses` is 1.
-    for (zone, slot) in core.iter_mut().enumerate().take(2) {
-        system.lose_machine(*slot);
-        sleep(Duration::from_secs(1));
-        *slot = system.add_machine(zone, true, false);
-        record(&format!("its successor, with an empty disk, is {} ({})", system.machines[*slot].name, system.machines[*slot].ip));
-        sleep(Duration::from_secs(12));
-    }
+    // One machine of the core is lost for good and replaced, as `machineLosses` allows.
+    system.lose_machine(new[0]);
+    sleep(Duration::from_secs(1));
+    new[0] = system.add_machine(0, true, false);
+    sleep(Duration::from_secs(12));
 
     // The operator reads the configuration back, again and again, for over four times contactMs.
     let started = Instant::now();
@@ -74,7 +82,7 @@
         record(&format!("operator: reads {}", read.as_deref().unwrap_or("nothing")));
     }
     for (n, machine) in system.machines.iter().enumerate().filter(|(_, m)| m.control.is_some()) {
-        let kind = if core.contains(&n) { "with a disk" } else { "without a disk" };
+        let kind = if new.contains(&n) { "with a disk" } else { "without a disk" };
         record(&format!("up: {} ({}) {kind}", machine.name, machine.ip));
     }
     record(&format!("read back: {}", read.as_deref().unwrap_or("nothing")));
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -218,6 +218,21 @@
         record(&format!("the settings file of {} now has {line}, no signal is sent", self.machines[n].name));
     }
 
+    /// Ends both processes of a machine in order (SIGTERM, SIGKILL after graceS); it doesn't come back.
+    pub fn retire_machine(&mut self, n: usize) {
+        self.signal_control(n, SIGTERM);
+        self.signal_gateway(n, SIGTERM);
+        let started = Instant::now();
+        let machine = &mut self.machines[n];
+        for mut child in [machine.control.take(), machine.gateway.take()].into_iter().flatten() {
+            while started.elapsed() < Duration::from_secs(6) && matches!(child.try_wait(), Ok(None)) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            end_child(child);
+        }
+        record(&format!("machine {} ({}) has left", self.machines[n].name, self.machines[n].ip));
+    }
+
     /// Kills both processes of a machine, which is gone for good.
     pub fn lose_machine(&mut self, n: usize) {
         let machine = &mut self.machines[n];
