--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,105 +1,111 @@
-//! Case 8: after SIGTERM, a gateway breaks off an answer whose server is silent for 0.4 s in its middle. See claim.txt.
+//! Case 8: a gateway that has lived through 32 names of services serves no later service any more. See claim.txt.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
-use std::sync::{Arc, Mutex};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-const REQUESTS: usize = 8;
-/// The client's time and the route's timeout.
-const TIMEOUT_MS: u64 = 3000;
-const WORK: Duration = Duration::from_millis(300);
-const SILENCE: Duration = Duration::from_millis(400);
+/// Number of configurations after the first, each with a new name of the second service.
+const CHANGES: u32 = 32;
+/// Requests to each gateway on each of the two routes, in the calm time at the end.
+const REQUESTS: usize = 10;
+
+fn route(name: &str, service: &str) -> Route {
+    let (prefix, service) = (format!("/{name}/"), service.into());
+    Route { name: name.into(), prefix, kind: "safe", timeout_ms: 1500, target_ms: 600, service, max_attempts: 2 }
+}
+
+/// Sends a request, and again after a refusal as told by `Retry-After`, three tries in all. Returns the last status.
+fn ask(front: SocketAddr, path: &str) -> u16 {
+    let mut status = 0;
+    for _ in 0..3 {
+        let attempt = new_attempt();
+        let request = get(path, &attempt, 1500);
+        let answer = Conn::open(front).and_then(|mut conn| conn.ask(&request, Duration::from_millis(1500)));
+        status = answer.as_ref().map_or(0, |answer| answer.status);
+        let ran = runs_of(&attempt);
+        record(&format!("client: {path} {attempt} at {front} -> {status}, runs {ran}"));
+        let Ok(answer) = answer else { continue };
+        if status != 503 && status != 429 {
+            break;
+        }
+        let pause = answer.header("retry-after").and_then(|s| s.parse::<f64>().ok()).unwrap_or(0.1);
+        sleep(Duration::from_secs_f64(pause.clamp(0.0, 0.5)));
+    }
+    status
+}
 
 fn main() {
     let trouble = begin();
     let system = System::start(3, "otjikoto-gate", 1500);
     let controls = system.controls();
-    let route = |name: &str, kind| Route {
-        name: name.into(),
-        prefix: format!("/{name}/"),
-        kind,
-        timeout_ms: TIMEOUT_MS,
-        target_ms: 1200,
-        service: "ledger".into(),
-        max_attempts: 2,
-    };
-    let body = configuration(1, 0, &[route("read", "safe")], &["ledger".into()]);
-    if replace(&controls, &body, Duration::from_secs(15)) != 200 {
-        cannot_run("the configuration is not acknowledged");
-    }
-    // When each server finished each request: attempt id -> ms, 0 while a server is at work.
-    let finished: Arc<Mutex<HashMap<String, f64>>> = Arc::default();
-    let silent = Arc::new(AtomicBool::new(false));
-    let (at_work, is_silent) = (finished.clone(), silent.clone());
-    let handler: Handler = Arc::new(move |exchange: &mut Exchange| {
-        let attempt = exchange.attempt();
-        note_run(&exchange.server.id, &attempt, &exchange.request.start);
-        at_work.lock().unwrap().insert(attempt.clone(), 0.0);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}\r\nContent-Length: 400\r\n\r\n",
-            seal(&attempt)
-        );
-        sleep(WORK);
-        // The head goes out, the body follows: after a silence, or at once.
-        let mut written = exchange.write(head.as_bytes());
-        if is_silent.load(SeqCst) {
-            sleep(SILENCE);
-        }
-        written &= exchange.write(&[b'x'; 400]);
-        at_work.lock().unwrap().insert(attempt.clone(), now_ms());
-        record(&format!("server {} has answered {attempt}", exchange.server.id));
-        written
+    let handler: Handler = Arc::new(|exchange: &mut Exchange| {
+        note_run(&exchange.server.id, &exchange.attempt(), &exchange.request.start);
+        exchange.answer(b"the server's bytes")
     });
-    let servers: Vec<_> = (0..4)
-        .map(|n| Server::start(&format!("i-{n}"), "ledger", &format!("zone-{}", n % 3), controls.clone(), handler.clone()))
-        .collect();
+    let start = |id: &str, service: &str| Server::start(id, service, "zone-0", controls.clone(), handler.clone());
+
+    // The first configuration: a service that keeps its name.
+    let first = configuration(1, 0, &[route("first", "first")], &["first".into()]);
+    if replace(&controls, &first, Duration::from_secs(15)) != 200 {
+        cannot_run("the first configuration is not acknowledged");
+    }
+    let _first_server = start("i-first", "first");
     sleep(Duration::from_secs(2));
     system.wait_ready();
-    // Some ordinary requests first, then calm for longer than contactMs.
-    let front = system.fronts()[0];
-    for _ in 0..20 {
-        let answer = Conn::open(front).and_then(|mut c| c.ask(&get("/read/1", &new_attempt(), TIMEOUT_MS), Duration::from_secs(3)));
-        if answer.map_or(0, |a| a.status) != 200 {
-            cannot_run("an ordinary request is not served");
+
+    // Later configurations: a second service, whose name changes each time, as the names change each day.
+    let mut previous: Option<Arc<Server>> = None;
+    let changes = if trouble { CHANGES } else { 1 };
+    for n in 1..=changes {
+        let name = format!("later{n}");
+        let server = start(&format!("i-{name}"), &name);
+        sleep(Duration::from_millis(300));
+        let routes = [route("first", "first"), route(&name, &name)];
+        let body = configuration(n + 1, n, &routes, &["first".into(), name.clone()]);
+        if replace(&controls, &body, Duration::from_secs(5)) != 200 {
+            cannot_run("a later configuration is not acknowledged");
+        }
+        // The server of the previous name leaves in order.
+        if let Some(previous) = previous.replace(server) {
+            *previous.state.lock().unwrap() = "draining";
+            previous.stopped.store(true, SeqCst);
+            previous.beat(&controls, Duration::from_secs(3));
+        }
+        sleep(Duration::from_millis(400));
+        for front in system.fronts() {
+            ask(front, &format!("/{name}/x"));
         }
     }
-    sleep(Duration::from_millis(3500));
-    silent.store(trouble, SeqCst);
 
-    let clients: Vec<_> = (0..REQUESTS)
-        .map(|_| {
-            let finished = finished.clone();
-            thread::spawn(move || {
-                let attempt = new_attempt();
-                let sent = Instant::now();
-                record(&format!("client: sends {attempt}"));
-                let answer = Conn::open(front)
-                    .and_then(|mut c| c.ask(&get("/read/1", &attempt, TIMEOUT_MS), Duration::from_millis(TIMEOUT_MS)));
-                let (at, taken) = (now_ms(), sent.elapsed());
-                let was_at_work = finished.lock().unwrap().get(&attempt).is_some_and(|end| *end == 0.0 || *end > at);
-                let (status, sealed) = answer.as_ref().map_or((0, false), |a| (a.status, a.header("server-seal").is_some()));
-                record(&format!(
-                    "client: {attempt} gets {status}{} after {} ms; its server is {}",
-                    if sealed { " of the server" } else { "" },
-                    taken.as_millis(),
-                    if was_at_work { "at work" } else { "not at work" }
-                ));
-                // LOST, after a SIGTERM: an answer of the gateway's own in place of one at which the server is at work, or
-                // a connection that ends without an answer, before the deadline and the route's timeout.
-                let own = !sealed && matches!(status, 0 | 500 | 502 | 504);
-                own && was_at_work && taken < Duration::from_millis(TIMEOUT_MS - 500)
-            })
+    // Calm: no change for longer than contactMs and configApplyMs together.
+    record("calm from here on");
+    let calm = Instant::now();
+    while calm.elapsed() < Duration::from_secs(7) {
+        sleep(Duration::from_millis(100));
+    }
+    system.wait_ready();
+    let later = format!("/later{changes}/x");
+    let clients = system.fronts().into_iter().map(|front| {
+        let later = later.clone();
+        thread::spawn(move || {
+            let mut served = (0, 0);
+            for _ in 0..REQUESTS {
+                served.0 += usize::from(ask(front, "/first/x") == 200);
+                served.1 += usize::from(ask(front, &later) == 200);
+            }
+            served
         })
-        .collect();
-    sleep(Duration::from_millis(200));
-    system.signal_gateway(0, SIGTERM);
-    let broken = clients.into_iter().filter(|_| true).map(|c| c.join().unwrap_or(false)).filter(|broken| *broken).count();
-    drop(servers);
-    record(&format!("{broken} of {REQUESTS} requests were broken off while their server was at work"));
-    finish(i32::from(broken > 0))
+    });
+    let clients: Vec<_> = clients.collect();
+    let asked = clients.len() * REQUESTS;
+    let served: Vec<(usize, usize)> = clients.into_iter().map(|client| client.join().unwrap_or_default()).collect();
+    let (on_first, on_later) = served.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    record(&format!("in calm time: first route {on_first} of {asked} served, later route {on_later} of {asked}"));
+    // CONFIG: 20 or more requests on later routes, served less than a quarter as often as those on the first routes.
+    finish(i32::from(asked >= 20 && 4 * on_later < on_first))
 }
