Proxy: the log says why an exchange with a backend was broken off

Change: AttemptFailure, a typed reason, and an info line at most once a second with the backend, the bytes written, the reason and its sources. Behaviour is otherwise as it was.

--- a/crates/gateway/proxy/src/backends/attempt.rs
+++ b/crates/gateway/proxy/src/backends/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one backend: connect, get permission to write, exchange, finish.
 
 use super::connection::{drive, is_interrupted, Connection};
+use super::failure::AttemptFailure;
 use super::relay::Relay;
 use super::{
     nanos, AttemptStage, Backends, Content, Outcome, Outgoing, Progress, MAX_BODY_BYTES,
@@ -12,12 +13,16 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode, Version};
-use interface::{Ending, Name, Time};
+use interface::{Name, Time};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use tokio::time::{timeout, timeout_at, Instant};
+use tracing::info;
+
+/// Minimum interval of log lines about exchanges that were broken off.
+const BREAK_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Result of an attempt, known when it has ended or when a response to stream has begun.
 pub enum ExchangeResult {
@@ -36,14 +41,31 @@
         deadline: Instant,
         progress: &Rc<Progress>,
     ) -> ExchangeResult {
-        let without_response = |ending| ExchangeResult::Complete(Outcome::without_answer(ending));
         let exchange = Exchange { backends: self, backend, request, progress, deadline };
-        match timeout_at(deadline, exchange.run(address)).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(ending)) => without_response(ending),
-            Err(_) if progress.may_have_run() => without_response(Ending::TimedOut),
-            Err(_) => without_response(Ending::Unreachable),
+        let result = timeout_at(deadline, exchange.run(address)).await;
+        result.unwrap_or(Err(AttemptFailure::DeadlinePassed)).unwrap_or_else(|failure| {
+            if failure.is_break(progress) {
+                self.log_break(backend, progress, &failure);
+            }
+            ExchangeResult::Complete(Outcome::without_answer(failure.ending(progress)))
+        })
+    }
+
+    /// Logs an exchange that was broken off, at most once per [`BREAK_LOG_INTERVAL`].
+    fn log_break(&self, backend: &Name, progress: &Progress, failure: &AttemptFailure) {
+        let count = self.breaks.get() + 1;
+        self.breaks.set(count);
+        let now = Instant::now();
+        if self.break_logged_at.get().is_some_and(|at| now < at + BREAK_LOG_INTERVAL) {
+            return;
         }
+        self.break_logged_at.set(Some(now));
+        let written = progress.written.get();
+        let part = if progress.has_response_begun() { "within the response" } else { "before the response" };
+        info!(
+            %backend, written, count, cause = %failure,
+            "attempts: broken off at {backend} {part}, {written} bytes written: {failure}; {count} so far"
+        );
     }
 }
 
@@ -94,13 +116,13 @@
 }
 
 impl Exchange<'_> {
-    async fn run(&self, address: SocketAddr) -> Result<ExchangeResult, Ending> {
+    async fn run(&self, address: SocketAddr) -> Result<ExchangeResult, AttemptFailure> {
         let mut connection = self.connect(address).await?;
         // During the connect the backend may have started to drain, another one may have taken over its address, or the
         // client may have left. Nothing is written then.
         if !(self.progress.report)(AttemptStage::Connected) {
             self.backends.return_to_pool(self.backend, connection);
-            return Err(Ending::Unreachable);
+            return Err(AttemptFailure::NotSent);
         }
         let start = self.begin(&mut connection);
         let wait = self.deadline.saturating_duration_since(Instant::now());
@@ -113,10 +135,10 @@
         self.read_body(connection, head, body).await
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, Ending> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptFailure> {
         match self.backends.take_idle(self.backend, address, self.request) {
             Some(connection) => Ok(connection),
-            None => self.backends.connect(address).await.ok_or(Ending::Unreachable),
+            None => self.backends.connect(address).await.ok_or(AttemptFailure::NotSent),
         }
     }
 
@@ -138,7 +160,7 @@
         start: &ExchangeStart,
         wait: Duration,
         pause: Duration,
-    ) -> Result<Response<Incoming>, Ending> {
+    ) -> Result<Response<Incoming>, AttemptFailure> {
         let mut request =
             self.request.build_request(&*self.backends.protocol, self.backend, wait, self.progress);
         // An interim response (1xx) may arrive long before the final one.
@@ -146,12 +168,14 @@
         hyper::ext::on_informational(&mut request, move |_| response_begun.store(false, Relaxed));
         match self.progress.wait_for_head(pause, connection.send_request(request)).await {
             Some(Some(Ok(response))) => Ok(response),
-            Some(Some(Err(error))) if !is_interrupted(&error) => Err(Ending::Unreadable),
-            Some(_) => {
+            Some(Some(Err(error))) if !is_interrupted(&error) => {
+                Err(AttemptFailure::InvalidResponse(Some(error)))
+            }
+            Some(disconnect) => {
                 self.record_reset(start);
-                Err(self.progress.disconnect_ending())
+                Err(AttemptFailure::Disconnected(disconnect.and_then(Result::err)))
             }
-            None => Err(Ending::Unreadable),
+            None => Err(AttemptFailure::Paused),
         }
     }
 
@@ -171,12 +195,12 @@
         connection: &mut Connection,
         parts: Parts,
         pause: Duration,
-    ) -> Result<ResponseHead, Ending> {
+    ) -> Result<ResponseHead, AttemptFailure> {
         let protocol = &self.backends.protocol;
-        let length = length(&self.request.method, &parts).ok_or(Ending::Unreadable)?;
+        let length = length(&self.request.method, &parts).ok_or(AttemptFailure::InvalidResponse(None))?;
         let echo = protocol.echo(self.request, &parts);
         if !connection.upstream.is_answer(echo) || !protocol.is_valid_head(self.request, &parts) {
-            return Err(Ending::Unreadable);
+            return Err(AttemptFailure::InvalidResponse(None));
         }
         if let Some(idle_time) = protocol.idle_time(&parts) {
             connection.max_idle = nanos(idle_time / 2);
@@ -184,7 +208,7 @@
         let is_streamable = protocol.is_streamable(&parts);
         let max_length = if is_streamable { MAX_BODY_BYTES } else { MAX_BUFFERED_RESPONSE_BYTES };
         if length.is_some_and(|length| length > max_length as u64) {
-            return Err(Ending::Unreadable);
+            return Err(AttemptFailure::InvalidResponse(None));
         }
         Ok(ResponseHead { parts, length, is_streamable, pause })
     }
@@ -195,7 +219,7 @@
         mut connection: Connection,
         head: ResponseHead,
         mut body: Incoming,
-    ) -> Result<ExchangeResult, Ending> {
+    ) -> Result<ExchangeResult, AttemptFailure> {
         let mut received = ReceivedBody::default();
         let started = Instant::now();
         while received.size <= MAX_BUFFERED_RESPONSE_BYTES
@@ -221,13 +245,16 @@
                         received.push(data);
                     }
                 }
-                Ok(Some(Some(Err(error)))) if !is_interrupted(&error) => return Err(Ending::Unreadable),
-                Ok(_) => return Err(self.progress.disconnect_ending()),
-                Err(_) => return Err(Ending::Unreadable),
+                Ok(Some(Some(Err(error)))) if !is_interrupted(&error) => {
+                    return Err(AttemptFailure::InvalidResponse(Some(error)));
+                }
+                Ok(Some(Some(Err(error)))) => return Err(AttemptFailure::Disconnected(Some(error))),
+                Ok(None) => return Err(AttemptFailure::Disconnected(None)),
+                Err(_) => return Err(AttemptFailure::Paused),
             }
         }
         if !head.is_streamable {
-            return Err(Ending::Unreadable);
+            return Err(AttemptFailure::InvalidResponse(None));
         }
         Ok(self.stream(connection, head, body, received.frames))
     }
--- a/crates/gateway/proxy/src/backends/mod.rs
+++ b/crates/gateway/proxy/src/backends/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod connection;
+mod failure;
 mod progress;
 mod relay;
 mod request;
@@ -74,6 +75,9 @@
     started_at: Instant,
     pub connects: Cell<u64>,
     connections_opened: Cell<u64>,
+    /// Number of exchanges that were broken off, and when one was last logged.
+    breaks: Cell<u64>,
+    break_logged_at: Cell<Option<Instant>>,
 }
 
 /// Limits that apply to all backends.
@@ -113,6 +117,8 @@
             started_at: Instant::now(),
             connects: Cell::new(0),
             connections_opened: Cell::new(0),
+            breaks: Cell::new(0),
+            break_logged_at: Cell::new(None),
         })
     }
 
