--- a/crates/data/data-plane/src/main.rs
+++ b/crates/data/data-plane/src/main.rs
@@ -144,6 +144,7 @@
         connect_timeout: BACKEND_CONNECT_TIMEOUT,
         keepalive: BACKEND_KEEPALIVE,
         unacknowledged_timeout: Some(PEER_TIMEOUT),
+        response_pause_timeout: None,
         relay_overtime: Some(STREAM_OVERTIME),
     }
 }
--- a/crates/gateway/proxy/src/backends/attempt.rs
+++ b/crates/gateway/proxy/src/backends/attempt.rs
@@ -5,7 +5,7 @@
 use super::relay::Relay;
 use super::{
     nanos, AttemptStage, Backends, Content, Outcome, Outgoing, Progress, MAX_BODY_BYTES,
-    MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_PAUSE_TIMEOUT,
+    MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_BUFFERING_TIME,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -126,15 +126,24 @@
         }
         let start = self.begin(&mut connection);
         let wait = self.deadline.saturating_duration_since(Instant::now());
-        // A request that must not be repeated is not given up because of a pause in its response.
-        let pause =
-            if self.request.at_most_once { wait.max(RESPONSE_PAUSE_TIMEOUT) } else { RESPONSE_PAUSE_TIMEOUT };
+        let pause = self.max_pause(wait);
         let response = self.send(&mut connection, &start, wait, pause).await?;
         let (parts, body) = response.into_parts();
         let head = self.check_head(&mut connection, parts, pause)?;
         self.read_body(connection, head, body).await
     }
 
+    /// Returns the maximum pause within the response. `wait` is the time until the deadline, which ends the attempt anyway.
+    fn max_pause(&self, wait: Duration) -> Duration {
+        let pause = self.backends.response_pause_timeout.unwrap_or(wait);
+        // The response to a request that must not be repeated can't be had elsewhere.
+        if self.request.at_most_once {
+            pause.max(wait)
+        } else {
+            pause
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptFailure> {
         match self.backends.take_idle(self.backend, address, self.request) {
             Some(connection) => Ok(connection),
@@ -226,7 +235,7 @@
             && head.length.is_none_or(|length| length <= MAX_BUFFERED_RESPONSE_BYTES as u64)
         {
             let is_slow = head.length.is_none() && received.size > 0;
-            if is_slow && head.is_streamable && started.elapsed() >= RESPONSE_PAUSE_TIMEOUT {
+            if is_slow && head.is_streamable && started.elapsed() >= RESPONSE_BUFFERING_TIME {
                 break;
             }
             let frame = if body.is_end_stream() {
--- a/crates/gateway/proxy/src/backends/mod.rs
+++ b/crates/gateway/proxy/src/backends/mod.rs
@@ -42,8 +42,8 @@
 /// Maximum size of a request or response body.
 pub const MAX_BODY_BYTES: usize = 32 << 20;
 const REAP_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause after which a response is given up, and time after which a response of unknown length is streamed.
-const RESPONSE_PAUSE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which a response of unknown length is streamed.
+const RESPONSE_BUFFERING_TIME: Duration = Duration::from_millis(250);
 /// Time for which the idle limit stays reduced after a backend has dropped an idle connection. The loss of a connection
 /// idle for less than `MIN_IDLE_LIMIT` is ignored.
 const NARROWED_IDLE_TIME: Duration = Duration::from_secs(10);
@@ -68,6 +68,7 @@
     protocol: Box<dyn UpstreamProtocol>,
     connect_timeout: Duration,
     unacknowledged_timeout: Option<Duration>,
+    response_pause_timeout: Option<Duration>,
     relay_overtime: Option<Duration>,
     idle_time: Time,
     /// Maximum idle time of a connection that is to carry a request that must not be repeated.
@@ -90,6 +91,9 @@
     /// Time without an acknowledgement of sent data after which a connection is closed (`TCP_USER_TIMEOUT`). `None`: the
     /// system's default.
     pub unacknowledged_timeout: Option<Duration>,
+    /// Pause within a response after which a request that may be repeated is given up here, to be sent elsewhere. `None`:
+    /// the attempt's deadline alone ends it.
+    pub response_pause_timeout: Option<Duration>,
     /// Pause after which a streamed response is given up once its request's deadline has passed. `None`: a pause of ten
     /// seconds ends it, regardless of the deadline.
     pub relay_overtime: Option<Duration>,
@@ -105,6 +109,7 @@
             protocol,
             connect_timeout: limits.connect_timeout,
             unacknowledged_timeout: limits.unacknowledged_timeout,
+            response_pause_timeout: limits.response_pause_timeout,
             relay_overtime: limits.relay_overtime,
             // The backend counts idle time from when it wrote its response, and closes the connection at the configured
             // time at the latest. Half of that avoids writing a request to a connection that is being closed.
--- a/crates/gateway/proxy/src/backends/tests.rs
+++ b/crates/gateway/proxy/src/backends/tests.rs
@@ -48,6 +48,7 @@
         connect_timeout,
         keepalive,
         unacknowledged_timeout: None,
+        response_pause_timeout: None,
         relay_overtime: None,
     };
     let backends = Backends::new(&limits, Box::new(Plain));
--- a/crates/gateway/proxy/tests/answers.rs
+++ b/crates/gateway/proxy/tests/answers.rs
@@ -23,13 +23,15 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 const MS: Time = 1_000_000;
 const UNSAFE: usize = 0;
 const SAFE: usize = 1;
 /// Larger than the socket buffers between two ends.
 const LARGE: usize = 8 << 20;
+/// Silence of a backend within its answer.
+const SILENCE: Duration = Duration::from_millis(600);
 
 /// Module that sends each request up to three times and then rejects it.
 #[derive(Default)]
@@ -101,6 +103,7 @@
             connect_timeout: second,
             keepalive: 60 * second,
             unacknowledged_timeout: None,
+            response_pause_timeout: None,
             relay_overtime: Some(Duration::ZERO),
         };
         let class = |name, effect| Class::new(name, 1000 * MS, 9000 * MS, effect, Group::All);
@@ -459,6 +462,30 @@
     }
 }
 
+/// Guards against breaking off an answer whose backend falls silent for a while within its head or its body.
+#[test]
+fn a_backend_that_falls_silent_within_its_answer_is_waited_for_until_the_deadline() {
+    let whole = answer("a", "one");
+    let head_bytes = whole.find("\r\n\r\n").expect("a head") + 4;
+    for sent_at_first in [20, head_bytes, head_bytes + 1] {
+        for class in [UNSAFE, SAFE] {
+            run_script(async {
+                let listener = listen().await;
+                let gateway = Gateway::before(&listener);
+                let (received, ()) =
+                    tokio::join!(gateway.request_with_timeout(3000 * MS, class, "a", 3), async {
+                        let mut backend = BackendConnection::accept(&listener).await;
+                        assert_eq!(backend.read_request(3).await, "a");
+                        backend.send(&whole[..sent_at_first]).await;
+                        sleep(SILENCE).await;
+                        backend.send(&whole[sent_at_first..]).await;
+                    });
+                assert_eq!(received, "200 one", "class {class}, {sent_at_first} bytes at first");
+            });
+        }
+    }
+}
+
 #[test]
 fn an_answer_before_the_body_was_read_counts_and_its_connection_is_not_kept() {
     run_script(async {
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -40,6 +40,9 @@
 use tokio::task::spawn_local;
 use tracing::{error, info, warn};
 
+/// Pause within a response after which a request that may be repeated is sent elsewhere.
+const RESPONSE_PAUSE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// An API gateway that enforces each customer's plan on a shared fleet of backends.
 ///
 /// LB_CONFIG names the gateway's configuration file (such as deploy/gateway.example.json), GRANITETHREAD_OPERATOR the
@@ -257,6 +260,7 @@
         connect_timeout: config.connect_timeout,
         keepalive: config.keepalive,
         unacknowledged_timeout: None,
+        response_pause_timeout: Some(RESPONSE_PAUSE_TIMEOUT),
         relay_overtime: None,
     };
     let wire = wire::BackendProtocol { max_units: settings.max_units.max(1.0) };
