--- a/crates/gateway/proxy/src/backends/attempt.rs
+++ b/crates/gateway/proxy/src/backends/attempt.rs
@@ -3,6 +3,7 @@
 use super::connection::{drive, is_interrupted, Connection};
 use super::failure::AttemptFailure;
 use super::relay::Relay;
+use super::request::request_size;
 use super::{
     nanos, AttemptStage, Backends, Content, Outcome, Outgoing, Progress, MAX_BODY_BYTES,
     MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_BUFFERING_TIME,
@@ -172,6 +173,8 @@
     ) -> Result<Response<Incoming>, AttemptFailure> {
         let mut request =
             self.request.build_request(&*self.backends.protocol, self.backend, wait, self.progress);
+        let timeout = self.backends.unacknowledged_timeout(request_size(&request));
+        connection.state.unacknowledged_timeout.set(timeout);
         // An interim response (1xx) may arrive long before the final one.
         let response_begun = self.progress.response_begun.clone();
         hyper::ext::on_informational(&mut request, move |_| response_begun.store(false, Relaxed));
--- a/crates/gateway/proxy/src/backends/connection.rs
+++ b/crates/gateway/proxy/src/backends/connection.rs
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// Slot of a connection in the descriptor budget, released when dropped.
@@ -115,15 +116,39 @@
     /// Progress of the current attempt.
     pub(super) progress: RefCell<Rc<Progress>>,
     pub(super) idle: Cell<bool>,
+    /// `TCP_USER_TIMEOUT` for the current request, set before its first byte is written. `None`: no limit.
+    pub(super) unacknowledged_timeout: Cell<Option<Duration>>,
 }
 
 /// Socket that records written bytes and reads in the progress of the current attempt.
 pub(super) struct CountingSocket {
-    pub(super) io: TokioIo<TcpStream>,
-    pub(super) state: Rc<ConnectionState>,
+    io: TokioIo<TcpStream>,
+    state: Rc<ConnectionState>,
+    /// `TCP_USER_TIMEOUT` of the socket.
+    applied_timeout: Option<Duration>,
 }
 
 impl CountingSocket {
+    /// Wraps a new socket, which has no `TCP_USER_TIMEOUT` yet.
+    pub(super) fn new(stream: TcpStream, state: Rc<ConnectionState>) -> Self {
+        CountingSocket { io: TokioIo::new(stream), state, applied_timeout: None }
+    }
+
+    /// Returns the socket's `TCP_USER_TIMEOUT`.
+    #[cfg(test)]
+    pub(super) fn unacknowledged_timeout(&self) -> Option<Duration> {
+        SockRef::from(self.io.inner()).tcp_user_timeout().expect("an open socket")
+    }
+
+    fn apply_unacknowledged_timeout(&mut self) -> io::Result<()> {
+        let timeout = self.state.unacknowledged_timeout.get();
+        if timeout != self.applied_timeout {
+            SockRef::from(self.io.inner()).set_tcp_user_timeout(timeout)?;
+            self.applied_timeout = timeout;
+        }
+        Ok(())
+    }
+
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = &written {
             let progress = self.state.progress.borrow();
@@ -164,6 +189,7 @@
 
 impl Write for CountingSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.apply_unacknowledged_timeout()?;
         let written = Pin::new(&mut self.io).poll_write(cx, buf);
         self.count(written)
     }
@@ -173,6 +199,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_unacknowledged_timeout()?;
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
         self.count(written)
     }
--- a/crates/gateway/proxy/src/backends/mod.rs
+++ b/crates/gateway/proxy/src/backends/mod.rs
@@ -24,11 +24,9 @@
 use crate::list::{State, Target};
 use connection::{Connection, ConnectionSlot, ConnectionState, CountingSocket};
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use interface::{Name, Scope, Time};
 use lifecycle::upstream::IdleLimit;
 use lifecycle::Upstream;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -44,6 +42,10 @@
 const REAP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which a response of unknown length is streamed.
 const RESPONSE_BUFFERING_TIME: Duration = Duration::from_millis(250);
+/// Maximum size of a request, with its head, that a backend's machine acknowledges even if the backend does not read it:
+/// it fits into any receive window. The system ends a connection also when the rest of a longer request waits for a
+/// closed window, though the backend is alive.
+const MAX_UNREAD_REQUEST_BYTES: usize = 4 << 10;
 /// Time for which the idle limit stays reduced after a backend has dropped an idle connection. The loss of a connection
 /// idle for less than `MIN_IDLE_LIMIT` is ignored.
 const NARROWED_IDLE_TIME: Duration = Duration::from_secs(10);
@@ -88,8 +90,8 @@
     pub connect_timeout: Duration,
     /// Idle time after which a backend closes a connection.
     pub keepalive: Duration,
-    /// Time without an acknowledgement of sent data after which a connection is closed (`TCP_USER_TIMEOUT`). `None`: the
-    /// system's default.
+    /// Time without an acknowledgement of sent data after which a connection is closed (`TCP_USER_TIMEOUT`), for requests
+    /// of up to [`MAX_UNREAD_REQUEST_BYTES`]. `None`, and for longer requests: the system's default.
     pub unacknowledged_timeout: Option<Duration>,
     /// Pause within a response after which a request that may be repeated is given up here, to be sent elsewhere. `None`:
     /// the attempt's deadline alone ends it.
@@ -234,6 +236,12 @@
         }
     }
 
+    /// Returns the `TCP_USER_TIMEOUT` for a request of this size. `None` is an unknown size.
+    fn unacknowledged_timeout(&self, request_bytes: Option<usize>) -> Option<Duration> {
+        let always_acknowledged = request_bytes.is_some_and(|bytes| bytes <= MAX_UNREAD_REQUEST_BYTES);
+        self.unacknowledged_timeout.filter(|_| always_acknowledged)
+    }
+
     fn now(&self) -> Time {
         nanos(self.started_at.elapsed())
     }
@@ -246,11 +254,8 @@
         let slot = ConnectionSlot::new(self.open_connections.clone());
         let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        if self.unacknowledged_timeout.is_some() {
-            SockRef::from(&stream).set_tcp_user_timeout(self.unacknowledged_timeout).ok()?;
-        }
         let state = Rc::new(ConnectionState::default());
-        let io = CountingSocket { io: TokioIo::new(stream), state: state.clone() };
+        let io = CountingSocket::new(stream, state.clone());
         let (sender, io) = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await.ok()?;
         self.connections_opened.set(self.connections_opened.get() + 1);
         let upstream = Upstream::new(self.connections_opened.get(), self.now());
--- a/crates/gateway/proxy/src/backends/request.rs
+++ b/crates/gateway/proxy/src/backends/request.rs
@@ -62,6 +62,13 @@
     }
 }
 
+/// Returns the size in bytes of a request on the wire, without headers that hyper may add. None if the length of its body
+/// is unknown.
+pub(super) fn request_size(request: &Request<RequestBody>) -> Option<usize> {
+    let body_bytes = usize::try_from(request.body().length()?).ok()?;
+    head_size(request).checked_add(body_bytes)
+}
+
 /// Returns the size in bytes of a request's head on the wire, without headers that hyper may add.
 fn head_size(request: &Request<RequestBody>) -> usize {
     let line = request.method().as_str().len() + request.uri().path().len() + " HTTP/1.1\r\n".len() + 1;
--- a/crates/gateway/proxy/src/backends/tests.rs
+++ b/crates/gateway/proxy/src/backends/tests.rs
@@ -41,13 +41,17 @@
 }
 
 fn backends(address: SocketAddr) -> Rc<Backends> {
+    backends_with(address, None)
+}
+
+fn backends_with(address: SocketAddr, unacknowledged_timeout: Option<Duration>) -> Rc<Backends> {
     let second = Duration::from_secs(1);
     let (connect_timeout, keepalive) = (5 * second, 10 * second);
     let limits = Limits {
         max_connections: 10,
         connect_timeout,
         keepalive,
-        unacknowledged_timeout: None,
+        unacknowledged_timeout,
         response_pause_timeout: None,
         relay_overtime: None,
     };
@@ -114,6 +118,40 @@
     }
 }
 
+/// Only requests that a live machine always acknowledges are limited; a connection changes between both kinds of requests.
+#[tokio::test]
+async fn the_time_without_an_acknowledgement_is_limited_for_short_requests_only() {
+    const LONG: usize = 64 << 10;
+    let timeout = Duration::from_millis(700);
+    for (bodies, expected) in
+        [(vec![5], Some(timeout)), (vec![5, LONG], None), (vec![LONG, 5], Some(timeout)), (vec![LONG], None)]
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let backends = backends_with(listener.local_addr().unwrap(), Some(timeout));
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            for body in &bodies {
+                let mut request = Vec::new();
+                while !request.ends_with(&b"x".repeat(*body)) || !request.windows(4).any(|w| w == b"\r\n\r\n")
+                {
+                    stream.read_buf(&mut request).await.unwrap();
+                }
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            }
+            stream
+        };
+        let ask = async {
+            for body in &bodies {
+                assert_eq!(attempt(&backends, &outgoing(*body)).await.0, Ending::Success);
+            }
+        };
+        let ((), _stream) = tokio::join!(ask, serve);
+        let connection = backends.table.borrow_mut().get_mut("s-1").unwrap().idle.pop().unwrap();
+        assert_eq!(connection.io.into_parts().io.unacknowledged_timeout(), expected, "{bodies:?}");
+        assert_eq!(backends.connects.get(), 1, "all on one connection");
+    }
+}
+
 /// A connection breaks while only part of the request is written, so the backend has not executed it.
 #[tokio::test]
 async fn a_request_broken_before_its_last_byte_never_ran() {
--- a/crates/gateway/proxy/tests/answers.rs
+++ b/crates/gateway/proxy/tests/answers.rs
@@ -32,6 +32,7 @@
 const LARGE: usize = 8 << 20;
 /// Silence of a backend within its answer.
 const SILENCE: Duration = Duration::from_millis(600);
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Module that sends each request up to three times and then rejects it.
 #[derive(Default)]
@@ -102,7 +103,7 @@
             max_connections: 9,
             connect_timeout: second,
             keepalive: 60 * second,
-            unacknowledged_timeout: None,
+            unacknowledged_timeout: Some(UNACKNOWLEDGED_TIMEOUT),
             response_pause_timeout: None,
             relay_overtime: Some(Duration::ZERO),
         };
@@ -486,6 +487,25 @@
     }
 }
 
+/// Guards against resetting the connection to a backend that is slow to read a long body: its machine is alive.
+#[test]
+fn a_backend_that_reads_a_long_body_late_is_waited_for() {
+    for class in [UNSAFE, SAFE] {
+        run_script(async {
+            let listener = listen_with_small_buffer();
+            let gateway = Gateway::before(&listener);
+            let (received, ()) = tokio::join!(gateway.request(class, "a", LARGE), async {
+                let mut backend = BackendConnection::accept(&listener).await;
+                assert_eq!(backend.read_head().await, "a");
+                sleep(2 * UNACKNOWLEDGED_TIMEOUT).await;
+                backend.0.read_exact(&mut vec![0; LARGE]).await.expect("the connection stands");
+                backend.send(&answer("a", "one")).await;
+            });
+            assert_eq!(received, "200 one", "class {class}");
+        });
+    }
+}
+
 #[test]
 fn an_answer_before_the_body_was_read_counts_and_its_connection_is_not_kept() {
     run_script(async {
