--- a/crates/common/process/src/settings.rs
+++ b/crates/common/process/src/settings.rs
@@ -114,11 +114,34 @@
 /// The contractual bounds of a process.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(default)]
+#[serde(rename_all = "camelCase")]
 pub struct Contract {
+    /// The losses that the system tolerates at once.
+    pub fault_tolerance: FaultTolerance,
     /// The bounds.
     pub bounds: Bounds,
 }
 
+/// The losses that the system tolerates at once with all rules kept.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct FaultTolerance {
+    /// Number of machines; `None` if the file does not state it.
+    pub machine_losses: Option<f64>,
+    /// Number of zones.
+    pub zones: f64,
+    /// Number of regions.
+    pub region_losses: f64,
+}
+
+impl FaultTolerance {
+    /// Returns the number of voters that tolerate these losses, if they are stated in machines alone.
+    pub fn min_voters(&self) -> Option<usize> {
+        let losses = self.machine_losses.filter(|_| self.zones == 0.0 && self.region_losses == 0.0)?;
+        Some(2 * losses.ceil() as usize + 1)
+    }
+}
+
 /// The bounds stated by the rules (`RULES.md`), as far as a process uses them.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
--- a/crates/common/process/src/settings/tests.rs
+++ b/crates/common/process/src/settings/tests.rs
@@ -15,6 +15,8 @@
     seedNodes = ["10.1.0.5:8407", "10.2.0.3:8407"]
     [networkTerms.listenAddresses]
     controlPlane = "10.1.0.5:8407"
+    [contractTerms.faultTolerance]
+    machineLosses = 2
     [contractTerms.bounds]
     graceS = 6
     quotaOvershoot = 0.1
@@ -32,6 +34,18 @@
     assert_eq!((settings.identity.data_directory, settings.contract.bounds.drain_ms), (None, 2500.0));
 }
 
+#[test]
+fn voters_for_the_stated_losses_are_known_if_machines_alone_are_stated() {
+    let min_voters = |losses: &str| {
+        let text = TEXT.replace("machineLosses = 2", losses);
+        Settings::parse("f", &text).unwrap().contract.fault_tolerance.min_voters()
+    };
+    assert_eq!(min_voters("machineLosses = 2"), Some(5));
+    assert_eq!(min_voters("machineLosses = 1\nzones = 0\nregionLosses = 0"), Some(3));
+    assert_eq!(min_voters("machineLosses = 1\nzones = 1"), None);
+    assert_eq!(min_voters(""), None);
+}
+
 #[test]
 fn invalid_setting_is_reported_in_one_line_with_its_path() {
     let error_line =
--- a/crates/control/consensus/src/node.rs
+++ b/crates/control/consensus/src/node.rs
@@ -56,6 +56,8 @@
     incoming_transfer: Option<IncomingTransfer>,
     shutting_down: bool,
     storage_healthy: bool,
+    /// Number of voters below which this node, as the leader, does not shrink the set. `None`: it never does.
+    min_voters: Option<usize>,
     rng: Rng,
     #[cfg(feature = "defects")]
     defect: Option<Defect>,
@@ -83,6 +85,7 @@
             incoming_transfer: None,
             shutting_down: false,
             storage_healthy: true,
+            min_voters: None,
             rng: Rng::with_seed(seed),
             #[cfg(feature = "defects")]
             defect: None,
@@ -91,6 +94,12 @@
         node
     }
 
+    /// Lets this node, as the leader, remove voters that are gone and that no node replaces, two at a time, as long as
+    /// this many voters remain.
+    pub fn allow_shrinking(&mut self, min_voters: usize) {
+        self.min_voters = Some(min_voters);
+    }
+
     /// Returns the id of this node.
     pub fn id(&self) -> &NodeId {
         &self.id
--- a/crates/control/consensus/src/node/reconfiguration.rs
+++ b/crates/control/consensus/src/node/reconfiguration.rs
@@ -81,7 +81,8 @@
             self.is_caught_up(now, leader, &id)
         });
         let waiting = waiting.map(|(name, learner)| (name.clone(), learner.disk_id)).collect();
-        improved_voter_set(self.log.voters().target(), &waiting, |id| self.voter_health(now, leader, id))
+        let health = |id: &NodeId| self.voter_health(now, leader, id);
+        improved_voter_set(self.log.voters().target(), &waiting, self.min_voters, health)
     }
 
     /// Returns whether a learner has all committed entries and responds.
--- a/crates/control/consensus/tests/voter_replacement.rs
+++ b/crates/control/consensus/tests/voter_replacement.rs
@@ -173,6 +173,90 @@
     assert!(net.commits_within(4_000), "five voters tolerate two failures");
 }
 
+/// Guards against voters that have left in order and keep their votes, so that one more failure ends the quorum.
+#[test]
+fn planned_replacement_of_three_at_once_tolerates_one_more_failure() {
+    for seed in 0..8 {
+        let mut net = Net::bootstrapped(20 + seed, &NAMES);
+        net.proposal_interval = 300 * MS;
+        for new in ["d", "e", "f"] {
+            net.start_with_empty_disk(new);
+            net.run(5_000);
+        }
+        assert_eq!(net.voters(), "a b c d e", "seed {seed}: the sixth node waits");
+        for old in NAMES {
+            net.terminate(old);
+            net.run(5_000);
+        }
+        assert_eq!(net.voters(), "d e f", "seed {seed}");
+        net.stop("d");
+        assert!(net.commits_within(4_000), "seed {seed}: one more failure must be tolerated");
+    }
+}
+
+/// Guards against failed voters that keep their votes while nobody waits to replace them.
+#[test]
+fn five_voters_shrink_to_three_when_two_fail_and_grow_again_when_both_return() {
+    let mut net = Net::bootstrapped(30, &["a", "b", "c", "d", "e"]);
+    net.proposal_interval = 300 * MS;
+    net.stop("d");
+    net.run(20_000);
+    assert_eq!(
+        net.voters(),
+        "a b c d e",
+        "four voters tolerate no more failures than five of which one is down"
+    );
+    net.stop("e");
+    net.run(5_000);
+    assert_eq!(net.voters(), "a b c");
+    net.start("d");
+    net.start("e");
+    net.run(2_000);
+    assert_eq!(net.voters(), "a b c d e");
+    net.stop("a");
+    net.stop("b");
+    assert!(net.commits_within(4_000), "five voters tolerate two failures");
+}
+
+/// Guards against voters that are taken in again while they shut down.
+#[test]
+fn two_voters_that_shut_down_at_once_are_removed_once() {
+    for seed in 0..8 {
+        let mut net = Net::bootstrapped(40 + seed, &["a", "b", "c", "d", "e"]);
+        net.proposal_interval = 300 * MS;
+        let mut observed = vec![net.voters()];
+        for _ in 0..12 {
+            net.request_shutdown("d");
+            net.request_shutdown("e");
+            for _ in 0..10 {
+                net.run(10);
+                observed.extend(Some(net.voters()).filter(|voters| !voters.is_empty()));
+            }
+        }
+        observed.dedup();
+        assert_eq!(observed, ["a b c d e", "a b c"], "seed {seed}");
+        net.stop("d");
+        net.stop("e");
+        net.run(1_000);
+        assert_eq!(net.voters(), "a b c", "seed {seed}");
+        net.stop("a");
+        assert!(net.commits_within(4_000), "seed {seed}: one more failure must be tolerated");
+    }
+}
+
+/// Two disks may be lost while two other voters are down, so each command must be on three of five voters.
+#[test]
+fn five_voters_that_must_tolerate_two_failures_are_not_shrunk() {
+    let mut net = Net::empty(31);
+    net.min_voters = Some(5);
+    net.bootstrap(&["a", "b", "c", "d", "e"]);
+    net.stop("d");
+    net.stop("e");
+    net.run(20_000);
+    assert_eq!(net.voters(), "a b c d e");
+    assert!(net.commits_within(1_000));
+}
+
 #[test]
 fn four_bootstrapped_voters_shrink_to_three_when_one_fails() {
     let mut net = Net::bootstrapped(8, &["a", "b", "c", "d"]);
--- a/crates/control/control-node/src/control_messages.rs
+++ b/crates/control/control-node/src/control_messages.rs
@@ -19,7 +19,7 @@
             id: self.config.id.clone(),
             zone: self.config.zone.clone(),
             initial_start: self.config.initial_start,
-            can_vote: self.config.can_vote,
+            can_vote: self.config.can_vote && !self.is_shutting_down(),
             known_nodes: self.known_nodes(),
             unix_ms,
         }
--- a/crates/control/control-node/src/node.rs
+++ b/crates/control/control-node/src/node.rs
@@ -41,6 +41,8 @@
     /// How long a gateway may use its fallback share without an answer: [`quota::FALLBACK_LIFETIME`], or less in a
     /// simulation.
     pub fallback_lifetime: Time,
+    /// Number of voters below which the core is not shrunk by voters that are gone. `None`: it never is.
+    pub min_voters: Option<usize>,
     /// Random seed of the election timeouts, and the first incarnation of this process's change log.
     pub seed: u64,
 }
@@ -116,6 +118,9 @@
         #[cfg(not(feature = "simulation"))]
         let raft_start = now;
         let mut raft = RaftNode::new(config.id.clone(), stored, config.seed, raft_start);
+        if let Some(min_voters) = config.min_voters {
+            raft.allow_shrinking(min_voters);
+        }
         // Storage counts as unhealthy until the state read from the disk has been saved once in full, so that nothing
         // depends on it before.
         raft.handle(raft_start, Input::StorageHealth { healthy: false }, &mut Vec::new());
@@ -234,6 +239,11 @@
         }
     }
 
+    /// Whether this node was told to shut down. It asks for no vote any more.
+    pub(crate) fn is_shutting_down(&self) -> bool {
+        self.next_leave_request.is_some()
+    }
+
     /// Returns this node's id.
     pub fn id(&self) -> &NodeId {
         &self.config.id
--- a/crates/control/control-node/tests/isolated_node.rs
+++ b/crates/control/control-node/tests/isolated_node.rs
@@ -20,6 +20,7 @@
         heartbeat_interval: HEARTBEAT_INTERVAL,
         read_terms: |_| TenantTerms::default(),
         fallback_lifetime: quota::FALLBACK_LIFETIME,
+        min_voters: None,
         seed: 7,
     };
     ControlNode::new(config, PersistedState::default(), Vec::new(), 0)
@@ -126,6 +127,7 @@
         heartbeat_interval: HEARTBEAT_INTERVAL,
         read_terms: |_| TenantTerms::default(),
         fallback_lifetime: quota::FALLBACK_LIFETIME,
+        min_voters: None,
         seed: 7,
     };
     let node = ControlNode::new(config, stored, Vec::new(), 0);
--- a/crates/control/control-node/tests/suspects.rs
+++ b/crates/control/control-node/tests/suspects.rs
@@ -21,6 +21,7 @@
         heartbeat_interval: HEARTBEAT_INTERVAL,
         read_terms: |_| TenantTerms::default(),
         fallback_lifetime: quota::FALLBACK_LIFETIME,
+        min_voters: None,
         seed: 7,
     };
     let mut node = ControlNode::new(config, PersistedState::default(), Vec::new(), 0);
--- a/crates/control/control-plane/src/driver/tests.rs
+++ b/crates/control/control-plane/src/driver/tests.rs
@@ -82,6 +82,7 @@
             heartbeat_interval: 1_000_000_000,
             read_terms: |_| trial::TenantTerms::default(),
             fallback_lifetime: quota::FALLBACK_LIFETIME,
+            min_voters: None,
             seed: self.starts,
         };
         let driver = Driver::new(
--- a/crates/control/control-plane/src/main.rs
+++ b/crates/control/control-plane/src/main.rs
@@ -128,6 +128,7 @@
             Configuration::parse(body).map(|c| TenantTerms::from_configuration(&c)).unwrap_or_default()
         },
         fallback_lifetime: quota::FALLBACK_LIFETIME,
+        min_voters: settings.contract.fault_tolerance.min_voters(),
         seed,
     }
 }
--- a/crates/control/control-plane/src/storage/role_directory_tests.rs
+++ b/crates/control/control-plane/src/storage/role_directory_tests.rs
@@ -72,6 +72,7 @@
         heartbeat_interval: SECOND,
         read_terms: |_| TenantTerms::default(),
         fallback_lifetime: quota::FALLBACK_LIFETIME,
+        min_voters: None,
         seed: 7,
     };
     let mut node = ControlNode::new(config, loaded.stored, Vec::new(), 0);
--- a/crates/testing/control-sim/src/long_workload.rs
+++ b/crates/testing/control-sim/src/long_workload.rs
@@ -175,6 +175,7 @@
             read_terms,
             snapshot_threshold,
             fallback_lifetime: quota::FALLBACK_LIFETIME,
+            min_voters: voters,
         };
         // The last machine has no disk.
         for n in 0..=voters {
--- a/crates/testing/control-sim/src/machine.rs
+++ b/crates/testing/control-sim/src/machine.rs
@@ -38,6 +38,8 @@
     pub snapshot_threshold: usize,
     /// Lifetime of a gateway's fallback share without an answer from the coordinator.
     pub fallback_lifetime: Time,
+    /// Number of voters below which the core is not shrunk: what the workload's tolerance of failures takes.
+    pub min_voters: usize,
 }
 
 /// A machine, its disk, and the control node that runs on it while it is up.
@@ -139,6 +141,7 @@
             heartbeat_interval: HEARTBEAT_INTERVAL,
             read_terms: self.settings.read_terms,
             fallback_lifetime: self.settings.fallback_lifetime,
+            min_voters: Some(self.settings.min_voters),
             seed,
         };
         let planted = self.defect.and_then(Defect::control_node_defect);
--- a/crates/testing/control-sim/src/short_workload.rs
+++ b/crates/testing/control-sim/src/short_workload.rs
@@ -114,6 +114,7 @@
             read_terms: trial_configuration::terms,
             snapshot_threshold: 24,
             fallback_lifetime,
+            min_voters: count,
         };
         // The last machine has no disk.
         for n in 0..=count {
