--- a/crates/common/configuration/src/route_table.rs
+++ b/crates/common/configuration/src/route_table.rs
@@ -65,6 +65,13 @@
 }
 
 impl Route {
+    /// Returns the services that receive requests of this route.
+    pub fn targets(&self) -> impl Iterator<Item = &str> {
+        let weighted = self.weighted_targets.iter().filter(|_| self.target_service.is_none());
+        let weighted = weighted.filter(|target| target.weight > 0.0).map(|target| &target.target_service);
+        self.target_service.iter().chain(weighted).map(String::as_str)
+    }
+
     /// Returns the target service for a random draw between 0 and 1.
     pub fn target(&self, draw: f64) -> Option<&str> {
         if let Some(service) = &self.target_service {
--- a/crates/common/quota/src/retry_budget.rs
+++ b/crates/common/quota/src/retry_budget.rs
@@ -29,6 +29,11 @@
         *balance = (*balance + RATIO_SAFETY_FACTOR * self.ratio).min(MAX_BALANCE);
     }
 
+    /// Takes all retries of a service: its number belongs to another service from now on.
+    pub fn reset(&mut self, service: usize) {
+        self.balances.remove(&service);
+    }
+
     /// Takes a retry if one is available, and returns whether it did.
     pub fn withdraw(&mut self, service: usize) -> bool {
         let balance = self.balances.entry(service).or_default();
--- a/crates/data/data-plane/src/budgeted_module.rs
+++ b/crates/data/data-plane/src/budgeted_module.rs
@@ -13,6 +13,9 @@
 /// Maximum number of backends that one client attempt may be sent to, by class.
 pub type MaxAttempts = Rc<RefCell<Vec<u32>>>;
 
+/// Retry budget by pool. Shared, because a pool may change its service.
+pub type SharedRetryBudget = Rc<RefCell<RetryBudget>>;
+
 /// Divisor of the maximum retry-after time, which gives the retry-after time of a rejected request.
 const RETRY_AFTER_DIVISOR: Time = 4;
 
@@ -32,7 +35,7 @@
     inner: Gateway,
     effects: Vec<Effect>,
     max_attempts: MaxAttempts,
-    retry_budget: RetryBudget,
+    retry_budget: SharedRetryBudget,
     requests: HashMap<RequestId, RequestState>,
     retry_after: Time,
 }
@@ -44,14 +47,14 @@
 impl std::error::Error for ModuleError {}
 
 impl BudgetedModule {
-    /// Creates the module. `retry_ratio` is the number of retries that are allowed per request.
+    /// Creates the module.
     ///
     /// # Errors
     /// The settings are invalid for the inner module.
     pub fn new(
         settings: Settings,
         max_attempts: MaxAttempts,
-        retry_ratio: f64,
+        retry_budget: SharedRetryBudget,
         seed: u64,
         now: Time,
     ) -> Result<Self, ModuleError> {
@@ -61,7 +64,7 @@
             inner: Gateway::new(settings, seed, now).map_err(ModuleError)?,
             effects,
             max_attempts,
-            retry_budget: RetryBudget::new(retry_ratio),
+            retry_budget,
             requests: HashMap::new(),
             retry_after,
         })
@@ -83,7 +86,7 @@
         }
         let max_attempts = self.max_attempts.borrow().get(request.class).copied().unwrap_or(1);
         let (attempts_arrived, pool) = (request.attempts_arrived, request.pool);
-        attempts_arrived < max_attempts && self.retry_budget.withdraw(pool)
+        attempts_arrived < max_attempts && self.retry_budget.borrow_mut().withdraw(pool)
     }
 
     fn on_event(&mut self, event: &mut Event, actions: &mut Vec<Action>) {
@@ -117,7 +120,7 @@
             Action::Send { id, .. } => {
                 if let Some(request) = self.requests.get_mut(id).filter(|request| !request.deposited) {
                     request.deposited = true;
-                    self.retry_budget.deposit(request.pool);
+                    self.retry_budget.borrow_mut().deposit(request.pool);
                 }
             }
             Action::Reject { id, .. } | Action::Fail { id } => {
--- a/crates/data/data-plane/src/budgeted_module/tests.rs
+++ b/crates/data/data-plane/src/budgeted_module/tests.rs
@@ -3,6 +3,10 @@
 
 const MS: Time = 1_000_000;
 
+fn new_budget() -> SharedRetryBudget {
+    Rc::new(RefCell::new(RetryBudget::new(0.2)))
+}
+
 fn new_module(effect: Effect, max_attempts: u32) -> BudgetedModule {
     let settings = Settings {
         classes: vec![Class::new("c", 600 * MS, 2000 * MS, effect, Group::All)],
@@ -12,7 +16,7 @@
         ..Settings::default()
     };
     let mut module =
-        BudgetedModule::new(settings, Rc::new(RefCell::new(vec![max_attempts])), 0.2, 1, 0).unwrap();
+        BudgetedModule::new(settings, Rc::new(RefCell::new(vec![max_attempts])), new_budget(), 1, 0).unwrap();
     let nodes = (0..9).map(|n| Node::new(&format!("s{n}"), Health::Up)).collect();
     module.handle(0, vec![Event::Fleet { seq: 1, scope: Scope::Full, nodes }], &mut Vec::new());
     module
--- a/crates/data/data-plane/src/client_requests.rs
+++ b/crates/data/data-plane/src/client_requests.rs
@@ -119,6 +119,7 @@
         }
         let service = route.target(fastrand::f64()).ok_or_else(unavailable)?;
         let timeout = remaining_time(&head.headers, route);
+        let (pool, pool_use) = self.gateway.pool_for_request(service);
         let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority);
         let request = engine::Incoming {
             id: self.next_request_id.replace(self.next_request_id.get() + 1),
@@ -130,7 +131,7 @@
             units: Gateway::estimate_units(route),
             spread: 1,
             repeat: false,
-            pool: self.gateway.pool_for_service(service),
+            pool,
             allowance: Allowance::Unknown,
         };
         let outgoing = Outgoing {
@@ -138,6 +139,7 @@
             uri,
             headers: backend_headers(head.headers, tenant),
             at_most_once: route.route_kind == RouteKind::Unsafe,
+            pool_use,
             ..Outgoing::default()
         };
         Ok(Incoming { arrived, request, outgoing })
--- a/crates/data/data-plane/src/gateway.rs
+++ b/crates/data/data-plane/src/gateway.rs
@@ -1,18 +1,21 @@
 //! The configuration in force and the backends, in the form that request handling needs. Updated by the subscription
 //! to a control node.
 
-use crate::budgeted_module::MaxAttempts;
-use crate::pools::{Pools, POOL_COUNT};
+use crate::budgeted_module::{MaxAttempts, SharedRetryBudget};
+use crate::pools::{PoolChange, Pools, POOL_COUNT};
 use crate::request_classes::{RequestClass, RequestClasses};
 use crate::tenant_quota::TenantQuota;
 use configuration::{Configuration, Route, RouteTable};
 use control_state::CommittedConfiguration;
 use interface::{Effect, Plan, Scope, Settings};
 use messages::GatewayMessage;
+use proxy::backends::PoolUse;
 use proxy::driver::Driver;
 use proxy::list::{List, State, Target};
+use quota::RetryBudget;
 use registry::Heartbeat;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,7 +56,11 @@
     request_classes: RefCell<RequestClasses>,
     /// Maximum attempts by class, for the decision module.
     pub max_attempts: MaxAttempts,
+    /// Available retries by pool, for the decision module.
+    pub retry_budget: SharedRetryBudget,
     pools: RefCell<Pools>,
+    /// The backends that take new requests, by id, as the driver knows them.
+    ready_backends: RefCell<BTreeMap<String, Target>>,
     settings: RefCell<Settings>,
     driver: RefCell<Option<Rc<Driver>>>,
     name: String,
@@ -65,8 +72,9 @@
     /// Plan of throttled tenants.
     pub const THROTTLED_PLAN: usize = PRIORITY_LEVELS;
 
-    /// Creates the state. `zone` is the index of the gateway's zone among all zones.
-    pub fn new(quota: Rc<TenantQuota>, config: SubscriptionConfig, zone: u32) -> Rc<Self> {
+    /// Creates the state. `zone` is the index of the gateway's zone among all zones, `retry_ratio` the number of retries
+    /// that are allowed per request.
+    pub fn new(quota: Rc<TenantQuota>, config: SubscriptionConfig, zone: u32, retry_ratio: f64) -> Rc<Self> {
         let classes = RequestClasses::new();
         let max_attempts = classes.all().iter().map(|class| class.max_attempts).collect();
         let settings = module_settings(&classes, zone);
@@ -77,7 +85,9 @@
             routes: RefCell::default(),
             max_attempts: Rc::new(RefCell::new(max_attempts)),
             request_classes: RefCell::new(classes),
+            retry_budget: Rc::new(RefCell::new(RetryBudget::new(retry_ratio))),
             pools: RefCell::default(),
+            ready_backends: RefCell::default(),
             settings: RefCell::new(settings),
             driver: RefCell::default(),
             control_node: Cell::new(None),
@@ -133,14 +143,21 @@
         f(&mut self.subscription.borrow_mut(), self.quota.now())
     }
 
-    /// Returns the pool for requests to a service.
-    pub fn pool_for_service(&self, service: &str) -> usize {
-        self.pools.borrow_mut().pool_for_requests(service)
+    /// Returns the pool for a request to a service, and its use by this request.
+    pub fn pool_for_request(&self, service: &str) -> (usize, Option<PoolUse>) {
+        let found = self.pools.borrow().pool_for_request(service);
+        if found.1.is_some() {
+            return found;
+        }
+        // The requests that kept another pool in use may have ended meanwhile.
+        let changes = self.pools.borrow_mut().assign_missing();
+        self.apply_pool_changes(&changes);
+        self.pools.borrow().pool_for_request(service)
     }
 
     /// Returns the pool of a service's backends as a bit mask, with one bit set; 0 if the service has no pool.
     pub fn pools_of_backend(&self, service: &str) -> u32 {
-        self.pools.borrow_mut().pools_of_backend(service)
+        self.pools.borrow().pools_of_backend(service)
     }
 
     /// Returns the class of a route's requests.
@@ -204,11 +221,53 @@
                 ViewChange::Gateways => self.update_gateways(),
             }
         }
+        let mut ready_backends = self.ready_backends.borrow_mut();
+        for target in &targets {
+            match target.state {
+                State::Ready => drop(ready_backends.insert(target.uid.clone(), target.clone())),
+                State::Terminating | State::Gone => drop(ready_backends.remove(&target.uid)),
+            }
+        }
+        drop(ready_backends);
+        self.apply_targets(targets);
+    }
+
+    fn apply_targets(&self, targets: Vec<Target>) {
+        let driver = self.driver.borrow().clone();
         if let Some(driver) = driver.filter(|_| !targets.is_empty()) {
             driver.apply_list(Scope::Changes, List { rev: 0, all: false, targets });
         }
     }
 
+    /// Assigns pools to the services that a configuration routes to.
+    fn assign_pools(&self, configuration: &Configuration) {
+        let changes =
+            self.pools.borrow_mut().set_routed(configuration.routes.iter().flat_map(Route::targets));
+        self.apply_pool_changes(&changes);
+        for service in self.pools.borrow().without_pool() {
+            log::error!("too many services: backends of {service} get no requests");
+        }
+    }
+
+    /// Applies backends again whose pools have changed, before any request can use a pool for another service.
+    fn apply_pool_changes(&self, changes: &[PoolChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        let has_changed = |service: &str| {
+            let is_part =
+                |c: &PoolChange| c.new_service == service || c.old_service.as_deref() == Some(service);
+            changes.iter().any(is_part)
+        };
+        for change in changes {
+            self.retry_budget.borrow_mut().reset(change.pool);
+        }
+        let ready_backends = self.ready_backends.borrow();
+        let changed = ready_backends.values().filter(|target| has_changed(&target.model)).cloned().collect();
+        drop(ready_backends);
+        self.apply_targets(changed);
+    }
+
     fn apply_configuration(&self, committed: &CommittedConfiguration) {
         let version = committed.version;
         match Configuration::parse(&committed.body) {
@@ -228,6 +287,7 @@
         self.settings.borrow_mut().classes = classes.all().iter().map(RequestClass::module_class).collect();
         drop(classes);
         self.reconfigure();
+        self.assign_pools(&configuration);
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
     }
 
--- a/crates/data/data-plane/src/main.rs
+++ b/crates/data/data-plane/src/main.rs
@@ -129,7 +129,7 @@
     };
     let zones = &settings.network.zones;
     let zone = zones.keys().position(|zone| *zone == identity.zone).unwrap_or(zones.len());
-    Gateway::new(quota, config, zone as u32)
+    Gateway::new(quota, config, zone as u32, settings.contract.bounds.retry_budget_ratio)
 }
 
 /// Returns the number of sockets, half of them for clients and half for backends.
@@ -162,7 +162,7 @@
         min_batch_interval: 0,
     };
     let (module_settings, max_attempts) = (gateway.settings(), gateway.max_attempts.clone());
-    let retry_ratio = settings.contract.bounds.retry_budget_ratio;
+    let retry_budget = gateway.retry_budget.clone();
     let pools = gateway.clone();
     let driver = Driver::new(Config {
         settings: gateway.settings(),
@@ -170,7 +170,7 @@
         timing,
         module: Box::new(move |seed, now| {
             let (settings, max_attempts) = (module_settings.clone(), max_attempts.clone());
-            let module = BudgetedModule::new(settings, max_attempts, retry_ratio, seed, now);
+            let module = BudgetedModule::new(settings, max_attempts, retry_budget.clone(), seed, now);
             module.map(|module| Box::new(module) as Box<dyn Module>).map_err(|error| error.to_string())
         }),
         backends: backends.clone(),
--- a/crates/gateway/proxy/src/backends/mod.rs
+++ b/crates/gateway/proxy/src/backends/mod.rs
@@ -17,7 +17,7 @@
 pub use attempt::ExchangeResult;
 pub use progress::{AttemptStage, Progress};
 pub use relay::Stream;
-pub use request::Outgoing;
+pub use request::{Outgoing, PoolUse};
 pub use response::{Content, Outcome, Served, UpstreamProtocol};
 pub use upload::{StreamingBody, Upload};
 
--- a/crates/gateway/proxy/src/backends/request.rs
+++ b/crates/gateway/proxy/src/backends/request.rs
@@ -11,6 +11,24 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Use of a pool by a request. Counted until it is dropped.
+#[derive(Debug)]
+pub struct PoolUse(Rc<Cell<usize>>);
+
+impl PoolUse {
+    /// Adds a use to the pool's count.
+    pub fn new(users: Rc<Cell<usize>>) -> Self {
+        users.set(users.get() + 1);
+        PoolUse(users)
+    }
+}
+
+impl Drop for PoolUse {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Client's request in the form that is sent to backends.
 #[derive(Default)]
 pub struct Outgoing {
@@ -27,6 +45,8 @@
     pub at_most_once: bool,
     /// Numbers of the connections that earlier attempts used. Bounded by the number of attempts.
     pub earlier_connections: RefCell<Vec<u64>>,
+    /// The request's use of its pool, if pools are counted. It ends with the request and its attempts.
+    pub pool_use: Option<PoolUse>,
 }
 
 impl Outgoing {
--- a/crates/testing/test-harness/src/lib.rs
+++ b/crates/testing/test-harness/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod planners;
 mod planning_cost;
 pub mod program;
+pub mod renamed_services;
 pub mod request_lifecycle;
 pub mod scale;
 pub mod scenario;
--- a/crates/testing/test-harness/src/scenario.rs
+++ b/crates/testing/test-harness/src/scenario.rs
@@ -111,4 +111,5 @@
     crate::trial::SCENARIO,
     crate::scale::SCENARIO,
     crate::services::SCENARIO,
+    crate::renamed_services::SCENARIO,
 ];
--- a/crates/testing/test-harness/src/services.rs
+++ b/crates/testing/test-harness/src/services.rs
@@ -41,7 +41,7 @@
 }
 
 /// Starts a backend that responds with the number of its service.
-fn backend(n: usize) -> Result<SocketAddr, String> {
+pub(crate) fn backend(n: usize) -> Result<SocketAddr, String> {
     let script = move |m: &Message, to: &mut TcpStream| {
         let attempt = m.header("attempt-id").unwrap_or_default().to_string();
         let body = n.to_string();
@@ -54,6 +54,32 @@
     serve(Arc::new(script)).map_err(|e| e.to_string())
 }
 
+/// Client that sends its requests to the gateways in turn.
+pub(crate) struct ServiceClient {
+    fronts: Vec<SocketAddr>,
+    next_id: u64,
+}
+
+impl ServiceClient {
+    pub(crate) fn new(fronts: Vec<SocketAddr>) -> Self {
+        ServiceClient { fronts, next_id: 0 }
+    }
+
+    /// Sends a request on the route of service `n`. Returns the number of the service that answered, if it is readable;
+    /// None without a successful answer.
+    pub(crate) fn ask(&mut self, n: usize) -> Option<Option<usize>> {
+        self.next_id += 1;
+        let text = format!(
+            "GET /s{n}/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {:016x}\r\nRemaining-Time: 2000\r\n\r\n",
+            self.next_id
+        );
+        let front = self.fronts[self.next_id as usize % self.fronts.len()];
+        let answer = Client::try_connect(front).and_then(|mut client| client.try_ask(&text));
+        let answer = answer.filter(|answer| answer.status() == 200);
+        answer.map(|answer| String::from_utf8_lossy(&answer.body).parse().ok())
+    }
+}
+
 fn run(play: &Play) -> Result<Figures, String> {
     let services = play.size.services.unwrap_or(SERVICES);
     if !(2..=400).contains(&services) {
@@ -85,27 +111,19 @@
             sleep(Duration::from_millis(HEARTBEAT_MS / 4));
         }
     });
-    let (mut correct, mut crossed_count, mut failed, mut id) = (0u32, 0usize, 0u32, 0u64);
-    let fronts = cluster.fronts();
-    let mut ask = |n: usize| {
-        id += 1;
-        let text = format!(
-            "GET /s{n}/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id:016x}\r\nRemaining-Time: 2000\r\n\r\n"
-        );
-        let front = fronts[id as usize % fronts.len()];
-        let answer = Client::try_connect(front).and_then(|mut c| c.try_ask(&text));
-        let answer = answer.filter(|a| a.status() == 200);
-        answer.map(|a| String::from_utf8_lossy(&a.body).parse::<usize>().ok())
-    };
+    let (mut correct, mut crossed_count, mut failed) = (0u32, 0usize, 0u32);
+    let mut client = ServiceClient::new(cluster.fronts());
     // Wait until every gateway knows a backend of each service.
     let up = Instant::now();
-    while up.elapsed() < 3 * play.time && (0..services).any(|n| (0..fronts.len()).any(|_| ask(n).is_none())) {
+    while up.elapsed() < 3 * play.time
+        && (0..services).any(|n| (0..MACHINES).any(|_| client.ask(n).is_none()))
+    {
         sleep(Duration::from_millis(50));
     }
     let began = Instant::now();
     while began.elapsed() < play.time {
         for n in 0..services {
-            match ask(n) {
+            match client.ask(n) {
                 Some(by) if by == Some(n) => correct += 1,
                 Some(_) => crossed_count += 1,
                 None => failed += 1,
