--- a/crates/gateway/proxy/src/fronts/http1/mod.rs
+++ b/crates/gateway/proxy/src/fronts/http1/mod.rs
@@ -21,7 +21,7 @@
 use interface::Time;
 use lifecycle::connection::{self, Command, Input, State, Timeouts};
 use lifecycle::{drain, Close, Connection, Drain};
-use request::{discard, states_length, BodyReader, Pace};
+use request::{discard, states_length, BodyReader, Forwarded, Pace};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -431,20 +431,30 @@
             length,
         }));
         let mut ticket = self.driver.submit(incoming).ok_or_else(|| error_reply(StatusCode::BAD_REQUEST))?;
-        tokio::select! {
+        let mut forwarding = Box::pin(body.forward(sender.clone()));
+        let answer = tokio::select! {
             biased;
-            // Answered before the body is complete: the rest is not needed.
             answer = &mut ticket => {
-                let mut reply = self.handler.reply(answer);
-                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                return Ok(reply);
+                // The response begins before the body is complete. Its backend still receives the body.
+                if is_streamed(&answer) {
+                    spawn_local(finish_upload(forwarding, sender));
+                }
+                answer
             }
             // A client that stops before the end is due no answer: dropping the ticket ends the attempt.
-            passed = body.forward(&sender) => passed.map_err(|status| error_reply(self.handler.aborted_body_status(status)))?,
-        }
-        client.handle(Input::Accepted);
-        self.driver.body_completed(id, self.wait(timeout));
-        Ok(self.handler.reply(ticket.await))
+            forwarded = &mut forwarding => {
+                let forwarded = forwarded.map_err(|status| error_reply(self.handler.aborted_body_status(status)))?;
+                if forwarded == Forwarded::Complete {
+                    client.handle(Input::Accepted);
+                    self.driver.body_completed(id, self.wait(timeout));
+                    return Ok(self.handler.reply(ticket.await));
+                }
+                ticket.await
+            }
+        };
+        let mut reply = self.handler.reply(answer);
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        Ok(reply)
     }
 
     /// Submits a complete request, for which an answer is due from now on.
@@ -469,6 +479,22 @@
     }
 }
 
+/// Whether a response is still arriving from the backend.
+fn is_streamed(answer: &Answer) -> bool {
+    matches!(answer, Answer::Served(served) if matches!(served.content, Content::Stream(_)))
+}
+
+/// Continues to forward a request body whose response has begun. An upload that stops does not end the response: the
+/// attempt's body stays open until the attempt ends.
+async fn finish_upload(
+    forwarding: impl Future<Output = Result<Forwarded, StatusCode>>,
+    sender: mpsc::Sender<Bytes>,
+) {
+    if forwarding.await.is_err() {
+        sender.closed().await;
+    }
+}
+
 /// Whether the only transfer coding is `chunked`, the one that hyper decodes.
 fn only_chunked(headers: &HeaderMap) -> bool {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
--- a/crates/gateway/proxy/src/fronts/http1/request.rs
+++ b/crates/gateway/proxy/src/fronts/http1/request.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// End of a streamed body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Forwarded {
+    /// The attempt has received all of it.
+    Complete,
+    /// The attempt ended first.
+    AttemptEnded,
+}
+
 /// Reader of a body that is arriving.
 pub(super) struct BodyReader {
     body: IncomingBody,
@@ -88,8 +97,9 @@
         self.body.size_hint().exact().map(|left| left + self.received_bytes as u64)
     }
 
-    /// Streams the rest of the body, followed by an empty frame. A backend must also read within a time limit.
-    pub(super) async fn forward(&mut self, to: &mpsc::Sender<Bytes>) -> Result<(), StatusCode> {
+    /// Streams the rest of the body, followed by an empty frame. A backend must also read within a time limit. If the
+    /// attempt ends first, the rest is discarded, so that the client can read its response.
+    pub(super) async fn forward(mut self, to: mpsc::Sender<Bytes>) -> Result<Forwarded, StatusCode> {
         loop {
             let data = self.next_data().await?;
             let is_end = data.is_none();
@@ -97,11 +107,13 @@
             match timeout(UPLOAD_READ_TIMEOUT, to.send(data.unwrap_or_default())).await {
                 Err(_) => return Err(StatusCode::GATEWAY_TIMEOUT),
                 Ok(Ok(())) => {}
-                // The attempt has ended, and the answer will arrive.
-                Ok(Err(_)) => std::future::pending().await,
+                Ok(Err(_)) => {
+                    while !is_end && matches!(self.next_data().await, Ok(Some(_))) {}
+                    return Ok(Forwarded::AttemptEnded);
+                }
             }
             if is_end {
-                return Ok(());
+                return Ok(Forwarded::Complete);
             }
             // The time that the backend took is not charged to the client.
             self.pace.start += wait_start.elapsed();
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Mutex;
 use std::thread;
@@ -248,6 +249,46 @@
     }
 }
 
+/// Guards against cutting off the answer of a backend that answers before it has read a long body, also if the client stops
+/// sending then.
+#[test]
+fn an_answer_that_begins_before_a_long_body_was_read_comes_whole() {
+    const EARLY_ANSWER_BYTES: usize = 300_000;
+    const BODY_MIB: usize = 16;
+    for sent_mib in [BODY_MIB, BODY_MIB / 2] {
+        let has_answered = AtomicBool::new(false);
+        let (address, _bodies) = start_reading_backend(move |stream, received| {
+            if received.len() > 256 << 10 && !has_answered.swap(true, Ordering::Relaxed) {
+                let mut stream = stream.try_clone().expect("a second handle");
+                thread::spawn(move || {
+                    write_text(
+                        &mut stream,
+                        &format!("HTTP/1.1 200 OK\r\nContent-Length: {EARLY_ANSWER_BYTES}\r\n\r\n"),
+                    );
+                    for _ in 0..30 {
+                        write_text(&mut stream, &"y".repeat(EARLY_ANSWER_BYTES / 30));
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                });
+            }
+            true
+        });
+        let discovery = Discovery::new(list(1, true, &[("s-1", address, "Ready")]));
+        let gateway = Gateway::start_with(&discovery, Setup::default());
+        discovery.wait_for_calls(2);
+        let mut client = gateway.client();
+        client.send(&post(&format!("Content-Length: {}", BODY_MIB << 20), ""));
+        let mut stream = client.stream.try_clone().expect("a second handle");
+        let writer_thread =
+            thread::spawn(move || (0..sent_mib).all(|_| stream.write_all(&vec![b'x'; 1 << 20]).is_ok()));
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.body.len()), (200, EARLY_ANSWER_BYTES), "{sent_mib} MiB sent");
+        assert!(answer.body.iter().all(|b| *b == b'y'));
+        drop(client);
+        let _ = writer_thread.join();
+    }
+}
+
 /// A client that disconnects in the middle of a body cancels its attempt.
 #[test]
 fn a_client_that_disconnects_in_a_body_ends_its_attempt() {
