--- a/crates/testing/control-sim/src/main.rs
+++ b/crates/testing/control-sim/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs seeds: `control-sim --seeds 1000`, `control-sim --seed 7 --story`, `control-sim --defect wiped-votes`.
 #![forbid(unsafe_code)]
 
-use control_sim::{play, play_pairs, Defect, Story, Violation};
+use control_sim::{play, play_exchanges, play_pairs, Defect, Story, Violation};
 use std::ops::Range;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,6 +17,11 @@
     options.optopt("n", "seeds", "how many seeds to simulate (default 1)", "N");
     options.optopt("j", "jobs", "seeds simulated in parallel (default 1)", "N");
     options.optflag("", "pairs", "run only long workloads that replace several machines at a time");
+    options.optflag(
+        "",
+        "exchanges",
+        "run only long workloads that exchange two or three of three machines at a time",
+    );
     options.optopt("d", "defect", "plant this defect; exit status 1 means that it was found", "NAME");
     options.optflag("", "growth", "print how sizes and costs grow with the fleet and exit");
     options.optflag("", "story", "print every event, even if no rule was broken");
@@ -60,7 +65,13 @@
         return ExitCode::FAILURE;
     };
     let seeds = (first..first.saturating_add(count), matches.opt_present("story"));
-    let play_fn: PlayFn = if matches.opt_present("pairs") { play_pairs } else { play };
+    let play_fn: PlayFn = if matches.opt_present("pairs") {
+        play_pairs
+    } else if matches.opt_present("exchanges") {
+        play_exchanges
+    } else {
+        play
+    };
     match run_seeds(seeds, planted, jobs.max(1), play_fn) {
         Ok(totals) => {
             println!("{count} seeds from {first}: no rule broken; {}", totals.summary());
@@ -86,6 +97,7 @@
     long_runs: u64,
     acknowledged_again: u64,
     refused: u64,
+    exchanges: u64,
     minutes: f64,
     recovery_times: Vec<u64>,
 }
@@ -99,6 +111,7 @@
         self.long_runs += u64::from(story.duration > 0);
         self.acknowledged_again += u64::from(story.acknowledged_again);
         self.refused += u64::from(story.refused);
+        self.exchanges += u64::from(story.exchanges);
         self.minutes += story.duration as f64 / 60e9;
         self.recovery_times.extend(&story.recovery_times);
     }
@@ -124,8 +137,8 @@
         let [full, paced, refused] = self.trial;
         format!(
             "{} steps, {} acknowledged\non trial: {full} at full speed, {paced} in turn, {refused} refused for the pace\n\
-             worlds of minutes: {}, of {:.0} minutes together; {} orders acknowledged again, {} refused\n{}",
-            self.steps, self.acknowledged, self.long_runs, self.minutes, self.acknowledged_again, self.refused, self.recovery()
+             worlds of minutes: {}, of {:.0} minutes together; {} orders acknowledged again, {} refused, {} exchanges\n{}",
+            self.steps, self.acknowledged, self.long_runs, self.minutes, self.acknowledged_again, self.refused, self.exchanges, self.recovery()
         )
     }
 }
--- a/crates/testing/control-sim/src/story.rs
+++ b/crates/testing/control-sim/src/story.rs
@@ -25,6 +25,8 @@
     /// Acknowledged drains, and configurations committed as a delta to the current one.
     pub drains: u32,
     pub changes: u32,
+    /// Completed exchanges of several machines.
+    pub exchanges: u32,
     /// Time from the end of each fault to the first answered read of the configuration.
     pub recovery_times: Vec<Time>,
 }
