--- a/crates/gateway/proxy/src/backends/mod.rs
+++ b/crates/gateway/proxy/src/backends/mod.rs
@@ -91,7 +91,7 @@
     /// Idle time after which a backend closes a connection.
     pub keepalive: Duration,
     /// Time without an acknowledgement of sent data after which a connection is closed (`TCP_USER_TIMEOUT`), for requests
-    /// of up to [`MAX_UNREAD_REQUEST_BYTES`]. `None`, and for longer requests: the system's default.
+    /// of up to 4 KiB with their head. `None`, and for longer requests: the system's default.
     pub unacknowledged_timeout: Option<Duration>,
     /// Pause within a response after which a request that may be repeated is given up here, to be sent elsewhere. `None`:
     /// the attempt's deadline alone ends it.
