--- a/crates/control/control-node/src/control_messages.rs
+++ b/crates/control/control-node/src/control_messages.rs
@@ -41,6 +41,7 @@
     /// Handles another control node's message.
     pub fn on_control_message(&mut self, now: Time, from: &NodeId, message: ControlMessage) {
         self.now = now;
+        self.last_heard_from_peer = Some(now);
         match message {
             ControlMessage::Hello { id, zone, initial_start, can_vote, known_nodes, unix_ms } => {
                 self.quota.record_clock(now, &id.name, unix_ms);
--- a/crates/control/control-node/src/node.rs
+++ b/crates/control/control-node/src/node.rs
@@ -72,6 +72,8 @@
     /// All control nodes learned so far, including this one, by name; none is removed. The value is the zone, empty
     /// while unknown.
     pub(crate) known_nodes: BTreeMap<String, String>,
+    /// When a message of another control node last arrived.
+    pub(crate) last_heard_from_peer: Option<Time>,
     /// Present only at the first start of the system.
     pub(crate) bootstrapper: Option<Bootstrapper>,
     pub(crate) changes: Changes,
@@ -142,6 +144,7 @@
             pending_heartbeats: PendingHeartbeats::default(),
             quota: QuotaState::new(now),
             known_nodes,
+            last_heard_from_peer: None,
             bootstrapper: Bootstrapper::new(&config, now),
             changes: Changes::default(),
             drains: Vec::new(),
@@ -239,6 +242,11 @@
         }
     }
 
+    /// Returns when a message of another control node last arrived.
+    pub fn last_heard_from_peer(&self) -> Option<Time> {
+        self.last_heard_from_peer
+    }
+
     /// Whether this node was told to shut down. It asks for no vote any more.
     pub(crate) fn is_shutting_down(&self) -> bool {
         self.next_leave_request.is_some()
--- a/crates/control/control-plane/src/main.rs
+++ b/crates/control/control-plane/src/main.rs
@@ -8,6 +8,7 @@
 mod error;
 mod links;
 mod queries;
+mod settings_reload;
 mod signals;
 mod storage;
 mod subscribers;
@@ -23,6 +24,7 @@
 use process::command_line::{run_daemon, Program};
 use process::log_ring::LogRing;
 use process::settings::{settings_path, Settings};
+use settings_reload::{LastRead, ReloadSchedule};
 use signals::{SignalRequest, Signals};
 use sockets::listen;
 use std::io::stderr;
@@ -33,11 +35,13 @@
 use std::time::Duration;
 use storage::{LoadedState, StorageError, StorageHandle};
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::sleep;
+use tokio::time::{interval, sleep};
 use trial::TenantTerms;
 
 /// Interval at which the registry is saved if it has changed.
 const REGISTRY_SAVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which it is checked whether the settings file is to be read again.
+const RELOAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time limit for a graceful shutdown: covers the leadership transfer and calls in flight.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -70,6 +74,7 @@
     spawn_local(connections::accept(driver.clone(), links, peer_listener));
     let calls = CallServer::new(driver.clone(), control_address.port());
     let mut calls = spawn_local(calls.serve(call_listener));
+    spawn_local(reload_settings_while_peerless(driver.clone()));
     loop {
         tokio::select! {
             ended = &mut consensus => return Err(ControlPlaneError::ConsensusEnded(ended)),
@@ -146,13 +151,47 @@
 /// Handles SIGHUP: adds the seeds of the current settings file to the known nodes.
 fn reload_seeds(driver: &Driver) {
     match Settings::load(&settings_path()) {
-        Ok(settings) => driver.with(|node, _| {
-            settings.seed_addresses().iter().for_each(|seed| node.learn_node(&seed.to_string(), ""));
-        }),
+        Ok(settings) => learn_seeds(driver, &settings),
         Err(error) => log::warn!("SIGHUP: {error}; keeping the previous settings"),
     }
 }
 
+fn learn_seeds(driver: &Driver, settings: &Settings) {
+    driver.with(|node, _| {
+        settings.seed_addresses().iter().for_each(|seed| node.learn_node(&seed.to_string(), ""));
+    });
+}
+
+/// Adds the seeds of the settings file to the known nodes when the file has changed without a signal, as long as this node
+/// hears no other.
+async fn reload_settings_while_peerless(driver: Rc<Driver>) {
+    let path = settings_path();
+    let mut schedule = ReloadSchedule::new(driver.with(|_, now| now));
+    let mut last_read = LastRead::default();
+    let mut timer = interval(RELOAD_CHECK_INTERVAL);
+    loop {
+        timer.tick().await;
+        let (now, last_heard) = driver.with(|node, now| (now, node.last_heard_from_peer()));
+        if !schedule.is_due(now, last_heard, fastrand::f64()) {
+            continue;
+        }
+        let read = std::fs::read_to_string(&path).map_err(|error| error.to_string());
+        if !last_read.is_new(read.clone()) {
+            continue;
+        }
+        let name = path.display().to_string();
+        match read.map(|text| Settings::parse(&name, &text)) {
+            Ok(Ok(settings)) => {
+                let seeds = settings.seed_addresses();
+                log::info!("no other control node is heard; the settings file names {seeds:?}");
+                learn_seeds(&driver, &settings);
+            }
+            Ok(Err(error)) => log::warn!("{error}; keeping the previous settings"),
+            Err(error) => log::warn!("{name}: {error}; keeping the previous settings"),
+        }
+    }
+}
+
 /// Saves the registry periodically, so that gateways that subscribe right after a restart get backends before the first
 /// heartbeats arrive.
 async fn save_registry_periodically(driver: Rc<Driver>, storage: StorageHandle) {
