test-harness: the cluster scenario says which request got no answer, and where

The count alone doesn't tell a connection that ended from a 502, a 504 or a time-out, nor which gateway it was.

Change: each such request is kept with its path, gateway, status (none: the connection ended), start and duration, and printed as a violation of its own. What counts as a violation is unchanged.

--- a/crates/testing/test-harness/src/local_cluster.rs
+++ b/crates/testing/test-harness/src/local_cluster.rs
@@ -398,7 +398,42 @@
     asked: u64,
     served: u64,
     refused: u64,
-    failed: u64,
+    /// Those that got neither 200 nor a refusal that promises that they were not executed.
+    failures: Vec<Outcome>,
+}
+
+impl Counts {
+    fn record(&mut self, outcome: Outcome) {
+        self.asked += 1;
+        match outcome.status {
+            Some(200) => self.served += 1,
+            Some(429 | 503) => self.refused += 1,
+            _ => self.failures.push(outcome),
+        }
+    }
+}
+
+/// A request of a client and what came of it.
+struct Outcome {
+    path: &'static str,
+    gateway: Option<SocketAddr>,
+    /// `None` if the connection ended without a response.
+    status: Option<u16>,
+    /// Time since the clients started.
+    sent_after: Duration,
+    duration: Duration,
+}
+
+impl std::fmt::Display for Outcome {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Outcome { path, gateway, status, sent_after, duration } = self;
+        write!(
+            f,
+            "{path} at {gateway:?}: status {status:?} after {} ms, sent at {} ms",
+            duration.as_millis(),
+            sent_after.as_millis()
+        )
+    }
 }
 
 /// A cluster with its first configuration, and backends that send heartbeats until it is dropped.
@@ -471,6 +506,7 @@
     twice: bool,
 ) -> (Arc<Mutex<Counts>>, Vec<thread::JoinHandle<()>>) {
     let counts: Arc<Mutex<Counts>> = Arc::default();
+    let started = Instant::now();
     let threads = (0..6u64).map(|n| {
         let (fronts, stop, counts) = (fronts.to_vec(), stop.clone(), counts.clone());
         thread::spawn(move || {
@@ -478,29 +514,19 @@
             while !stop.load(Relaxed) {
                 id += 1;
                 let path = if id % 3 == 0 { "/pay/1" } else { "/look/1" };
-                let mut status = None;
-                for _ in 0..3 {
+                let mut last = send(&fronts, path, id + 1, started);
+                for attempt in 1..=3 {
                     id += 1;
-                    // As the entry proxy would: if a connection is refused it tries the next gateway.
-                    let on = |n: u64| Client::try_connect(fronts[((id + n) as usize) % fronts.len()]);
-                    let ask = || (0..3).find_map(on).and_then(|mut c| c.try_ask(&request(path, id)));
-                    status = ask().map(|a| a.status());
                     if twice && path.contains("pay") {
-                        ask();
+                        send(&fronts, path, id, started);
                     }
-                    if !matches!(status, Some(429 | 503)) {
+                    if attempt == 3 || !matches!(last.status, Some(429 | 503)) {
                         break;
                     }
                     thread::sleep(Duration::from_millis(100));
+                    last = send(&fronts, path, id + 1, started);
                 }
-                let mut counts = lock(&counts);
-                counts.asked += 1;
-                *match status {
-                    Some(200) => &mut counts.served,
-                    Some(429 | 503) => &mut counts.refused,
-                    _ => &mut counts.failed,
-                } += 1;
-                drop(counts);
+                lock(&counts).record(last);
                 thread::sleep(Duration::from_millis(20));
             }
         })
@@ -509,6 +535,20 @@
     (counts, threads)
 }
 
+/// Sends a request to the first gateway that accepts a connection, as the entry proxy would.
+fn send(fronts: &[SocketAddr], path: &'static str, id: u64, started: Instant) -> Outcome {
+    let sent_after = started.elapsed();
+    let connect = |n: u64| {
+        let front = fronts[((id + n) as usize) % fronts.len()];
+        Client::try_connect(front).map(|client| (front, client))
+    };
+    let connection = (0..3).find_map(connect);
+    let gateway = connection.as_ref().map(|(front, _)| *front);
+    let response = connection.and_then(|(_, mut client)| client.try_ask(&request(path, id)));
+    let status = response.map(|response| response.status());
+    Outcome { path, gateway, status, sent_after, duration: started.elapsed() - sent_after }
+}
+
 fn run(play: &Play) -> Result<Figures, String> {
     let mut running = start_cluster(play.seed)?;
     let controls = running.cluster.controls();
@@ -565,7 +605,10 @@
     let counts = lock(&counts);
     figures.set("asked", counts.asked);
     figures.set("refused", counts.refused);
-    figures.expect_zero("left without an answer", counts.failed as usize);
+    figures.expect_zero("left without an answer", counts.failures.len());
+    for failure in &counts.failures {
+        figures.violations.push(failure.to_string());
+    }
     figures.bound("served", counts.served as f64 / counts.asked.max(1) as f64, 0.95, 1.0);
     let seen = &running.seen;
     figures.expect_zero("payments that ran twice", seen.twice.load(Relaxed) as usize);
@@ -605,8 +648,11 @@
     while !stop.load(Relaxed) {
         thread::sleep(Duration::from_secs(1));
         second += 1;
-        let Counts { asked, served, refused, failed } = std::mem::take(&mut *lock(&counts));
-        say(&format!("{second:4} s  {asked} asked, {served} served, {refused} refused, {failed} failed"));
+        let Counts { asked, served, refused, failures } = std::mem::take(&mut *lock(&counts));
+        say(&format!(
+            "{second:4} s  {asked} asked, {served} served, {refused} refused, {} failed",
+            failures.len()
+        ));
     }
     threads.into_iter().for_each(|t| drop(t.join()));
     Ok(())
