Gateways: control nodes that are told at present are tried first, and old ones forgotten

Cause: the gateway added each address that a control node told to a table and removed none; all were equally good.

Change: ControlNodes keeps when each address was last told, in time in which a node with a majority was followed. Those told within the last second of it are tried first, those not told for 60 s are forgotten, and the table holds 128. A node without a majority makes nobody older, and is left for a seed of the settings as well.

--- a/crates/data/subscription/src/lib.rs
+++ b/crates/data/subscription/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod backoff;
+mod control_nodes;
 mod freshness;
 mod subscription;
 mod view;
--- a/crates/data/subscription/src/subscription.rs
+++ b/crates/data/subscription/src/subscription.rs
@@ -2,6 +2,7 @@
 //! node's updates.
 
 use crate::backoff::Backoffs;
+use crate::control_nodes::ControlNodes;
 use crate::freshness::Freshness;
 use crate::view::{View, ViewChange};
 use crate::{Time, MS};
@@ -9,7 +10,6 @@
 use control_state::{ConfigurationChunk, ConfigurationReceiver, ReceiveOutcome};
 use messages::{GatewayMessage, GatewayUpdate, Greeting, MESSAGE_FORMAT};
 use quota::LeaseGrant;
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 
 /// A control node sends a message every 200 ms. The gateway disconnects from one that is silent for this long.
@@ -102,8 +102,7 @@
     config: SubscriptionConfig,
     view: View,
     freshness: Freshness,
-    /// Known control nodes, each with its zone if known.
-    known_nodes: BTreeMap<IpAddr, String>,
+    control_nodes: ControlNodes,
     backoffs: Backoffs,
     position: SubscriberPosition,
     /// The missing gateways that were last reported.
@@ -119,7 +118,7 @@
             config,
             view: View::default(),
             freshness: Freshness::default(),
-            known_nodes: BTreeMap::new(),
+            control_nodes: ControlNodes::default(),
             backoffs: Backoffs::default(),
             position: SubscriberPosition::default(),
             missing: Vec::new(),
@@ -143,20 +142,21 @@
         act(&mut self.view)
     }
 
-    /// Selects the node to connect to next, among the seeds and all known nodes: a random node of the gateway's own
-    /// zone if available, else any other. `draw` returns a random number below its argument.
+    /// Selects the node to connect to next, among the seeds and all known nodes: a random node of those that control
+    /// nodes tell of at present, else any other, and of the gateway's own zone if available. `draw` returns a random
+    /// number below its argument.
     pub fn next_node(
         &mut self,
         now: Time,
         seeds: &[IpAddr],
         mut draw: impl FnMut(usize) -> usize,
     ) -> Option<NextNode> {
-        let all: BTreeSet<IpAddr> = self.known_nodes.keys().chain(seeds).copied().collect();
+        self.control_nodes.set_seeds(seeds);
+        let all = self.control_nodes.all();
         self.backoffs.retain(&all);
         let available: Vec<IpAddr> =
             all.iter().copied().filter(|ip| !self.backoffs.is_backed_off(ip, now)).collect();
-        let near_nodes: Vec<IpAddr> = available.iter().copied().filter(|ip| self.is_near(ip)).collect();
-        let candidates = if near_nodes.is_empty() { available } else { near_nodes };
+        let candidates = self.preferred(available);
         if !candidates.is_empty() {
             let ip = candidates[draw(candidates.len())];
             return Some(NextNode { ip, is_backed_off: false });
@@ -165,8 +165,21 @@
         oldest_failure.map(|ip| NextNode { ip, is_backed_off: true })
     }
 
+    /// Returns the nodes that are tried before the others.
+    fn preferred(&self, nodes: Vec<IpAddr>) -> Vec<IpAddr> {
+        let current: Vec<IpAddr> =
+            nodes.iter().copied().filter(|ip| self.control_nodes.is_current(ip)).collect();
+        let nodes = if current.is_empty() { nodes } else { current };
+        let near: Vec<IpAddr> = nodes.iter().copied().filter(|ip| self.is_near(ip)).collect();
+        if near.is_empty() {
+            nodes
+        } else {
+            near
+        }
+    }
+
     fn is_near(&self, ip: &IpAddr) -> bool {
-        *ip == self.config.ip || self.known_nodes.get(ip) == Some(&self.config.zone)
+        *ip == self.config.ip || self.control_nodes.zone(ip) == Some(self.config.zone.as_str())
     }
 
     /// Handles a new connection to a node, direct or relayed by another gateway. Returns the first message to send on
@@ -299,9 +312,8 @@
                 newest_configuration,
                 control_nodes,
             } => {
-                let nodes = control_nodes.into_iter();
-                let parsed = nodes.filter_map(|(name, zone)| Some((name.parse().ok()?, zone)));
-                self.known_nodes.extend(parsed);
+                let has_quorum = quorum_contact_ms <= MAX_CONTACT_AGE_MS;
+                self.control_nodes.on_list(now, control_nodes, has_quorum);
                 let age = u64::from(quorum_contact_ms) * MS;
                 self.freshness.on_heartbeat(contact_number, age, newest_configuration);
                 effects.push(Effect::Changed(self.on_proof(now)));
@@ -376,8 +388,8 @@
         if has_no_quorum {
             self.backoffs.retry_timed_out(now, started);
         }
-        let mut others =
-            self.known_nodes.keys().filter(|other| **other != ip && !self.backoffs.is_backed_off(other, now));
+        let all = self.control_nodes.all();
+        let mut others = all.iter().filter(|other| **other != ip && !self.backoffs.is_backed_off(other, now));
         if has_no_quorum {
             // If no node has a majority, all nodes are equally good.
             return others.next().map(|_| DisconnectReason::NoQuorum);
@@ -385,7 +397,8 @@
         let may_leave_relay = is_direct || now.saturating_sub(started) >= RELAY_PERIOD;
         // The transfer of a configuration would have to restart on another connection.
         let may_leave = may_leave_relay && !is_receiving;
-        let has_nearer = may_leave && !self.is_near(&ip) && others.any(|other| self.is_near(other));
+        let is_nearer = |other: &IpAddr| self.is_near(other) && self.control_nodes.is_current(other);
+        let has_nearer = may_leave && !self.is_near(&ip) && others.any(is_nearer);
         has_nearer.then_some(DisconnectReason::NearerNode)
     }
 }
--- a/crates/data/subscription/tests/subscription.rs
+++ b/crates/data/subscription/tests/subscription.rs
@@ -272,3 +272,82 @@
     subscription.on_update(960 * MS, heartbeat(contact, 5, 0), Vec::new);
     assert!(subscription.nodes_to_probe(970 * MS).is_empty());
 }
+
+/// Returns the heartbeat of a node in contact with a majority that tells of these nodes.
+fn list_of(nodes: std::ops::RangeInclusive<u8>, quorum_contact_ms: u32) -> GatewayUpdate {
+    let control_nodes = nodes.map(|n| (ip(n).to_string(), String::new())).collect();
+    GatewayUpdate::Heartbeat { contact_number: 0, quorum_contact_ms, newest_configuration: 0, control_nodes }
+}
+
+/// Sends such a list to a connected gateway five times a second for this number of seconds.
+fn receive_lists(
+    subscription: &mut Subscription,
+    from_s: Time,
+    seconds: Time,
+    list: impl Fn() -> GatewayUpdate,
+) {
+    for step in 0..5 * seconds {
+        subscription.on_update((1000 * from_s + 200 * step) * MS, list(), Vec::new);
+    }
+}
+
+/// Lets connections time out until the gateway knows no node that isn't in back-off, and returns those it tried.
+fn tried_nodes(subscription: &mut Subscription, now: Time, seeds: &[IpAddr]) -> Vec<IpAddr> {
+    let mut tried = Vec::new();
+    while let Some(next) = subscription.next_node(now, seeds, |_| 0).filter(|next| !next.is_backed_off) {
+        tried.push(next.ip);
+        subscription.on_disconnected(now, next.ip, now, DisconnectReason::TimedOut);
+    }
+    tried
+}
+
+/// Guards against the seconds that a gateway spent on the addresses of nodes that were gone, one after the other, before
+/// it tried one that was up (seed 2450 of `control-sim --exchanges`).
+#[test]
+fn nodes_that_are_told_at_present_are_tried_before_others() {
+    let mut subscription = new_subscription();
+    connect(&mut subscription, 0, ip(20));
+    receive_lists(&mut subscription, 0, 2, || list_of(1..=20, 0));
+    receive_lists(&mut subscription, 2, 3, || list_of(18..=20, 0));
+    let tried = tried_nodes(&mut subscription, 5000 * MS, &[ip(1), ip(30)]);
+    assert_eq!(tried[..3], [ip(18), ip(19), ip(20)]);
+    assert_eq!(tried.len(), 21, "the others are tried as well");
+}
+
+/// Guards against a table of nodes that only grows.
+#[test]
+fn nodes_that_are_told_no_more_are_forgotten() {
+    let mut subscription = new_subscription();
+    connect(&mut subscription, 0, ip(1));
+    receive_lists(&mut subscription, 0, 2, || list_of(1..=20, 0));
+    receive_lists(&mut subscription, 2, 70, || list_of(1..=3, 0));
+    let tried = tried_nodes(&mut subscription, 72_000 * MS, &[ip(30)]);
+    assert_eq!(tried, [ip(1), ip(2), ip(3), ip(30)]);
+    // Two hundred come and go within the time in which none is forgotten.
+    connect(&mut subscription, 73_000 * MS, ip(1));
+    for n in 10..210 {
+        subscription.on_update((73_000 + 200 * Time::from(n)) * MS, list_of(n..=n, 0), Vec::new);
+    }
+    assert!(tried_nodes(&mut subscription, 116_000 * MS, &[]).len() <= 128);
+}
+
+/// Guards against a gateway behind a cut that forgets all nodes but the one that is cut off with it.
+#[test]
+fn a_node_without_a_majority_makes_none_forgotten() {
+    let mut subscription = new_subscription();
+    connect(&mut subscription, 0, ip(1));
+    receive_lists(&mut subscription, 0, 2, || list_of(1..=5, 0));
+    receive_lists(&mut subscription, 2, 100, || list_of(1..=1, 100_000));
+    assert_eq!(tried_nodes(&mut subscription, 102_000 * MS, &[]).len(), 5);
+}
+
+/// Guards against a gateway that stays with a node without a majority which tells of itself alone, though its settings
+/// name others (seed 128 of `control-sim --exchanges` on a draft).
+#[test]
+fn a_node_without_a_majority_is_left_for_a_seed() {
+    let mut subscription = new_subscription();
+    assert!(subscription.next_node(0, &[ip(1), ip(2)], |_| 0).is_some());
+    connect(&mut subscription, 0, ip(1));
+    let effects = subscription.on_update(10 * MS, list_of(1..=1, 5000), Vec::new);
+    assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]), "{effects:?}");
+}
