Control nodes: addresses that nobody hears are forgotten, and make room for living ones

Cause: learn_node kept the first 64 addresses for good, and every node told every other all of them in each Hello.

Change: KnownNodes, a table without I/O. A node tells of the voters and of nodes that it hears itself, so that nobody tells of one that nobody hears. An address without a sign for 60 s is forgotten, and its link ends; in a full table one that is not heard for 5 s makes room, and a living one that finds none is named in the log. Own address, seeds and voters stay. A node that hears nobody forgets nobody. New settings replace the seeds. ReloadSchedule moves from the control plane's program to control-node, so that control-sim plays it: settings now change 0.2 to 2 s after a machine went, half of the time without a signal; the story names what each machine knows.

--- a/crates/control/control-node/src/control_messages.rs
+++ b/crates/control/control-node/src/control_messages.rs
@@ -4,13 +4,10 @@
 use crate::{ControlNode, Defect, Time, MS};
 use consensus::{Input, NodeId};
 use messages::{ControlMessage, GatewayUpdate};
-use std::net::IpAddr;
 use trial::UnixMillis;
 
 /// Interval at which this node announces itself to the other control nodes.
 pub const HELLO_INTERVAL: Time = 500 * MS;
-/// Maximum number of known control nodes; no fleet has that many.
-const MAX_KNOWN_NODES: usize = 64;
 
 impl ControlNode {
     /// Returns the announcement of this node, sent to the others every [`HELLO_INTERVAL`].
@@ -20,33 +17,37 @@
             zone: self.config.zone.clone(),
             initial_start: self.config.initial_start,
             can_vote: self.config.can_vote && !self.is_shutting_down(),
-            known_nodes: self.known_nodes(),
+            known_nodes: self.told_nodes(),
             unix_ms,
         }
     }
 
-    /// Adds a control node, or updates its zone; an empty `zone` leaves a known one unchanged. Ignores names that are
-    /// not IP addresses, and new nodes beyond `MAX_KNOWN_NODES`.
-    pub fn learn_node(&mut self, name: &str, zone: &str) {
-        let has_room = self.known_nodes.len() < MAX_KNOWN_NODES || self.known_nodes.contains_key(name);
-        if name.parse::<IpAddr>().is_err() || !has_room {
-            return;
-        }
-        let known_zone = self.known_nodes.entry(name.to_string()).or_default();
-        if !zone.is_empty() {
-            *known_zone = zone.to_string();
-        }
+    /// Handles a connection from another control node.
+    pub fn on_node_connected(&mut self, now: Time, name: &str) {
+        self.now = now;
+        self.known_nodes.on_heard(now, name, "");
+    }
+
+    /// Replaces the seeds: addresses of control nodes in the settings.
+    pub fn set_seeds(&mut self, now: Time, seeds: &[String]) {
+        self.now = now;
+        self.known_nodes.set_seeds(now, seeds);
     }
 
     /// Handles another control node's message.
     pub fn on_control_message(&mut self, now: Time, from: &NodeId, message: ControlMessage) {
         self.now = now;
-        self.last_heard_from_peer = Some(now);
+        let zone = if let ControlMessage::Hello { zone, .. } = &message { zone } else { "" };
+        self.known_nodes.on_heard(now, &from.name, zone);
+        #[cfg(feature = "simulation")]
+        if self.has_defect(Defect::NodesNeverForgotten) {
+            self.known_nodes.hear_all(now);
+        }
         match message {
-            ControlMessage::Hello { id, zone, initial_start, can_vote, known_nodes, unix_ms } => {
+            ControlMessage::Hello { id, zone: _, initial_start, can_vote, known_nodes, unix_ms } => {
                 self.quota.record_clock(now, &id.name, unix_ms);
-                known_nodes.iter().for_each(|(name, zone)| self.learn_node(name, zone));
-                self.learn_node(&id.name, &zone);
+                let told = known_nodes.iter().filter(|(name, _)| *name != id.name);
+                told.for_each(|(name, zone)| self.known_nodes.on_told(now, name, zone));
                 self.on_hello(id, initial_start, can_vote);
             }
             ControlMessage::Bootstrap(message) => self.on_bootstrap_message(from, message),
--- a/crates/control/control-node/src/defect.rs
+++ b/crates/control/control-node/src/defect.rs
@@ -57,12 +57,14 @@
     AnsweredWhileRemoved,
     /// A former leader keeps proposing gateway removals, and entries of any term apply them.
     RemovalOfAnyTerm,
+    /// Control nodes that are gone are kept in the table of known nodes, and told to others.
+    NodesNeverForgotten,
 }
 
 #[cfg(feature = "simulation")]
 impl Defect {
     /// All defects.
-    pub const ALL: [Defect; 27] = [
+    pub const ALL: [Defect; 28] = [
         Defect::SendBeforeSync,
         Defect::ReadWithoutQuorum,
         Defect::AcknowledgeBeforeCommit,
@@ -90,5 +92,6 @@
         Defect::RemovedTooSoon,
         Defect::AnsweredWhileRemoved,
         Defect::RemovalOfAnyTerm,
+        Defect::NodesNeverForgotten,
     ];
 }
--- a/crates/control/control-node/src/leadership.rs
+++ b/crates/control/control-node/src/leadership.rs
@@ -61,7 +61,6 @@
         let voter_ids =
             voters.map(|(name, disk_id)| NodeId { name: name.clone(), disk_id: *disk_id }.to_string());
         log::info!("voters: {}", voter_ids.collect::<Vec<_>>().join(" "));
-        let names: Vec<String> = self.leadership.voters.keys().cloned().collect();
-        names.iter().for_each(|name| self.learn_node(name, ""));
+        self.known_nodes.set_voters(self.now, self.leadership.voters.keys());
     }
 }
--- a/crates/control/control-node/src/lib.rs
+++ b/crates/control/control-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod effect;
 mod gateway_removal;
 mod heartbeats;
+mod known_nodes;
 mod leader_history;
 mod leadership;
 mod node;
@@ -24,6 +25,7 @@
 mod quorum_contact;
 mod quota_grants;
 mod quota_report;
+mod settings_reload;
 mod storage_health;
 mod subscribers;
 mod trial_expiry;
@@ -36,6 +38,7 @@
 pub use leadership::Leadership;
 pub use node::{ControlNode, NodeConfig};
 pub use persistence::MIN_DEDUP_BYTES;
+pub use settings_reload::{LastRead, ReloadSchedule};
 pub use subscribers::UPDATE_INTERVAL;
 
 /// Nanoseconds on the driver's monotonic clock.
--- a/crates/control/control-node/src/node.rs
+++ b/crates/control/control-node/src/node.rs
@@ -7,6 +7,7 @@
 use crate::drains::PendingDrain;
 use crate::effect::Effect;
 use crate::heartbeats::PendingHeartbeats;
+use crate::known_nodes::KnownNodes;
 use crate::leadership::{Leadership, LEAVE_INTERVAL};
 use crate::persistence::PersistenceQueue;
 use crate::quota_grants::QuotaState;
@@ -69,11 +70,7 @@
     /// Heartbeats to forward to the other control nodes.
     pub(crate) pending_heartbeats: PendingHeartbeats,
     pub(crate) quota: QuotaState,
-    /// All control nodes learned so far, including this one, by name; none is removed. The value is the zone, empty
-    /// while unknown.
-    pub(crate) known_nodes: BTreeMap<String, String>,
-    /// When a message of another control node last arrived.
-    pub(crate) last_heard_from_peer: Option<Time>,
+    pub(crate) known_nodes: KnownNodes,
     /// Present only at the first start of the system.
     pub(crate) bootstrapper: Option<Bootstrapper>,
     pub(crate) changes: Changes,
@@ -126,9 +123,7 @@
         // Storage counts as unhealthy until the state read from the disk has been saved once in full, so that nothing
         // depends on it before.
         raft.handle(raft_start, Input::StorageHealth { healthy: false }, &mut Vec::new());
-        let mut known_nodes: BTreeMap<String, String> =
-            config.seeds.iter().map(|seed| (seed.clone(), String::new())).collect();
-        known_nodes.insert(config.id.name.clone(), config.zone.clone());
+        let known_nodes = KnownNodes::new(&config.id.name, &config.zone, &config.seeds, now);
         let mut node = ControlNode {
             now,
             unix_ms: 0,
@@ -144,7 +139,6 @@
             pending_heartbeats: PendingHeartbeats::default(),
             quota: QuotaState::new(now),
             known_nodes,
-            last_heard_from_peer: None,
             bootstrapper: Bootstrapper::new(&config, now),
             changes: Changes::default(),
             drains: Vec::new(),
@@ -244,7 +238,7 @@
 
     /// Returns when a message of another control node last arrived.
     pub fn last_heard_from_peer(&self) -> Option<Time> {
-        self.last_heard_from_peer
+        self.known_nodes.last_heard()
     }
 
     /// Whether this node was told to shut down. It asks for no vote any more.
@@ -284,7 +278,12 @@
 
     /// Returns the known control nodes as pairs of name and zone; the zone is empty while unknown.
     pub fn known_nodes(&self) -> Vec<(String, String)> {
-        self.known_nodes.iter().map(|(name, zone)| (name.clone(), zone.clone())).collect()
+        self.known_nodes.all().map(|(name, zone)| (name.clone(), zone.clone())).collect()
+    }
+
+    /// Returns the control nodes to tell others, as pairs of name and zone.
+    pub(crate) fn told_nodes(&self) -> Vec<(String, String)> {
+        self.known_nodes.told().map(|(name, zone)| (name.clone(), zone.clone())).collect()
     }
 
     pub(crate) fn send_to(&mut self, to: &str, message: ControlMessage) {
--- a/crates/control/control-node/src/settings_reload.rs
+++ b/crates/control/control-node/src/settings_reload.rs
@@ -1,7 +1,7 @@
 //! Decides when the settings file is read again without a signal: while this node hears no other control node, whose
 //! addresses may have changed in the file. No I/O.
 
-use control_node::Time;
+use crate::Time;
 
 #[cfg(test)]
 mod tests;
--- a/crates/control/control-node/src/subscribers.rs
+++ b/crates/control/control-node/src/subscribers.rs
@@ -113,7 +113,7 @@
             contact_number,
             quorum_contact_ms: u32::try_from(contact_age_ms).unwrap_or(u32::MAX),
             newest_configuration,
-            control_nodes: self.known_nodes(),
+            control_nodes: self.told_nodes(),
         })
     }
 
--- a/crates/control/control-plane/src/links.rs
+++ b/crates/control/control-plane/src/links.rs
@@ -6,6 +6,7 @@
 use messages::frame::{self, FrameReader, FrameWriter};
 use messages::{ControlMessage, Greeting, MESSAGE_FORMAT};
 use sockets::connect;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -40,8 +41,11 @@
         loop {
             dial_interval.tick().await;
             let own_name = self.driver.node().id().name.clone();
-            let known_nodes = self.driver.node().known_nodes();
-            for (name, _) in known_nodes {
+            let known_nodes: BTreeSet<String> =
+                self.driver.node().known_nodes().into_iter().map(|(name, _)| name).collect();
+            // The links of forgotten nodes end with their senders.
+            self.driver.links.borrow_mut().retain(|name, _| known_nodes.contains(name));
+            for name in known_nodes {
                 let is_new = name != own_name && !self.driver.links.borrow().contains_key(&name);
                 if let Some(ip) = name.parse::<IpAddr>().ok().filter(|_| is_new) {
                     let (sender, queue) = mpsc::channel(QUEUE_LENGTH);
@@ -58,10 +62,12 @@
             if let Ok(stream) = connect(address).await {
                 // Messages queued while there was no connection are stale.
                 while queue.try_recv().is_ok() {}
-                if self.send_messages(stream, &mut queue).await.is_ok() {
-                    // The sender was dropped: the link is no longer used.
-                    return;
-                }
+                // Its end is noticed below, or the connection is opened again.
+                let _ = self.send_messages(stream, &mut queue).await;
+            }
+            if queue.is_closed() {
+                // The sender was dropped: the node has been forgotten.
+                return;
             }
             sleep(RECONNECT_DELAY).await;
         }
@@ -97,7 +103,7 @@
 
     /// Receives the messages of another control node until its connection closes.
     pub async fn receive(self: Rc<Self>, from: NodeId, mut reader: FrameReader) {
-        self.driver.with(|node, _| node.learn_node(&from.name, ""));
+        self.driver.with(|node, now| node.on_node_connected(now, &from.name));
         while let Ok(Some(message)) = reader.read::<ControlMessage>().await {
             self.driver.with(|node, now| node.on_control_message(now, &from, message));
         }
--- a/crates/control/control-plane/src/main.rs
+++ b/crates/control/control-plane/src/main.rs
@@ -8,7 +8,6 @@
 mod error;
 mod links;
 mod queries;
-mod settings_reload;
 mod signals;
 mod storage;
 mod subscribers;
@@ -16,7 +15,7 @@
 use calls::CallServer;
 use configuration::{Configuration, Validator};
 use consensus::NodeId;
-use control_node::{ControlNode, NodeConfig};
+use control_node::{ControlNode, LastRead, NodeConfig, ReloadSchedule};
 use control_state::DeclaredVersions;
 use driver::{Driver, Validate};
 use error::ControlPlaneError;
@@ -24,7 +23,6 @@
 use process::command_line::{run_daemon, Program};
 use process::log_ring::LogRing;
 use process::settings::{settings_path, Settings};
-use settings_reload::{LastRead, ReloadSchedule};
 use signals::{SignalRequest, Signals};
 use sockets::listen;
 use std::io::stderr;
@@ -148,7 +146,7 @@
     })
 }
 
-/// Handles SIGHUP: adds the seeds of the current settings file to the known nodes.
+/// Handles SIGHUP: replaces the seeds by those of the current settings file.
 fn reload_seeds(driver: &Driver) {
     match Settings::load(&settings_path()) {
         Ok(settings) => learn_seeds(driver, &settings),
@@ -157,9 +155,8 @@
 }
 
 fn learn_seeds(driver: &Driver, settings: &Settings) {
-    driver.with(|node, _| {
-        settings.seed_addresses().iter().for_each(|seed| node.learn_node(&seed.to_string(), ""));
-    });
+    let seeds: Vec<String> = settings.seed_addresses().iter().map(ToString::to_string).collect();
+    driver.with(|node, now| node.set_seeds(now, &seeds));
 }
 
 /// Adds the seeds of the settings file to the known nodes when the file has changed without a signal, as long as this node
--- a/crates/testing/control-sim/src/cluster.rs
+++ b/crates/testing/control-sim/src/cluster.rs
@@ -436,6 +436,8 @@
         if !self.machines[n].is_running(now) {
             return;
         }
+        // Drawn from the machine, so that the other draws of a seed stay the same.
+        self.machines[n].reload_settings(now, (n % 4) as f64 / 4.0);
         for m in self.other_machines(n) {
             let machine_starts = (machine_start, self.machines[m].starts);
             let last_greeting =
--- a/crates/testing/control-sim/src/defect.rs
+++ b/crates/testing/control-sim/src/defect.rs
@@ -21,6 +21,8 @@
     LogTruncatedAtStart,
     /// A gateway's fallback share never expires.
     FallbackWithoutEnd,
+    /// A control node reads its settings at its start and at a signal only.
+    SettingsReadOnce,
 }
 
 impl Defect {
@@ -35,6 +37,7 @@
             Defect::PaceIgnored,
             Defect::LogTruncatedAtStart,
             Defect::FallbackWithoutEnd,
+            Defect::SettingsReadOnce,
         ];
         control_node::Defect::ALL.into_iter().map(Defect::ControlNode).chain(own)
     }
--- a/crates/testing/control-sim/src/long_workload.rs
+++ b/crates/testing/control-sim/src/long_workload.rs
@@ -56,6 +56,8 @@
     Shutdown(usize, u64),
     /// The machine is removed permanently.
     Removed(usize),
+    /// The settings of machines whose seeds are gone name others from now on.
+    SettingsChange,
     /// An operator's call arrives at a machine.
     Call {
         to: usize,
@@ -313,8 +315,8 @@
             WorkloadEvent::Removed(n) => {
                 self.kill(n, 0);
                 self.machines[n].is_removed = true;
-                (0..self.machines.len()).for_each(|m| self.set_new_seeds(m));
             }
+            WorkloadEvent::SettingsChange => (0..self.machines.len()).for_each(|m| self.set_new_seeds(m)),
             WorkloadEvent::Call { to, call, operator, request } => self.call(to, call, operator, request)?,
             WorkloadEvent::Reply { operator, call, reply } => self.reply(operator, call, reply),
             WorkloadEvent::Operator(o) => self.operator(o),
@@ -430,12 +432,19 @@
         }
         self.log(|| format!("p{n} is killed for {} ms", duration / MS));
         self.stop(n);
+        self.schedule_settings_change();
         (self.last_disturbance_at, self.last_fault_at) = (self.now, self.now);
         let at = self.now + duration;
         self.impaired_until[n] = self.impaired_until[n].max(at);
         self.schedule_workload(at, WorkloadEvent::Start(n));
     }
 
+    /// Schedules a change of the settings of machines whose seeds are gone.
+    fn schedule_settings_change(&mut self) {
+        let at = self.now + self.rng.u64(200..2_000) * MS;
+        self.schedule_workload(at, WorkloadEvent::SettingsChange);
+    }
+
     /// Updates a machine's seeds to some that exist, as the operators' list does. A voter whose seeds are all gone or
     /// down knows the others from its log; a machine without data gets new seeds.
     fn set_new_seeds(&mut self, n: usize) {
@@ -452,9 +461,12 @@
         self.rng.shuffle(&mut existing);
         existing.sort_by_key(|m| !self.machines[*m].is_running(now));
         let seeds: Vec<String> = existing.into_iter().take(3).map(address).collect();
-        // A running machine learns of them through a signal.
-        self.machines[n].with_node(|node| seeds.iter().for_each(|s| node.learn_node(s, "")));
+        // A running machine learns of them through a signal, or reads its settings again.
+        if self.rng.bool() {
+            self.machines[n].with_node(|node| node.set_seeds(now, &seeds));
+        }
         self.machines[n].settings.seeds = seeds;
+        self.connected_since[n] = None;
     }
 
     /// Adds a machine with a new name and an empty disk, which is given these seeds.
@@ -527,7 +539,7 @@
     let (raft_node, leader_status) = (node.raft(), node.leadership());
     format!(
         "{id}: {}, votes {can_vote}, gone {is_removed}, term {}, commit index {}, snapshot {}, {} entries, configuration {}, leads {}, follows {:?}, \
-         members {:?}",
+         members {:?}, knows {:?}, seeds {:?}",
         node.describe_storage(),
         raft_node.term(),
         raft_node.commit_index(),
@@ -536,6 +548,8 @@
         machine.version(),
         leader_status.is_leader,
         leader_status.leader,
-        leader_status.voters
+        leader_status.voters,
+        node.known_nodes(),
+        machine.settings.seeds
     )
 }
--- a/crates/testing/control-sim/src/machine.rs
+++ b/crates/testing/control-sim/src/machine.rs
@@ -5,7 +5,9 @@
 use crate::rules::Violation;
 use crate::{Time, MS};
 use consensus::{Entry, NodeId, Persist, PersistedState, RaftNode};
-use control_node::{AppliedRecord, ControlNode, Effect, Leadership, NodeConfig, StorageRequest};
+use control_node::{
+    AppliedRecord, ControlNode, Effect, Leadership, NodeConfig, ReloadSchedule, StorageRequest,
+};
 use control_state::{ControlState, LogIndex};
 use registry::Heartbeat;
 use std::collections::VecDeque;
@@ -60,6 +62,8 @@
     pub clock_skew_ms: i64,
     pub settings: MachineSettings,
     node: Option<ControlNode>,
+    /// When its process reads its settings again without a signal.
+    reload_schedule: ReloadSchedule,
     /// Writes in progress on the disk, in order, by number.
     pending_writes: VecDeque<(u64, StorageRequest)>,
     applied: LogIndex,
@@ -79,6 +83,7 @@
             clock_skew_ms: 0,
             settings,
             node: None,
+            reload_schedule: ReloadSchedule::new(0),
             pending_writes: VecDeque::new(),
             applied: 0,
             defect,
@@ -149,6 +154,16 @@
         let mut node = ControlNode::with_defect(config, persisted, self.saved_registry.clone(), now, planted);
         node.set_snapshot_threshold(self.settings.snapshot_threshold);
         self.node = Some(node);
+        self.reload_schedule = ReloadSchedule::new(now);
+    }
+
+    /// Reads the settings again if that is due without a signal. `jitter` is a random number between 0 and 1.
+    pub fn reload_settings(&mut self, now: Time, jitter: f64) {
+        let Some(node) = &mut self.node else { return };
+        let is_due = self.reload_schedule.is_due(now, node.last_heard_from_peer(), jitter);
+        if is_due && self.defect != Some(Defect::SettingsReadOnce) {
+            node.set_seeds(now, &self.settings.seeds);
+        }
     }
 
     /// Simulates a loss of power or a killed process. The first `completed_writes` of the pending writes reach the
