Gateways: former control nodes are tried last, behind the seeds of the settings

While the core had no majority, a gateway collected up to 128 addresses of nodes that were gone, tried each for 200 ms, and came to a living one, or to the seeds of its settings, only after 6 s and more; it never read its settings again, which it did when all nodes were in back-off.

Change: nodes are tried by standing: told at present, seeds, former ones; those whose latest attempt timed out come later, former ones last in any case. Control nodes tell gateways of those heard within 1.5 s (other control nodes: 5 s). The settings are read again whenever the node to be tried is not told at present.

--- a/crates/control/control-node/src/control_messages.rs
+++ b/crates/control/control-node/src/control_messages.rs
@@ -1,6 +1,7 @@
 //! Messages from other control nodes, and discovery of control nodes.
 
 use crate::effect::Effect;
+use crate::node::as_pairs;
 use crate::{ControlNode, Defect, Time, MS};
 use consensus::{Input, NodeId};
 use messages::{ControlMessage, GatewayUpdate};
@@ -17,7 +18,7 @@
             zone: self.config.zone.clone(),
             initial_start: self.config.initial_start,
             can_vote: self.config.can_vote && !self.is_shutting_down(),
-            known_nodes: self.told_nodes(),
+            known_nodes: as_pairs(self.known_nodes.told_to_nodes()),
             unix_ms,
         }
     }
--- a/crates/control/control-node/src/known_nodes.rs
+++ b/crates/control/control-node/src/known_nodes.rs
@@ -10,9 +10,11 @@
 
 /// Maximum number of known control nodes, without seeds and voters.
 const MAX_KNOWN_NODES: usize = 64;
-/// Time after its last message in which a node counts as heard: it is told to others, and keeps its place in a full
-/// table.
+/// Time after its last message in which a node counts as heard: it is told to other control nodes, and keeps its place
+/// in a full table.
 const HEARD_WITHIN: Time = 5_000 * MS;
+/// The same for what gateways are told, which connect to one node after another: three Hellos.
+const HEARD_JUST_NOW: Time = 1_500 * MS;
 /// Time without a sign of a node after which it is forgotten.
 const FORGET_AFTER: Time = 60_000 * MS;
 /// Time without a message of any node after which this node counts as cut off. While it is, it forgets nobody.
@@ -32,8 +34,8 @@
 }
 
 impl KnownNode {
-    fn is_heard(&self, now: Time) -> bool {
-        self.heard_at.is_some_and(|at| now < at + HEARD_WITHIN)
+    fn is_heard(&self, now: Time, within: Time) -> bool {
+        self.heard_at.is_some_and(|at| now < at + within)
     }
 }
 
@@ -134,7 +136,7 @@
         }
         // A node that others tell of does not take the place of another such one, unless that one is told no more.
         let may_go = |node: &KnownNode| match source {
-            Source::Itself => !node.is_heard(now),
+            Source::Itself => !node.is_heard(now, HEARD_WITHIN),
             Source::Others => now >= node.seen_at + HEARD_WITHIN,
         };
         let oldest = removable.filter(|(_, node)| may_go(node)).min_by_key(|(_, node)| node.seen_at);
@@ -186,12 +188,21 @@
         self.nodes.iter().map(|(name, node)| (name, &node.zone))
     }
 
-    /// Returns the nodes to tell others, each with its zone: this one, the voters, and those that it hears, or heard
-    /// before it was cut off.
-    pub fn told(&self) -> impl Iterator<Item = (&String, &String)> {
+    /// Returns the nodes to tell other control nodes, each with its zone: this one, the voters, and those that it hears,
+    /// or heard before it was cut off.
+    pub fn told_to_nodes(&self) -> impl Iterator<Item = (&String, &String)> {
+        self.told(HEARD_WITHIN)
+    }
+
+    /// Returns the nodes to tell gateways in the same way.
+    pub fn told_to_gateways(&self) -> impl Iterator<Item = (&String, &String)> {
+        self.told(HEARD_JUST_NOW)
+    }
+
+    fn told(&self, within: Time) -> impl Iterator<Item = (&String, &String)> {
         let last_heard = self.last_heard.unwrap_or(0);
         let is_told = move |(name, node): &(&String, &KnownNode)| {
-            **name == self.own_name || self.voters.contains(*name) || node.is_heard(last_heard)
+            **name == self.own_name || self.voters.contains(*name) || node.is_heard(last_heard, within)
         };
         self.nodes.iter().filter(is_told).map(|(name, node)| (name, &node.zone))
     }
--- a/crates/control/control-node/src/node.rs
+++ b/crates/control/control-node/src/node.rs
@@ -278,12 +278,7 @@
 
     /// Returns the known control nodes as pairs of name and zone; the zone is empty while unknown.
     pub fn known_nodes(&self) -> Vec<(String, String)> {
-        self.known_nodes.all().map(|(name, zone)| (name.clone(), zone.clone())).collect()
-    }
-
-    /// Returns the control nodes to tell others, as pairs of name and zone.
-    pub(crate) fn told_nodes(&self) -> Vec<(String, String)> {
-        self.known_nodes.told().map(|(name, zone)| (name.clone(), zone.clone())).collect()
+        as_pairs(self.known_nodes.all())
     }
 
     pub(crate) fn send_to(&mut self, to: &str, message: ControlMessage) {
@@ -303,3 +298,8 @@
         false
     }
 }
+
+/// Returns owned pairs of name and zone.
+pub(crate) fn as_pairs<'a>(nodes: impl Iterator<Item = (&'a String, &'a String)>) -> Vec<(String, String)> {
+    nodes.map(|(name, zone)| (name.clone(), zone.clone())).collect()
+}
--- a/crates/control/control-node/src/subscribers.rs
+++ b/crates/control/control-node/src/subscribers.rs
@@ -2,6 +2,7 @@
 //! gateways' quota requests.
 
 use crate::effect::Effect;
+use crate::node::as_pairs;
 use crate::{ControlNode, Defect, Time, MS};
 use change_log::Offset;
 use control_state::{Command, ConfigurationSender, LogIndex};
@@ -113,7 +114,7 @@
             contact_number,
             quorum_contact_ms: u32::try_from(contact_age_ms).unwrap_or(u32::MAX),
             newest_configuration,
-            control_nodes: self.told_nodes(),
+            control_nodes: as_pairs(self.known_nodes.told_to_gateways()),
         })
     }
 
--- a/crates/data/data-plane/src/control_link.rs
+++ b/crates/data/data-plane/src/control_link.rs
@@ -47,11 +47,13 @@
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
-            if next_node.is_backed_off {
+            if !next_node.is_told {
                 // The settings file may have changed without a signal.
                 if let Ok(settings) = Settings::load(&settings_path()) {
                     self.settings = settings;
                 }
+            }
+            if next_node.is_backed_off {
                 sleep(RETRY_PAUSE + RETRY_PAUSE.mul_f64(fastrand::f64())).await;
             }
             let started = self.gateway.quota.now();
--- a/crates/data/subscription/src/backoff.rs
+++ b/crates/data/subscription/src/backoff.rs
@@ -22,6 +22,8 @@
     /// since.
     timed_out: bool,
     retried: bool,
+    /// The latest attempt timed out, whatever the cause.
+    timed_out_last: bool,
 }
 
 /// The control nodes to which a connection failed, also those whose back-off has ended.
@@ -39,6 +41,11 @@
         self.0.get(ip).is_some_and(|backoff| backoff.until > now)
     }
 
+    /// Returns whether the latest attempt to connect to a node timed out.
+    pub fn timed_out_last(&self, ip: &IpAddr) -> bool {
+        self.0.get(ip).is_some_and(|backoff| backoff.timed_out_last)
+    }
+
     /// Returns when a connection to a node last failed. `None` sorts first.
     pub fn since(&self, ip: &IpAddr) -> Option<Time> {
         self.0.get(ip).map(|backoff| backoff.since)
@@ -58,6 +65,7 @@
             consecutive_failures: failures + 1,
             timed_out: timed_out && !retried,
             retried,
+            timed_out_last: timed_out,
         };
         self.0.insert(ip, backoff);
     }
--- a/crates/data/subscription/src/subscription.rs
+++ b/crates/data/subscription/src/subscription.rs
@@ -2,7 +2,7 @@
 //! node's updates.
 
 use crate::backoff::Backoffs;
-use crate::control_nodes::ControlNodes;
+use crate::control_nodes::{ControlNodes, Standing};
 use crate::freshness::Freshness;
 use crate::view::{View, ViewChange};
 use crate::{Time, MS};
@@ -81,6 +81,8 @@
     pub ip: IpAddr,
     /// Whether all nodes are in back-off, so that the one whose last failure is the oldest was selected.
     pub is_backed_off: bool,
+    /// Whether control nodes tell of it at present. If not, the settings may name others meanwhile.
+    pub is_told: bool,
 }
 
 /// The current connection.
@@ -142,9 +144,8 @@
         act(&mut self.view)
     }
 
-    /// Selects the node to connect to next, among the seeds and all known nodes: a random node of those that control
-    /// nodes tell of at present, else any other, and of the gateway's own zone if available. `draw` returns a random
-    /// number below its argument.
+    /// Selects the node to connect to next, among the seeds and all known nodes: a random one of those that are
+    /// preferred. `draw` returns a random number below its argument.
     pub fn next_node(
         &mut self,
         now: Time,
@@ -156,26 +157,26 @@
         self.backoffs.retain(&all);
         let available: Vec<IpAddr> =
             all.iter().copied().filter(|ip| !self.backoffs.is_backed_off(ip, now)).collect();
-        let candidates = self.preferred(available);
+        let candidates = self.preferred(&available);
         if !candidates.is_empty() {
             let ip = candidates[draw(candidates.len())];
-            return Some(NextNode { ip, is_backed_off: false });
+            let is_told = self.control_nodes.is_current(&ip);
+            return Some(NextNode { ip, is_backed_off: false, is_told });
         }
         let oldest_failure = all.into_iter().min_by_key(|ip| self.backoffs.since(ip));
-        oldest_failure.map(|ip| NextNode { ip, is_backed_off: true })
+        oldest_failure.map(|ip| NextNode { ip, is_backed_off: true, is_told: false })
     }
 
-    /// Returns the nodes that are tried before the others.
-    fn preferred(&self, nodes: Vec<IpAddr>) -> Vec<IpAddr> {
-        let current: Vec<IpAddr> =
-            nodes.iter().copied().filter(|ip| self.control_nodes.is_current(ip)).collect();
-        let nodes = if current.is_empty() { nodes } else { current };
-        let near: Vec<IpAddr> = nodes.iter().copied().filter(|ip| self.is_near(ip)).collect();
-        if near.is_empty() {
-            nodes
-        } else {
-            near
-        }
+    /// Returns the nodes that are tried before the others: former ones last, then those whose latest attempt did not time
+    /// out, by how they are known, then those of the gateway's own zone.
+    fn preferred(&self, nodes: &[IpAddr]) -> Vec<IpAddr> {
+        let rank = |ip: &IpAddr| {
+            let standing = self.control_nodes.standing(ip);
+            let is_former = standing == Standing::Former;
+            (is_former, self.backoffs.timed_out_last(ip), standing, !self.is_near(ip))
+        };
+        let best = nodes.iter().map(rank).min();
+        nodes.iter().copied().filter(|ip| Some(rank(ip)) == best).collect()
     }
 
     fn is_near(&self, ip: &IpAddr) -> bool {
--- a/crates/data/subscription/tests/subscription.rs
+++ b/crates/data/subscription/tests/subscription.rs
@@ -351,3 +351,18 @@
     let effects = subscription.on_update(10 * MS, list_of(1..=1, 5000), Vec::new);
     assert!(matches!(effects[..], [Effect::Disconnect(DisconnectReason::NoQuorum)]), "{effects:?}");
 }
+
+/// Guards against a gateway that tries hundreds of former nodes before the seeds of its settings, after a time in which
+/// the nodes that it followed had no majority (seeds 1 and 51 of `control-sim --replacements` on drafts).
+#[test]
+fn a_seed_is_tried_before_former_nodes() {
+    let mut subscription = new_subscription();
+    connect(&mut subscription, 0, ip(1));
+    receive_lists(&mut subscription, 0, 1, || list_of(1..=100, 0));
+    receive_lists(&mut subscription, 1, 5, || list_of(101..=102, 100_000));
+    let tried = tried_nodes(&mut subscription, 6000 * MS, &[ip(200)]);
+    assert_eq!(tried[..3], [ip(101), ip(102), ip(200)]);
+    // Again before former ones, though it timed out, once its back-off has ended.
+    let next = subscription.next_node(6750 * MS, &[ip(200)], |_| 0);
+    assert!(next.is_some_and(|next| next.ip == ip(101)));
+}
