--- a/crates/testing/control-sim/src/cluster.rs
+++ b/crates/testing/control-sim/src/cluster.rs
@@ -496,7 +496,7 @@
         }
         let seeds = gateway.seeds.clone();
         let rng = &mut self.rng;
-        let Some(NextNode { ip, is_backed_off }) =
+        let Some(NextNode { ip, is_backed_off, .. }) =
             gateway.subscription.next_node(now, &seeds, |n| rng.usize(..n))
         else {
             return self.schedule(now + RETRY_PAUSE, Event::Dial(g));
--- a/crates/testing/control-sim/src/fault_schedule.rs
+++ b/crates/testing/control-sim/src/fault_schedule.rs
@@ -12,6 +12,8 @@
 const BOOTSTRAPPED_BY: Time = 6 * SECOND;
 /// Maximum number of machines of a run, including those that are gone.
 const MAX_MACHINES: usize = 60;
+/// The same where machines without a disk are replaced.
+const MAX_MACHINES_WITH_LEARNERS: usize = 250;
 /// Time between two starts or two shutdowns of an exchange: more than a machine needs to catch up.
 const EXCHANGE_STEP: Time = 6 * SECOND;
 
@@ -47,6 +49,8 @@
     Pairs,
     /// Planned exchanges of two or three of three machines: all new ones start before the old ones are shut down.
     Exchanges,
+    /// Machines without a disk by the hundred, in fault phases, and of those with a disk one at a time.
+    Learners,
 }
 
 /// A scheduled fault.
@@ -56,6 +60,8 @@
     Next,
     /// Machines are replaced in turn, each by one with another name, until the run ends.
     Replace,
+    /// A machine without a disk is replaced; further ones follow.
+    ReplaceLearner,
     /// A planned exchange of several machines begins, when all are back; exchanges follow each other.
     Exchange,
     /// The old machines of an exchange are shut down in turn; these are left.
@@ -97,11 +103,20 @@
         self.phases[0]
     }
 
-    /// Returns the event that begins the replacement of machines. Without exchanges, some runs replace none.
-    pub fn first_replacement(&self, replaces_machines: bool) -> Option<FaultEvent> {
+    /// Returns the events that begin the replacement of machines. Some runs of the first two kinds replace none.
+    pub fn first_replacements(&self, replaces_machines: bool) -> Vec<FaultEvent> {
         match self.replacement {
-            Replacement::Exchanges => Some(FaultEvent::Exchange),
-            _ => replaces_machines.then_some(FaultEvent::Replace),
+            Replacement::Exchanges => vec![FaultEvent::Exchange],
+            Replacement::Learners => vec![FaultEvent::Replace, FaultEvent::ReplaceLearner],
+            Replacement::Single | Replacement::Pairs if replaces_machines => vec![FaultEvent::Replace],
+            Replacement::Single | Replacement::Pairs => Vec::new(),
+        }
+    }
+
+    fn max_machines(&self) -> usize {
+        match self.replacement {
+            Replacement::Learners => MAX_MACHINES_WITH_LEARNERS,
+            _ => MAX_MACHINES,
         }
     }
 
@@ -134,6 +149,10 @@
                 self.replace(workload, voters[0]);
                 Ok(())
             }
+            FaultEvent::ReplaceLearner => {
+                self.replace_learner(workload);
+                Ok(())
+            }
             FaultEvent::Exchange => {
                 self.begin_exchange(workload);
                 Ok(())
@@ -184,6 +203,10 @@
         let count = workload.machines.len();
         let leader = workload.leader();
         let mut n = workload.rng.usize(..count);
+        if self.replacement == Replacement::Learners {
+            // Most of the machines are gone.
+            n = workload.existing()[n % workload.existing().len()];
+        }
         if workload.rng.u8(..3) == 0 {
             n = leader.unwrap_or(n);
         }
@@ -379,7 +402,7 @@
         let voters = workload.voters();
         if !voters.contains(&n)
             || self.replaced.contains(&n)
-            || workload.machines.len() >= MAX_MACHINES
+            || workload.machines.len() >= self.max_machines()
             || !self.tolerates_loss_of(workload, n)
         {
             return;
@@ -400,8 +423,11 @@
         if let Some(there) = voters.iter().find(|m| **m != n && workload.machines[**m].is_running(now)) {
             seeds[0] = *there;
         }
+        if self.replacement == Replacement::Learners {
+            self.draw_gone_seeds(workload, &mut seeds);
+        }
         self.replaced.push(n);
-        let replacement = workload.add_machine(&seeds, starts_at);
+        let replacement = workload.add_machine(&seeds, starts_at, true);
         workload.log(|| format!("p{n} is replaced by p{replacement}, planned {planned}"));
         workload.last_disturbance_at = now;
         if planned {
@@ -413,6 +439,44 @@
         }
     }
 
+    /// In a fault phase, loses a machine without a disk for good and starts another with a new name.
+    fn replace_learner(&mut self, workload: &mut LongWorkload) {
+        let now = workload.now;
+        if self.is_calm(now) {
+            if let Some(ends) = self.phases.get(self.phase(now)).copied() {
+                workload.schedule_workload(ends, WorkloadEvent::Fault(FaultEvent::ReplaceLearner));
+            }
+            return;
+        }
+        let next_at = now + workload.rng.u64(50..400) * MS;
+        workload.schedule_workload(next_at, WorkloadEvent::Fault(FaultEvent::ReplaceLearner));
+        let is_learner = |n: &usize| !workload.machines[*n].can_vote && workload.machines[*n].is_up();
+        let learners: Vec<usize> = workload.existing().into_iter().filter(is_learner).collect();
+        if learners.is_empty() || workload.machines.len() >= self.max_machines() {
+            return;
+        }
+        let lost = learners[workload.rng.usize(..learners.len())];
+        let starts_at = now + workload.rng.u64(..500) * MS;
+        let mut seeds = workload.voters();
+        self.draw_gone_seeds(workload, &mut seeds);
+        let replacement = workload.add_machine(&seeds, starts_at, false);
+        workload.story.replaced_learners += 1;
+        workload.log(|| format!("p{lost}, without a disk, is replaced by p{replacement}"));
+        workload.schedule_workload(now, WorkloadEvent::Removed(lost));
+    }
+
+    /// Replaces the seeds of one new machine in four by some that are gone: its settings name others later.
+    fn draw_gone_seeds(&self, workload: &mut LongWorkload, seeds: &mut Vec<usize>) {
+        let mut gone: Vec<usize> =
+            (0..workload.machines.len()).filter(|n| workload.machines[*n].is_removed).collect();
+        if workload.rng.u8(..4) > 0 || gone.is_empty() {
+            return;
+        }
+        workload.rng.shuffle(&mut gone);
+        gone.truncate(3);
+        *seeds = gone;
+    }
+
     /// Starts the new machines of an exchange one after the other, and schedules the shutdown of the old ones. Waits
     /// until all machines are back.
     fn begin_exchange(&mut self, workload: &mut LongWorkload) {
@@ -426,7 +490,7 @@
         let count = workload.rng.usize(2..=voters.len());
         let old: Vec<usize> = voters[..count].to_vec();
         for n in 0..count {
-            let new = workload.add_machine(&voters, now + n as Time * EXCHANGE_STEP);
+            let new = workload.add_machine(&voters, now + n as Time * EXCHANGE_STEP, true);
             workload.log(|| format!("p{new} will replace one of {old:?}"));
         }
         workload.last_disturbance_at = now;
--- a/crates/testing/control-sim/src/lib.rs
+++ b/crates/testing/control-sim/src/lib.rs
@@ -45,12 +45,19 @@
     seed % 4 == 3
 }
 
+/// Returns whether the seed runs a long workload that replaces hundreds of machines, as one seed in 64 does.
+fn replaces_learners(seed: u64) -> bool {
+    seed % 64 == 63
+}
+
 /// Runs a seed to its end.
 ///
 /// # Errors
 /// Returns the rule that was broken and the story up to that point.
 pub fn play(seed: u64, defect: Option<Defect>) -> Result<Story, Box<(Violation, Story)>> {
-    if is_long(seed) {
+    if replaces_learners(seed) {
+        play_replaced_learners(seed, defect)
+    } else if is_long(seed) {
         LongWorkload::new(seed, defect, Replacement::Single).play()
     } else {
         ShortWorkload::new(seed, defect).play()
@@ -72,3 +79,11 @@
 pub fn play_exchanges(seed: u64, defect: Option<Defect>) -> Result<Story, Box<(Violation, Story)>> {
     LongWorkload::new(seed, defect, Replacement::Exchanges).play()
 }
+
+/// Runs a long workload that replaces hundreds of machines without a disk, and some with one.
+///
+/// # Errors
+/// Returns the rule that was broken and the story up to that point.
+pub fn play_replaced_learners(seed: u64, defect: Option<Defect>) -> Result<Story, Box<(Violation, Story)>> {
+    LongWorkload::new(seed, defect, Replacement::Learners).play()
+}
--- a/crates/testing/control-sim/src/long_workload.rs
+++ b/crates/testing/control-sim/src/long_workload.rs
@@ -19,6 +19,7 @@
 use consensus::{EntryPayload, PersistedState, VoterSet};
 use fastrand::Rng;
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::ops::{Deref, DerefMut};
 use subscription::ViewChange;
 use trial::TenantTerms;
@@ -159,7 +160,8 @@
 impl LongWorkload {
     pub fn new(seed: u64, defect: Option<Defect>, replacement: Replacement) -> Self {
         let mut rng = Rng::with_seed(seed);
-        let voters = if rng.bool() || replacement == Replacement::Exchanges { 3 } else { 5 };
+        let is_small = matches!(replacement, Replacement::Exchanges | Replacement::Learners);
+        let voters = if rng.bool() || is_small { 3 } else { 5 };
         let snapshot_threshold = if rng.bool() { 64 } else { rng.usize(6..30) };
         let operators = rng.usize(2..9);
         // One run in forty has hundreds of changes.
@@ -182,8 +184,9 @@
             fallback_lifetime: quota::FALLBACK_LIFETIME,
             min_voters: voters,
         };
-        // The last machine has no disk.
-        for n in 0..=voters {
+        // The last machines have no disk.
+        let learners = if replacement == Replacement::Learners { 3 } else { 1 };
+        for n in 0..voters + learners {
             system.add(n < voters, MachineSettings { zone: format!("z{}", n % 3), ..settings.clone() });
         }
         for g in 0..GATEWAYS {
@@ -273,7 +276,7 @@
         let first = self.faults.first_fault_at();
         self.schedule_workload(first, WorkloadEvent::Fault(FaultEvent::Next));
         let replaces_machines = self.rng.u8(..4) == 0;
-        if let Some(event) = self.faults.first_replacement(replaces_machines) {
+        for event in self.faults.first_replacements(replaces_machines) {
             self.schedule_workload(first + 1000 * MS, WorkloadEvent::Fault(event));
         }
         while let Some(event) = self.pop() {
@@ -295,7 +298,7 @@
             WorkloadEvent::Start(n) => {
                 if !self.machines[n].is_up() && !self.machines[n].is_removed {
                     self.log(|| format!("p{n} starts"));
-                    self.set_new_seeds(n);
+                    self.schedule_settings_change();
                     self.last_disturbance_at = now;
                     self.impaired_until[n] = self.impaired_until[n].max(now);
                     self.schedule(now, Event::Start(n));
@@ -316,7 +319,10 @@
                 self.kill(n, 0);
                 self.machines[n].is_removed = true;
             }
-            WorkloadEvent::SettingsChange => (0..self.machines.len()).for_each(|m| self.set_new_seeds(m)),
+            WorkloadEvent::SettingsChange => {
+                (0..self.machines.len()).for_each(|m| self.set_new_seeds(m));
+                (0..self.gateways.len()).for_each(|g| self.set_new_gateway_seeds(g));
+            }
             WorkloadEvent::Call { to, call, operator, request } => self.call(to, call, operator, request)?,
             WorkloadEvent::Reply { operator, call, reply } => self.reply(operator, call, reply),
             WorkloadEvent::Operator(o) => self.operator(o),
@@ -448,6 +454,9 @@
     /// Updates a machine's seeds to some that exist, as the operators' list does. A voter whose seeds are all gone or
     /// down knows the others from its log; a machine without data gets new seeds.
     fn set_new_seeds(&mut self, n: usize) {
+        if self.machines[n].is_removed {
+            return;
+        }
         let now = self.now;
         let is_gone = |s: &String| machine_index(s) == n || !self.machines[machine_index(s)].is_running(now);
         let machine = &self.machines[n];
@@ -456,8 +465,8 @@
         {
             return;
         }
-        let mut existing: Vec<usize> =
-            (0..self.machines.len()).filter(|m| *m != n && !self.machines[*m].is_removed).collect();
+        let mut existing = self.existing();
+        existing.retain(|m| *m != n);
         self.rng.shuffle(&mut existing);
         existing.sort_by_key(|m| !self.machines[*m].is_running(now));
         let seeds: Vec<String> = existing.into_iter().take(3).map(address).collect();
@@ -469,12 +478,21 @@
         self.connected_since[n] = None;
     }
 
-    /// Adds a machine with a new name and an empty disk, which is given these seeds.
-    pub fn add_machine(&mut self, seeds: &[usize], starts_at: Time) -> usize {
+    /// Updates a gateway's seeds to some machines that exist if they are all gone.
+    fn set_new_gateway_seeds(&mut self, g: usize) {
+        let is_gone = |ip: &IpAddr| self.machines[machine_index(&ip.to_string())].is_removed;
+        if self.gateways[g].seeds.iter().all(is_gone) {
+            let existing = self.existing();
+            self.gateways[g].set_seeds(&existing);
+        }
+    }
+
+    /// Adds a machine with a new name, with an empty disk or without one, which is given these seeds.
+    pub fn add_machine(&mut self, seeds: &[usize], starts_at: Time, has_disk: bool) -> usize {
         let seeds = seeds.iter().map(|n| address(*n)).collect();
         let zone = format!("z{}", self.machines.len() % 3);
         let settings = MachineSettings { seeds, is_initial_start: false, zone, ..self.settings.clone() };
-        let n = self.add(true, settings);
+        let n = self.add(has_disk, settings);
         self.unreachable_until.push(0);
         self.impaired_until.push(starts_at);
         self.last_contact_at.push(0);
@@ -503,16 +521,18 @@
     pub fn record_gateway_fault(&mut self, g: usize) {
         self.gateway_healthy_since[g] = self.now;
         // Its settings file names some existing machines.
-        let existing: Vec<usize> =
-            (0..self.machines.len()).filter(|m| !self.machines[*m].is_removed).collect();
+        let existing = self.existing();
         self.gateways[g].set_seeds(&existing);
     }
 
+    /// Returns the machines that are not removed.
+    pub fn existing(&self) -> Vec<usize> {
+        (0..self.machines.len()).filter(|n| !self.machines[*n].is_removed).collect()
+    }
+
     /// Returns the machines that count as voters: neither removed nor without a disk.
     pub fn voters(&self) -> Vec<usize> {
-        (0..self.machines.len())
-            .filter(|n| self.machines[*n].can_vote && !self.machines[*n].is_removed)
-            .collect()
+        self.existing().into_iter().filter(|n| self.machines[*n].can_vote).collect()
     }
 }
 
--- a/crates/testing/control-sim/src/main.rs
+++ b/crates/testing/control-sim/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs seeds: `control-sim --seeds 1000`, `control-sim --seed 7 --story`, `control-sim --defect wiped-votes`.
 #![forbid(unsafe_code)]
 
-use control_sim::{play, play_exchanges, play_pairs, Defect, Story, Violation};
+use control_sim::{play, play_exchanges, play_pairs, play_replaced_learners, Defect, Story, Violation};
 use std::ops::Range;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -22,6 +22,11 @@
         "exchanges",
         "run only long workloads that exchange two or three of three machines at a time",
     );
+    options.optflag(
+        "",
+        "replacements",
+        "run only long workloads that replace hundreds of machines without a disk",
+    );
     options.optopt("d", "defect", "plant this defect; exit status 1 means that it was found", "NAME");
     options.optflag("", "growth", "print how sizes and costs grow with the fleet and exit");
     options.optflag("", "story", "print every event, even if no rule was broken");
@@ -69,6 +74,8 @@
         play_pairs
     } else if matches.opt_present("exchanges") {
         play_exchanges
+    } else if matches.opt_present("replacements") {
+        play_replaced_learners
     } else {
         play
     };
@@ -98,6 +105,7 @@
     acknowledged_again: u64,
     refused: u64,
     exchanges: u64,
+    replaced_learners: u64,
     minutes: f64,
     recovery_times: Vec<u64>,
 }
@@ -112,6 +120,7 @@
         self.acknowledged_again += u64::from(story.acknowledged_again);
         self.refused += u64::from(story.refused);
         self.exchanges += u64::from(story.exchanges);
+        self.replaced_learners += u64::from(story.replaced_learners);
         self.minutes += story.duration as f64 / 60e9;
         self.recovery_times.extend(&story.recovery_times);
     }
@@ -137,8 +146,8 @@
         let [full, paced, refused] = self.trial;
         format!(
             "{} steps, {} acknowledged\non trial: {full} at full speed, {paced} in turn, {refused} refused for the pace\n\
-             worlds of minutes: {}, of {:.0} minutes together; {} orders acknowledged again, {} refused, {} exchanges\n{}",
-            self.steps, self.acknowledged, self.long_runs, self.minutes, self.acknowledged_again, self.refused, self.exchanges, self.recovery()
+             worlds of minutes: {}, of {:.0} minutes together; {} orders acknowledged again, {} refused, {} exchanges, {} machines without a disk replaced\n{}",
+            self.steps, self.acknowledged, self.long_runs, self.minutes, self.acknowledged_again, self.refused, self.exchanges, self.replaced_learners, self.recovery()
         )
     }
 }
--- a/crates/testing/control-sim/src/story.rs
+++ b/crates/testing/control-sim/src/story.rs
@@ -27,6 +27,8 @@
     pub changes: u32,
     /// Completed exchanges of several machines.
     pub exchanges: u32,
+    /// Machines without a disk that were replaced by others.
+    pub replaced_learners: u32,
     /// Time from the end of each fault to the first answered read of the configuration.
     pub recovery_times: Vec<Time>,
 }
