Drain: when the last connection may begin is decided in lifecycle; three tests say their failure

Need: the reading of the whole change found a figure, the time for handshakes before a listener closes, in the part that does I/O (fronts/http1), and tests without a line that names what they guard against.

Change: HANDSHAKE_TIME and handshake_window stand in lifecycle::drain beside the accept window; behaviour is the same.

--- a/crates/common/process/src/settings/tests.rs
+++ b/crates/common/process/src/settings/tests.rs
@@ -34,6 +34,7 @@
     assert_eq!((settings.identity.data_directory, settings.contract.bounds.drain_ms), (None, 2500.0));
 }
 
+/// Guards against a core that is shrunk below what the stated losses take, or where losses of zones are stated too.
 #[test]
 fn voters_for_the_stated_losses_are_known_if_machines_alone_are_stated() {
     let min_voters = |losses: &str| {
--- a/crates/control/control-node/src/settings_reload/tests.rs
+++ b/crates/control/control-node/src/settings_reload/tests.rs
@@ -23,6 +23,7 @@
     assert!((40..=60).contains(&reads.len()), "bounded and not stopped: {}", reads.len());
 }
 
+/// Guards against reads of the file on the ordinary path.
 #[test]
 fn a_node_that_hears_another_does_not_read() {
     assert!(reads(&mut ReloadSchedule::new(0), 60, |now| Some(now.saturating_sub(500 * MS))).is_empty());
--- a/crates/gateway/lifecycle/src/drain.rs
+++ b/crates/gateway/lifecycle/src/drain.rs
@@ -8,9 +8,16 @@
 
 /// How long after the shutdown request new connections are accepted.
 pub const ACCEPT_WINDOW: Time = 500_000_000;
+/// The end of the accept window in which no connection begins any more, and those that have begun are completed.
+pub const HANDSHAKE_TIME: Time = 100_000_000;
 /// The time between the last answer's deadline and the end: half to write the answer, half for the client to read it.
 pub const FINAL_MARGIN: Time = 100_000_000;
 
+/// Returns how long after the shutdown request a connection may begin, within this accept window.
+pub fn handshake_window(accept_window: Time) -> Time {
+    accept_window.saturating_sub(HANDSHAKE_TIME)
+}
+
 /// A drain of this gateway in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Drain {
--- a/crates/gateway/lifecycle/src/drain/tests.rs
+++ b/crates/gateway/lifecycle/src/drain/tests.rs
@@ -32,3 +32,11 @@
     assert_eq!(drain.wait(1000 * MS, 300 * MS), 300 * MS, "no longer than its client waits");
     assert_eq!(drain.wait(3080 * MS, 300 * MS), 1, "at once");
 }
+
+/// Guards against connections that begin so late that the close of the listener resets them, and against a window that is
+/// shorter than a handshake.
+#[test]
+fn no_connection_begins_in_the_last_moments_of_the_window() {
+    assert_eq!(handshake_window(ACCEPT_WINDOW), ACCEPT_WINDOW - HANDSHAKE_TIME);
+    assert_eq!(handshake_window(HANDSHAKE_TIME / 2), 0);
+}
--- a/crates/gateway/proxy/src/fronts/http1/mod.rs
+++ b/crates/gateway/proxy/src/fronts/http1/mod.rs
@@ -50,8 +50,6 @@
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of checks of a closing connection for bytes that have already arrived.
 const MAX_PENDING_CHECKS: usize = 8;
-/// Time before the listener closes in which begun handshakes are completed and no new one begins.
-const HANDSHAKE_TIME: Duration = Duration::from_millis(100);
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(5);
 const DESCRIPTOR_RETRY_DELAY: Duration = Duration::from_millis(5);
 
@@ -180,11 +178,12 @@
         self.drain.set(Some(drain));
         info!("draining");
         let window_end = started + window;
+        let handshakes_end = started + Duration::from_nanos(drain::handshake_window(nanos(window)));
         self.link.on_shutdown(&self.driver);
         if self.link.is_shared() {
             self.hand_over(window_end).await;
         } else {
-            self.accept_until(listener, &mut next_client, window_end).await;
+            self.accept_until(listener, &mut next_client, handshakes_end, window_end).await;
         }
         self.close_all(Close::Drain);
         let mut last = pin!(sleep_until(self.driver.instant(drain.end())));
@@ -209,18 +208,19 @@
         sleep_until(window_end).await;
     }
 
-    /// Accepts clients until the end of the window and then closes the socket, since no other process listens on it.
+    /// Accepts clients until the end of the window and then closes the socket, since no other process listens on it. No
+    /// connection begins after `handshakes_end`.
     async fn accept_until(
         self: &Rc<Self>,
         listener: ClientListener,
         next_client: &mut u64,
+        handshakes_end: Instant,
         window_end: Instant,
     ) {
         // At once, not at the end of the window: a client whose request crosses the close retries on a new connection, and
         // must find the listener open.
         self.close_all(Close::Drain);
-        let handshakes_start = window_end.checked_sub(HANDSHAKE_TIME).unwrap_or(window_end);
-        self.admit_until(&listener, next_client, handshakes_start).await;
+        self.admit_until(&listener, next_client, handshakes_end).await;
         listener.ignore_new_connections();
         self.admit_until(&listener, next_client, window_end).await;
         // Connections in the listener's queue would be reset with it.
--- a/crates/testing/control-sim/tests/seeds_and_defects.rs
+++ b/crates/testing/control-sim/tests/seeds_and_defects.rs
@@ -61,6 +61,7 @@
     })
 }
 
+/// Guards against voters that grow to seven, two of them gone, where two of five are replaced at once.
 #[gtest]
 fn as_many_losses_are_borne_after_several_were_replaced_at_a_time() {
     stories_of(PAIR_SEEDS, play_pairs);
